--- /dev/null
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -0,0 +1,118 @@
+package io.vanillapoint.api.event;
+
+import java.util.List;
+
+/**
+ * Catalogue of numbered events. A number is never used again for something else. The page
+ * docs/EVENTS.md lists the same entries, and a test compares the two. Immutable.
+ */
+public enum EventCode {
+    /** The process has started. */
+    STARTED(1001, EventLevel.INFO, "started", "incarnation", "region", "callers", "peers"),
+    /** A graceful shutdown has begun. */
+    DRAINING(1002, EventLevel.INFO, "draining", "running"),
+    /** The process ends. */
+    STOPPED(1003, EventLevel.INFO, "stopped", "cut"),
+    /** A request was cut by the limit of the shutdown or by a second signal. */
+    CUT_AT_SHUTDOWN(1004, EventLevel.WARN, "cut at shutdown", "request"),
+    /** The settings do not hold. */
+    BAD_SETTINGS(1005, EventLevel.ERROR, "bad settings", "findings"),
+    /** A new configuration is in force. */
+    CONFIG_ACCEPTED(1101, EventLevel.INFO, "configuration accepted", "revision", "source"),
+    /** An older revision was read and ignored. */
+    CONFIG_OLDER_IGNORED(1102, EventLevel.DEBUG, "older revision ignored", "key", "revision"),
+    /** A published value was refused. */
+    CONFIG_REFUSED(1103, EventLevel.ERROR, "value refused", "key", "revision", "findings"),
+    /** The platform's configuration service does not answer. */
+    PLATFORM_UNREACHABLE(1104, EventLevel.WARN, "platform unreachable", "error"),
+    /** The platform's configuration service answers again. */
+    PLATFORM_REACHABLE(1105, EventLevel.INFO, "platform reachable", "revision"),
+    /** A peer answers. */
+    PEER_UP(1201, EventLevel.INFO, "peer up", "peer"),
+    /** A peer stopped answering. */
+    PEER_DOWN(1202, EventLevel.WARN, "peer down", "peer"),
+    /** A frame from a peer could not be read and its connection was closed. */
+    PEER_BAD_FRAME(1203, EventLevel.WARN, "bad frame", "peer", "error"),
+    /** This VM holds its base share. */
+    SHARE_ACTIVE(1301, EventLevel.INFO, "base share active", "share", "members"),
+    /** This VM gave up its base share. */
+    SHARE_INACTIVE(1302, EventLevel.WARN, "base share inactive", "reason"),
+    /** Base share changed since members came or left. */
+    SHARE_CHANGED(1303, EventLevel.INFO, "base share changed", "share", "members"),
+    /** A lease of another VM's share began. */
+    LEASE_GAINED(1304, EventLevel.DEBUG, "lease gained", "giver", "share"),
+    /** A lease of another VM's share ended without renewal. */
+    LEASE_LAPSED(1305, EventLevel.INFO, "lease lapsed", "giver"),
+    /** A request was refused since its customer's rate leaves no room. */
+    RATE_REFUSED(1306, EventLevel.INFO, "rate refused", "request", "customer", "tokens"),
+    /** A request was admitted. */
+    REQUEST_ADMITTED(1401, EventLevel.DEBUG, "admitted", "request", "customer", "tokens"),
+    /** A request was sent to an upstream or to a VM of another region. */
+    REQUEST_DISPATCHED(1402, EventLevel.DEBUG, "dispatched", "request", "target", "attempt"),
+    /** A request ended. */
+    REQUEST_DONE(1403, EventLevel.DEBUG, "done", "request", "status", "tokens"),
+    /** A request was refused. */
+    REQUEST_REFUSED(1404, EventLevel.INFO, "refused", "request", "code"),
+    /** An attempt failed and another one follows. */
+    REQUEST_RETRIED(1405, EventLevel.INFO, "retried", "request", "target", "error"),
+    /** The caller went away and the upstream was told to stop. */
+    REQUEST_CANCELLED(1406, EventLevel.INFO, "cancelled", "request"),
+    /** An answer ended before it was whole. */
+    ANSWER_TRUNCATED(1407, EventLevel.WARN, "answer truncated", "request", "target"),
+    /** An upstream is taken out after failures. */
+    UPSTREAM_EJECTED(1501, EventLevel.WARN, "upstream ejected", "upstream", "millis"),
+    /** An ejected upstream is tried again. */
+    UPSTREAM_RESTORED(1502, EventLevel.INFO, "upstream restored", "upstream"),
+    /** An invariant does not hold. */
+    INVARIANT_BROKEN(1901, EventLevel.ERROR, "invariant broken", "invariant", "detail"),
+    /** An unexpected failure inside this process. */
+    INTERNAL_ERROR(1902, EventLevel.ERROR, "internal error", "place", "error");
+
+    private final int number;
+    private final EventLevel level;
+    private final String title;
+    private final List<String> fields;
+
+    EventCode(int number, EventLevel level, String title, String... fields) {
+        this.number = number;
+        this.level = level;
+        this.title = title;
+        this.fields = List.of(fields);
+    }
+
+    /**
+     * Number of the event.
+     *
+     * @return number, unique in the catalogue
+     */
+    public int number() {
+        return number;
+    }
+
+    /**
+     * How much the event matters.
+     *
+     * @return the level
+     */
+    public EventLevel level() {
+        return level;
+    }
+
+    /**
+     * Short text of the event.
+     *
+     * @return lower-case text
+     */
+    public String title() {
+        return title;
+    }
+
+    /**
+     * Names of the fields.
+     *
+     * @return immutable list
+     */
+    public List<String> fields() {
+        return fields;
+    }
+}
--- /dev/null
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/finding/Findings.java
@@ -0,0 +1,58 @@
+package io.vanillapoint.api.finding;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Collects findings so that all of them are reported together. Not safe for use by several threads.
+ */
+public final class Findings {
+    private final List<Finding> found = new ArrayList<>();
+
+    /**
+     * Adds a finding.
+     *
+     * @param place where it was found
+     * @param code kind of fault
+     * @param message what was expected and what was found
+     */
+    public void add(Place place, FindingCode code, String message) {
+        found.add(new Finding(place, code, message));
+    }
+
+    /**
+     * Adds the findings of another collection.
+     *
+     * @param other where to copy from
+     */
+    public void addAll(Findings other) {
+        found.addAll(other.found);
+    }
+
+    /**
+     * Tells whether nothing was found.
+     *
+     * @return true if there is no finding
+     */
+    public boolean isEmpty() {
+        return found.isEmpty();
+    }
+
+    /**
+     * The findings in the order in which they were made.
+     *
+     * @return immutable copy
+     */
+    public List<Finding> list() {
+        return List.copyOf(found);
+    }
+
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder();
+        for (Finding finding : found) {
+            text.append(finding).append(System.lineSeparator());
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/model/Endpoint.java
@@ -0,0 +1,44 @@
+package io.vanillapoint.api.model;
+
+/**
+ * An IP address with a port. Immutable.
+ *
+ * @param host IP address, never a name to resolve
+ * @param port TCP port from 1 to 65,535
+ */
+public record Endpoint(String host, int port) {
+    private static final int MAX_PORT = 65_535;
+
+    /** Checks the invariant. */
+    public Endpoint {
+        Ids.requireName(host, "host");
+        if (port < 1 || port > MAX_PORT) {
+            throw new IllegalArgumentException("expected a port from 1 to " + MAX_PORT);
+        }
+    }
+
+    /**
+     * Reads {@code host:port}.
+     *
+     * @param text text to read
+     * @return the endpoint
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static Endpoint parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("expected host:port, got '" + text + "'");
+        }
+        try {
+            return new Endpoint(
+                    text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("expected host:port, got '" + text + "'", e);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/model/Ids.java
@@ -0,0 +1,18 @@
+package io.vanillapoint.api.model;
+
+/** Checks shared by the identifier types. Stateless. */
+final class Ids {
+    private Ids() {}
+
+    /**
+     * Refuses an empty name.
+     *
+     * @param value name to check
+     * @param kind what the name stands for, used in the message
+     */
+    static void requireName(String value, String kind) {
+        if (value == null || value.isEmpty()) {
+            throw new IllegalArgumentException("expected a " + kind + " name, got none");
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/model/Repeatability.java
@@ -0,0 +1,42 @@
+package io.vanillapoint.api.model;
+
+import java.util.Set;
+
+/**
+ * Which calls of a service may be run more than once. Immutable.
+ *
+ * <p>{@link #BY_METHOD} is the default and follows the definition of idempotent methods in HTTP.
+ */
+public enum Repeatability {
+    /** Calls are idempotent if their HTTP method is defined as idempotent and safe. */
+    BY_METHOD {
+        @Override
+        public boolean mayRepeat(String method) {
+            return SAFE_METHODS.contains(method);
+        }
+    },
+    /** Every call is idempotent. */
+    ALWAYS {
+        @Override
+        public boolean mayRepeat(String method) {
+            return true;
+        }
+    },
+    /** No call is idempotent. */
+    NEVER {
+        @Override
+        public boolean mayRepeat(String method) {
+            return false;
+        }
+    };
+
+    private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
+
+    /**
+     * Tells whether a call may be run more than once.
+     *
+     * @param method HTTP method in upper case
+     * @return true if a second run does no harm
+     */
+    public abstract boolean mayRepeat(String method);
+}
--- /dev/null
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/model/Upstream.java
@@ -0,0 +1,43 @@
+package io.vanillapoint.api.model;
+
+import java.util.Objects;
+import java.util.Set;
+
+/**
+ * A back end that runs requests: a replica of a model engine or of a plain service. Immutable and
+ * safe for use by several threads.
+ *
+ * @param id name of the upstream
+ * @param kind what it runs
+ * @param region region it runs in
+ * @param zone availability zone it runs in
+ * @param address where it listens
+ * @param serves names of the models or services that it runs
+ * @param capacity requests that it runs at full speed at the same time
+ * @param costPerThousandTokens price of a thousand tokens, in the operators' currency
+ * @param state whether it takes new work
+ */
+public record Upstream(
+        UpstreamId id,
+        UpstreamKind kind,
+        RegionId region,
+        ZoneId zone,
+        Endpoint address,
+        Set<String> serves,
+        int capacity,
+        double costPerThousandTokens,
+        Lifecycle state) {
+    /** Checks the invariant: every part is there and the capacity is positive. */
+    public Upstream {
+        Objects.requireNonNull(id);
+        Objects.requireNonNull(kind);
+        Objects.requireNonNull(region);
+        Objects.requireNonNull(zone);
+        Objects.requireNonNull(address);
+        Objects.requireNonNull(state);
+        serves = Set.copyOf(serves);
+        if (capacity <= 0) {
+            throw new IllegalArgumentException("upstream " + id + ": expected a capacity over 0");
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/plugin/CallView.java
@@ -0,0 +1,11 @@
+package io.vanillapoint.api.plugin;
+
+/**
+ * A request as a protocol sees it. Immutable: the body must not be changed.
+ *
+ * @param method HTTP method in upper case
+ * @param path path without the query
+ * @param query query without the question mark, may be empty
+ * @param body body, may be empty
+ */
+public record CallView(String method, String path, String query, byte[] body) {}
--- /dev/null
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/DigestCommand.java
@@ -0,0 +1,24 @@
+package io.vanillapoint.cli;
+
+import io.vanillapoint.api.model.KeyDigest;
+import java.nio.charset.StandardCharsets;
+import java.util.Scanner;
+
+/** Prints the digest of a key read from standard input, for a declaration. */
+final class DigestCommand extends Command {
+    @Override
+    String summary() {
+        return "print the digest of a key given on standard input";
+    }
+
+    @Override
+    int run(Console console) {
+        Scanner input = new Scanner(System.in, StandardCharsets.UTF_8);
+        if (!input.hasNextLine()) {
+            console.err().println("expected a key on standard input");
+            return ExitCode.WRONG_USAGE;
+        }
+        console.out().println(KeyDigest.of(input.nextLine().trim()).hex());
+        return ExitCode.DONE;
+    }
+}
--- /dev/null
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/EntriesCommand.java
@@ -0,0 +1,34 @@
+package io.vanillapoint.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.http.HttpMethod;
+import org.kohsuke.args4j.Argument;
+
+/** Asks a VM which VMs the holder of a key should use. */
+final class EntriesCommand extends RemoteCommand {
+    @Argument(metaVar = "IP:PORT", required = true, usage = "a VM's address for callers")
+    private String address;
+
+    @Override
+    String summary() {
+        return "ask which VMs to use";
+    }
+
+    @Override
+    int run(Console console) {
+        JsonNode answer = ask(HttpMethod.GET, address, "/entries");
+        if (jsonWanted()) {
+            console.out().println(answer);
+            return ExitCode.DONE;
+        }
+        for (JsonNode entry : answer.path("entries")) {
+            console.out()
+                    .printf(
+                            "%-16s %-16s %s%n",
+                            entry.path("vm").asText(),
+                            entry.path("region").asText(),
+                            entry.path("address").asText());
+        }
+        return ExitCode.DONE;
+    }
+}
--- /dev/null
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/RemoteCommand.java
@@ -0,0 +1,97 @@
+package io.vanillapoint.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.api.model.Endpoint;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.kohsuke.args4j.Option;
+
+/** A command that asks VMs over HTTP. */
+abstract class RemoteCommand extends Command {
+    private static final long ANSWER_SECONDS = 5;
+    private static final String KEY_VARIABLE = "VANILLAPOINT_KEY";
+
+    @Option(
+            name = "--key",
+            metaVar = "KEY",
+            usage = "key to present; better given in VANILLAPOINT_KEY")
+    private String key;
+
+    /** Asks one VM and returns its JSON answer; an empty body is a missing node. */
+    final JsonNode ask(HttpMethod method, String address, String path) {
+        Endpoint endpoint = endpoint(address);
+        Vertx vertx = Vertx.vertx();
+        try {
+            HttpClient client = vertx.createHttpClient();
+            RequestOptions options =
+                    new RequestOptions()
+                            .setMethod(method)
+                            .setHost(endpoint.host())
+                            .setPort(endpoint.port())
+                            .setURI(path)
+                            .putHeader("authorization", "Bearer " + presentedKey());
+            Future<Buffer> body =
+                    client.request(options)
+                            .compose(request -> request.send())
+                            .compose(
+                                    response ->
+                                            response.statusCode() < 300
+                                                    ? response.body()
+                                                    : response.body()
+                                                            .compose(
+                                                                    text ->
+                                                                            refused(
+                                                                                    address,
+                                                                                    text)));
+            Buffer answer =
+                    body.toCompletionStage()
+                            .toCompletableFuture()
+                            .get(ANSWER_SECONDS, TimeUnit.SECONDS);
+            return MAPPER.readTree(answer.getBytes());
+        } catch (ExecutionException | TimeoutException | IOException e) {
+            throw failure(address, e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw failure(address, e);
+        } finally {
+            vertx.close();
+        }
+    }
+
+    private static Future<Buffer> refused(String address, Buffer text) {
+        return Future.failedFuture(
+                new VanillapointException(ErrorCode.BAD_REQUEST, address, "refused: " + text));
+    }
+
+    private static Endpoint endpoint(String address) {
+        try {
+            return Endpoint.parse(address);
+        } catch (IllegalArgumentException e) {
+            throw new VanillapointException(ErrorCode.INVALID_SETTINGS, address, e.getMessage());
+        }
+    }
+
+    private String presentedKey() {
+        String fromEnvironment = System.getenv(KEY_VARIABLE);
+        if (key != null) {
+            return key;
+        }
+        return fromEnvironment == null ? "" : fromEnvironment;
+    }
+
+    private static VanillapointException failure(String address, Exception error) {
+        Throwable cause = error.getCause() == null ? error : error.getCause();
+        String message = cause.getMessage() == null ? cause.toString() : cause.getMessage();
+        return new VanillapointException(ErrorCode.UPSTREAM_UNREACHABLE, address, message);
+    }
+}
--- /dev/null
+++ b/vanillapoint-config/src/main/java/io/vanillapoint/config/DeclarationCollector.java
@@ -0,0 +1,129 @@
+package io.vanillapoint.config;
+
+import io.vanillapoint.api.finding.FindingCode;
+import io.vanillapoint.api.finding.Findings;
+import io.vanillapoint.api.finding.Place;
+import io.vanillapoint.api.model.Customer;
+import io.vanillapoint.api.model.KeyDigest;
+import io.vanillapoint.api.model.ModelDeclaration;
+import io.vanillapoint.api.model.ServiceDeclaration;
+import io.vanillapoint.config.impl.DocumentParser;
+import io.vanillapoint.config.impl.Located;
+import io.vanillapoint.config.impl.LocatedDocument;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/**
+ * Brings the declarations of many teams together. Two declarations of the same name, or of the same
+ * key, are findings at both places; none of them wins.
+ *
+ * <p>Usage: add each file, then ask for the findings and the values. The result does not depend on
+ * the order of the files. Not safe for use by several threads.
+ */
+public final class DeclarationCollector {
+    private final Findings findings = new Findings();
+    private final Map<String, Located<ModelDeclaration>> models = new TreeMap<>();
+    private final Map<String, Located<ServiceDeclaration>> services = new TreeMap<>();
+    private final Map<String, Located<Customer>> customers = new TreeMap<>();
+    private final Map<KeyDigest, Place> keys = new HashMap<>();
+
+    /**
+     * Adds a declaration file.
+     *
+     * @param source name of the file
+     * @param text its text
+     */
+    public void add(String source, String text) {
+        LocatedDocument document = DocumentParser.yaml().parseLocated(source, text, findings);
+        refusePlatformEntries(document);
+        addAll("model", document.models(), models, ModelDeclaration::name);
+        addAll("service", document.services(), services, ServiceDeclaration::name);
+        addAll("customer", document.customers(), customers, customer -> customer.id().value());
+        document.customers().forEach(this::addKeys);
+    }
+
+    /**
+     * Checks what only shows when all files are there.
+     *
+     * @return all findings
+     */
+    public Findings findings() {
+        Findings all = new Findings();
+        all.addAll(findings);
+        for (Located<Customer> customer : customers.values()) {
+            Customer value = customer.value();
+            requireDeclared(all, customer.place(), "model", value.models(), models);
+            requireDeclared(all, customer.place(), "service", value.services(), services);
+        }
+        return all;
+    }
+
+    /**
+     * The values to publish.
+     *
+     * @return the values, the same for the same declarations
+     */
+    public PublishedDeclarations publish() {
+        return PublishedDeclarations.of(
+                values(models.values()), values(services.values()), values(customers.values()));
+    }
+
+    private static <T> List<T> values(Collection<Located<T>> located) {
+        return located.stream().map(Located::value).toList();
+    }
+
+    private <T> void addAll(
+            String kind,
+            List<Located<T>> entries,
+            Map<String, Located<T>> known,
+            Function<T, String> name) {
+        for (Located<T> entry : entries) {
+            String entryName = name.apply(entry.value());
+            Located<T> other = known.putIfAbsent(entryName, entry);
+            if (other != null) {
+                String message = kind + " '" + entryName + "' is also declared at ";
+                findings.add(entry.place(), FindingCode.DUPLICATE, message + other.place());
+                findings.add(other.place(), FindingCode.DUPLICATE, message + entry.place());
+            }
+        }
+    }
+
+    private void addKeys(Located<Customer> customer) {
+        for (KeyDigest key : customer.value().keys()) {
+            Place other = keys.putIfAbsent(key, customer.place());
+            if (other != null && !other.equals(customer.place())) {
+                String message = "a key of this customer is also granted at ";
+                findings.add(customer.place(), FindingCode.DUPLICATE, message + other);
+                findings.add(other, FindingCode.DUPLICATE, message + customer.place());
+            }
+        }
+    }
+
+    private void refusePlatformEntries(LocatedDocument document) {
+        document.vms().forEach(vm -> refuse(vm.place(), "VMs"));
+        document.upstreams().forEach(upstream -> refuse(upstream.place(), "upstreams"));
+    }
+
+    private void refuse(Place place, String what) {
+        String message = what + " are listed by the platform, not declared";
+        findings.add(place, FindingCode.UNKNOWN_FIELD, message);
+    }
+
+    private static void requireDeclared(
+            Findings all,
+            Place place,
+            String kind,
+            Collection<String> names,
+            Map<String, ?> declared) {
+        for (String name : names) {
+            if (!declared.containsKey(name)) {
+                String message = kind + " '" + name + "' is not declared in any file";
+                all.add(place, FindingCode.UNDECLARED, message);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-config/src/main/java/io/vanillapoint/config/PublishedDeclarations.java
@@ -0,0 +1,123 @@
+package io.vanillapoint.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vanillapoint.api.model.Customer;
+import io.vanillapoint.api.model.ModelDeclaration;
+import io.vanillapoint.api.model.ServiceDeclaration;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Values for the platform's configuration service: one with models and services, and the customers
+ * in shards, so that one change costs each VM one small read. Immutable.
+ *
+ * <p>Invariant: the same declarations give the same bytes.
+ */
+public final class PublishedDeclarations {
+    /** Name of the value with models and services. */
+    public static final String CATALOG_KEY = "declarations/catalog";
+
+    /** Names of the values with customers begin with this. */
+    public static final String CUSTOMERS_PREFIX = "declarations/customers-";
+
+    private static final int SHARDS = 64;
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+
+    private final Map<String, String> values;
+
+    private PublishedDeclarations(Map<String, String> values) {
+        this.values = Collections.unmodifiableMap(values);
+    }
+
+    /**
+     * Works the values out.
+     *
+     * @param models models in the order of their names
+     * @param services services in the order of their names
+     * @param customers customers in the order of their names
+     * @return the values
+     */
+    static PublishedDeclarations of(
+            List<ModelDeclaration> models,
+            List<ServiceDeclaration> services,
+            List<Customer> customers) {
+        Map<String, ObjectNode> documents = new TreeMap<>();
+        documents.put(CATALOG_KEY, catalog(models, services));
+        for (Customer customer : customers) {
+            ObjectNode shard =
+                    documents.computeIfAbsent(shardKey(customer), key -> MAPPER.createObjectNode());
+            shard.withArray("customers").add(customer(customer));
+        }
+        Map<String, String> values = new TreeMap<>();
+        documents.forEach((key, document) -> values.put(key, text(document)));
+        return new PublishedDeclarations(values);
+    }
+
+    /**
+     * The values by name.
+     *
+     * @return immutable sorted map of JSON texts
+     */
+    public Map<String, String> values() {
+        return values;
+    }
+
+    private static String shardKey(Customer customer) {
+        int shard = Math.floorMod(customer.id().value().hashCode(), SHARDS);
+        return CUSTOMERS_PREFIX + String.format(Locale.ROOT, "%02d", shard);
+    }
+
+    private static ObjectNode catalog(
+            List<ModelDeclaration> models, List<ServiceDeclaration> services) {
+        ObjectNode document = MAPPER.createObjectNode();
+        ArrayNode modelNodes = document.putArray("models");
+        for (ModelDeclaration model : models) {
+            ObjectNode node = modelNodes.addObject();
+            node.put("name", model.name());
+            node.put("maxOutputTokens", model.maxOutputTokens());
+        }
+        ArrayNode serviceNodes = document.putArray("services");
+        for (ServiceDeclaration service : services) {
+            ObjectNode node = serviceNodes.addObject();
+            node.put("name", service.name());
+            node.put("openToAll", service.openToAll());
+            node.put("idempotent", service.idempotent().name().toLowerCase(Locale.ROOT));
+            node.put("tokensPerCall", service.tokensPerCall());
+        }
+        return document;
+    }
+
+    private static ObjectNode customer(Customer customer) {
+        ObjectNode node = MAPPER.createObjectNode();
+        node.put("name", customer.id().value());
+        node.put("rate", customer.grant().ratePerSecond());
+        node.put("burst", customer.grant().burst());
+        ObjectNode regions = node.putObject("regions");
+        customer.regionWeights().forEach((region, weight) -> regions.put(region.value(), weight));
+        addTexts(node.putArray("keys"), customer.keys().stream().map(key -> key.hex()).toList());
+        addTexts(node.putArray("models"), customer.models());
+        addTexts(node.putArray("services"), customer.services());
+        return node;
+    }
+
+    private static void addTexts(ArrayNode array, Collection<String> texts) {
+        texts.stream().sorted().forEach(array::add);
+    }
+
+    private static String text(ObjectNode document) {
+        try {
+            return MAPPER.writeValueAsString(document) + "\n";
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree of texts and numbers can be written", e);
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-config/src/main/java/io/vanillapoint/config/impl/DocumentParser.java
@@ -0,0 +1,224 @@
+package io.vanillapoint.config.impl;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import io.vanillapoint.api.finding.FindingCode;
+import io.vanillapoint.api.finding.Findings;
+import io.vanillapoint.api.model.Customer;
+import io.vanillapoint.api.model.CustomerId;
+import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.api.model.KeyDigest;
+import io.vanillapoint.api.model.Lifecycle;
+import io.vanillapoint.api.model.ModelDeclaration;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.Repeatability;
+import io.vanillapoint.api.model.ServiceDeclaration;
+import io.vanillapoint.api.model.TokenGrant;
+import io.vanillapoint.api.model.Upstream;
+import io.vanillapoint.api.model.UpstreamId;
+import io.vanillapoint.api.model.UpstreamKind;
+import io.vanillapoint.api.model.Vm;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.config.ParsedValue;
+import io.vanillapoint.core.config.ValueParser;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * Reads declaration files (YAML) and published values (JSON), which share one form. Stateless and
+ * safe for use by several threads.
+ */
+public final class DocumentParser implements ValueParser {
+    private static final Endpoint PLACEHOLDER = new Endpoint("0.0.0.0", 1);
+
+    private final JsonFactory factory;
+
+    private DocumentParser(JsonFactory factory) {
+        this.factory = factory;
+    }
+
+    /**
+     * Parser of the operators' declarations.
+     *
+     * @return a parser of YAML
+     */
+    public static DocumentParser yaml() {
+        return new DocumentParser(new YAMLFactory());
+    }
+
+    /**
+     * Parser of the platform's values.
+     *
+     * @return a parser of JSON
+     */
+    public static DocumentParser json() {
+        return new DocumentParser(new JsonFactory());
+    }
+
+    @Override
+    public ParsedValue parse(String source, String text, Findings findings) {
+        return parseLocated(source, text, findings).plain();
+    }
+
+    /**
+     * Reads a document and keeps the place of each entry.
+     *
+     * @param source name of the file or value
+     * @param text its text
+     * @param findings where faults are added
+     * @return entries with their places
+     */
+    public LocatedDocument parseLocated(String source, String text, Findings findings) {
+        Optional<LocatedNode> root = LocatedNode.read(factory, source, text, findings);
+        if (root.isEmpty()) {
+            return LocatedDocument.EMPTY;
+        }
+        if (root.get().kind() != LocatedNode.Kind.OBJECT) {
+            findings.add(root.get().place(), FindingCode.BAD_VALUE, "expected fields");
+            return LocatedDocument.EMPTY;
+        }
+        FieldReader reader = new FieldReader(root.get(), findings);
+        LocatedDocument document =
+                new LocatedDocument(
+                        entries(reader, "models", DocumentParser::model),
+                        entries(reader, "services", DocumentParser::service),
+                        entries(reader, "customers", DocumentParser::customer),
+                        entries(reader, "vms", DocumentParser::vm),
+                        entries(reader, "upstreams", DocumentParser::upstream));
+        reader.refuseUnknown();
+        return document;
+    }
+
+    /** Reads a list; an entry with a fault is left out, its findings stay. */
+    private static <T> List<Located<T>> entries(
+            FieldReader reader, String field, Function<FieldReader, Optional<T>> read) {
+        List<Located<T>> entries = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (FieldReader entry : reader.objects(field)) {
+            Optional<T> value = read.apply(entry);
+            entry.refuseUnknown();
+            String name = entry.text("name").orElse("");
+            if (!name.isEmpty() && !names.add(name)) {
+                entry.fault("name", FindingCode.DUPLICATE, "'" + name + "' stands twice");
+            }
+            value.ifPresent(present -> entries.add(new Located<>(entry.place("name"), present)));
+        }
+        return entries;
+    }
+
+    private static Optional<ModelDeclaration> model(FieldReader reader) {
+        String name = reader.requiredText("name");
+        int cap = reader.wholeNumber("maxOutputTokens", 1, null);
+        return name.isEmpty() ? Optional.empty() : Optional.of(new ModelDeclaration(name, cap));
+    }
+
+    private static Optional<ServiceDeclaration> service(FieldReader reader) {
+        String name = reader.requiredText("name");
+        boolean open = reader.truth("openToAll", false);
+        Repeatability repeat =
+                reader.choice("idempotent", Repeatability.class, Repeatability.BY_METHOD);
+        int tokens = reader.wholeNumber("tokensPerCall", 0, 0);
+        if (name.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new ServiceDeclaration(name, open, repeat, tokens));
+    }
+
+    private static Optional<Customer> customer(FieldReader reader) {
+        String name = reader.requiredText("name");
+        double rate = reader.positiveNumber("rate", null);
+        double burst = reader.positiveNumber("burst", null);
+        Map<String, Double> regions = reader.weights("regions");
+        if (regions.isEmpty()) {
+            reader.fault("regions", FindingCode.MISSING, "expected at least one region");
+        }
+        List<KeyDigest> keys = keys(reader);
+        List<LocatedNode> models = reader.texts("models");
+        List<LocatedNode> services = reader.texts("services");
+        if (name.isEmpty() || regions.isEmpty()) {
+            return Optional.empty();
+        }
+        Customer.Builder builder =
+                Customer.builder(new CustomerId(name), new TokenGrant(rate, burst));
+        keys.forEach(builder::key);
+        models.forEach(model -> builder.model(model.text()));
+        services.forEach(service -> builder.service(service.text()));
+        regions.forEach((region, weight) -> builder.region(new RegionId(region), weight));
+        return Optional.of(builder.build());
+    }
+
+    private static List<KeyDigest> keys(FieldReader reader) {
+        List<KeyDigest> keys = new ArrayList<>();
+        for (LocatedNode node : reader.texts("keys")) {
+            if (KeyDigest.isWellFormed(node.text())) {
+                keys.add(new KeyDigest(node.text()));
+            } else {
+                reader.faultAt(
+                        node.place(),
+                        FindingCode.CLEAR_KEY,
+                        "expected the SHA-256 digest of a key in 64 lower-case hexadecimal digits");
+            }
+        }
+        return keys;
+    }
+
+    private static Optional<Vm> vm(FieldReader reader) {
+        String name = reader.requiredText("name");
+        String region = reader.requiredText("region");
+        String zone = reader.requiredText("zone");
+        Endpoint callers = endpoint(reader, "callers");
+        Endpoint peers = endpoint(reader, "peers");
+        Endpoint operators = endpoint(reader, "operators");
+        Lifecycle state = reader.choice("state", Lifecycle.class, Lifecycle.LIVE);
+        if (name.isEmpty() || region.isEmpty() || zone.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new Vm(
+                        new VmId(name),
+                        new RegionId(region),
+                        new ZoneId(zone),
+                        callers,
+                        peers,
+                        operators,
+                        state));
+    }
+
+    private static Optional<Upstream> upstream(FieldReader reader) {
+        String name = reader.requiredText("name");
+        UpstreamKind kind = reader.choice("kind", UpstreamKind.class, null);
+        String region = reader.requiredText("region");
+        String zone = reader.requiredText("zone");
+        Endpoint address = endpoint(reader, "address");
+        Set<String> serves =
+                reader.texts("serves").stream().map(LocatedNode::text).collect(Collectors.toSet());
+        int capacity = reader.wholeNumber("capacity", 1, null);
+        double cost = reader.positiveNumber("costPerThousandTokens", 1.0);
+        Lifecycle state = reader.choice("state", Lifecycle.class, Lifecycle.LIVE);
+        if (name.isEmpty() || region.isEmpty() || zone.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new Upstream(
+                        new UpstreamId(name),
+                        kind,
+                        new RegionId(region),
+                        new ZoneId(zone),
+                        address,
+                        serves,
+                        capacity,
+                        cost,
+                        state));
+    }
+
+    private static Endpoint endpoint(FieldReader reader, String field) {
+        return reader.parsed(field, "an IP address and port", null, Endpoint::parse, PLACEHOLDER);
+    }
+}
--- /dev/null
+++ b/vanillapoint-config/src/main/java/io/vanillapoint/config/impl/Located.java
@@ -0,0 +1,12 @@
+package io.vanillapoint.config.impl;
+
+import io.vanillapoint.api.finding.Place;
+
+/**
+ * A value with the place where it is declared. Immutable.
+ *
+ * @param place where it stands
+ * @param value the value
+ * @param <T> type of the value
+ */
+public record Located<T>(Place place, T value) {}
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/config/ConfigStore.java
@@ -0,0 +1,165 @@
+package io.vanillapoint.core.config;
+
+import io.vanillapoint.api.event.EventCode;
+import io.vanillapoint.api.event.EventSink;
+import io.vanillapoint.api.finding.FindingCode;
+import io.vanillapoint.api.finding.Findings;
+import io.vanillapoint.api.finding.Place;
+import io.vanillapoint.api.model.GatewayConfig;
+import io.vanillapoint.core.message.PublishedValue;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The published values that one VM has accepted, from the platform or from peers.
+ *
+ * <p>Invariants: the revision of a value never falls; a value that fails its checks is refused
+ * whole and the last good one stays in force; {@link #completeTo()} never falls. Confined to one
+ * thread.
+ */
+public final class ConfigStore {
+    /** Name of the value that lists the VMs. */
+    public static final String VM_LIST_KEY = "platform/vms";
+
+    private final ValueParser parser;
+    private final EventSink events;
+    private final Map<String, Entry> entries = new TreeMap<>();
+    private GatewayConfig current = GatewayConfig.empty();
+    private long completeTo;
+
+    /**
+     * Creates an empty store.
+     *
+     * @param parser reads values
+     * @param events where events are recorded
+     */
+    public ConfigStore(ValueParser parser, EventSink events) {
+        this.parser = parser;
+        this.events = events;
+    }
+
+    /**
+     * Configuration in force.
+     *
+     * @return immutable configuration
+     */
+    public GatewayConfig current() {
+        return current;
+    }
+
+    /**
+     * Revision up to which every value is known.
+     *
+     * @return revision, 0 before the first read
+     */
+    public long completeTo() {
+        return completeTo;
+    }
+
+    /**
+     * Revision of the list of VMs in force.
+     *
+     * @return revision, 0 if there is none
+     */
+    public long vmListRevision() {
+        Entry entry = entries.get(VM_LIST_KEY);
+        return entry == null ? 0 : entry.goodRevision();
+    }
+
+    /**
+     * Values that changed after a revision, for a peer.
+     *
+     * @param revision revision that the peer has
+     * @return the newest values that are in force
+     */
+    public List<PublishedValue> newerThan(long revision) {
+        return entries.values().stream()
+                .map(entry -> entry.good)
+                .filter(value -> value != null && value.revision() > revision)
+                .toList();
+    }
+
+    /**
+     * Takes values over.
+     *
+     * @param values values, older ones are ignored
+     * @param newCompleteTo revision up to which the values and those already here are complete
+     * @param source who sent them, for the time line
+     * @return true if the configuration in force changed
+     */
+    public boolean accept(Collection<PublishedValue> values, long newCompleteTo, String source) {
+        boolean changed = false;
+        for (PublishedValue value : values) {
+            changed |= accept(value);
+        }
+        completeTo = Math.max(completeTo, newCompleteTo);
+        if (changed) {
+            current = assemble(entries.values());
+            events.record(EventCode.CONFIG_ACCEPTED, current.revision(), source);
+        }
+        return changed;
+    }
+
+    private boolean accept(PublishedValue value) {
+        Entry entry = entries.computeIfAbsent(value.key(), key -> new Entry());
+        if (value.revision() <= entry.seenRevision) {
+            if (value.revision() < entry.seenRevision) {
+                events.record(EventCode.CONFIG_OLDER_IGNORED, value.key(), value.revision());
+            }
+            return false;
+        }
+        entry.seenRevision = value.revision();
+        Findings findings = new Findings();
+        ParsedValue parsed = parser.parse(value.key(), value.json(), findings);
+        if (findings.isEmpty()) {
+            checkTogether(value, parsed, findings);
+        }
+        if (!findings.isEmpty()) {
+            String text = findings.toString().trim();
+            events.record(EventCode.CONFIG_REFUSED, value.key(), value.revision(), text);
+            return false;
+        }
+        entry.good = value;
+        entry.parsed = parsed;
+        return true;
+    }
+
+    /** Finds what only shows when the value stands beside the others. */
+    private void checkTogether(PublishedValue value, ParsedValue parsed, Findings findings) {
+        Entry candidate = new Entry();
+        candidate.good = value;
+        candidate.parsed = parsed;
+        List<Entry> together = new ArrayList<>();
+        entries.forEach((key, entry) -> together.add(key.equals(value.key()) ? candidate : entry));
+        try {
+            assemble(together);
+        } catch (IllegalArgumentException e) {
+            findings.add(Place.of(value.key()), FindingCode.DUPLICATE, e.getMessage());
+        }
+    }
+
+    private static GatewayConfig assemble(Collection<Entry> entries) {
+        long revision = entries.stream().mapToLong(Entry::goodRevision).max().orElse(0);
+        GatewayConfig.Builder builder = GatewayConfig.builder(revision);
+        for (Entry entry : entries) {
+            if (entry.parsed != null) {
+                entry.parsed.addTo(builder);
+            }
+        }
+        return builder.build();
+    }
+
+    /** State of one value. */
+    private static final class Entry {
+        private long seenRevision;
+        private PublishedValue good;
+        private ParsedValue parsed;
+
+        private long goodRevision() {
+            return good == null ? 0 : good.revision();
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/hash/Rendezvous.java
@@ -0,0 +1,89 @@
+package io.vanillapoint.core.hash;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+/**
+ * Rendezvous hashing (highest random weight): every reader picks the same candidate for a key, and
+ * removing a candidate moves only the keys that it had. Stateless.
+ */
+public final class Rendezvous {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private Rendezvous() {}
+
+    /**
+     * Picks the candidate with the highest weight.
+     *
+     * @param key what to place
+     * @param candidates where it may be placed
+     * @param name stable name of a candidate
+     * @param <T> type of the candidates
+     * @return the candidate, or nothing if there is none
+     */
+    public static <T> Optional<T> pick(
+            String key, Collection<T> candidates, Function<T, String> name) {
+        T best = null;
+        long bestWeight = 0;
+        for (T candidate : candidates) {
+            long weight = weight(key, name.apply(candidate));
+            if (best == null || Long.compareUnsigned(weight, bestWeight) > 0) {
+                best = candidate;
+                bestWeight = weight;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * Orders the candidates by falling weight.
+     *
+     * @param key what to place
+     * @param candidates where it may be placed
+     * @param name stable name of a candidate
+     * @param <T> type of the candidates
+     * @return a new list, the best candidate first
+     */
+    public static <T> List<T> rank(String key, Collection<T> candidates, Function<T, String> name) {
+        List<T> ranked = new ArrayList<>(candidates);
+        Comparator<T> byWeight =
+                (a, b) ->
+                        Long.compareUnsigned(
+                                weight(key, name.apply(b)), weight(key, name.apply(a)));
+        ranked.sort(byWeight.thenComparing(name));
+        return ranked;
+    }
+
+    /**
+     * Weight of a candidate for a key.
+     *
+     * @param key what to place
+     * @param candidate name of the candidate
+     * @return 64 well-mixed bits, to be compared as unsigned
+     */
+    public static long weight(String key, String candidate) {
+        long hash = fnv(fnv(FNV_OFFSET, key), "\u0000" + candidate);
+        return mix(hash);
+    }
+
+    private static long fnv(long seed, String text) {
+        long hash = seed;
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * FNV_PRIME;
+        }
+        return hash;
+    }
+
+    /** Finalizer of the 64-bit variant of MurmurHash3. */
+    private static long mix(long value) {
+        long mixed = value;
+        mixed = (mixed ^ (mixed >>> 33)) * 0xff51afd7ed558ccdL;
+        mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
+        return mixed ^ (mixed >>> 33);
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/CustomerBucket.java
@@ -0,0 +1,84 @@
+package io.vanillapoint.core.limit;
+
+import io.vanillapoint.api.model.TokenGrant;
+
+/**
+ * Bucket of one customer in one VM: the region's part of the customer's grant, times the share that
+ * the VM holds for the customer.
+ *
+ * <p>Invariant: after a change of the grant the smaller of old and new is in force for the settling
+ * time. Confined to one thread.
+ */
+final class CustomerBucket {
+    private final TokenBucket bucket = new TokenBucket();
+    private double ratePerSecond;
+    private double burst;
+    private double wantedRatePerSecond;
+    private double wantedBurst;
+    private long settledAtMillis;
+    private double share;
+    private long advancedAtMillis;
+
+    CustomerBucket(TokenGrant grant, double regionShare, long nowMillis) {
+        this.wantedRatePerSecond = grant.ratePerSecond() * regionShare;
+        this.wantedBurst = grant.burst() * regionShare;
+        this.ratePerSecond = wantedRatePerSecond;
+        this.burst = wantedBurst;
+        this.advancedAtMillis = nowMillis;
+    }
+
+    TokenBucket bucket() {
+        return bucket;
+    }
+
+    double share() {
+        return share;
+    }
+
+    /** Changes the grant. The caller has advanced the bucket to now. */
+    void change(TokenGrant grant, double regionShare, long nowMillis, long settlingMillis) {
+        double newRate = grant.ratePerSecond() * regionShare;
+        double newBurst = grant.burst() * regionShare;
+        if (newRate == wantedRatePerSecond && newBurst == wantedBurst) {
+            return;
+        }
+        wantedRatePerSecond = newRate;
+        wantedBurst = newBurst;
+        ratePerSecond = Math.min(ratePerSecond, newRate);
+        burst = Math.min(burst, newBurst);
+        settledAtMillis = nowMillis + settlingMillis;
+        resize();
+    }
+
+    /** Lets time pass, then puts a settled grant in force. */
+    void advance(long nowMillis, double drift) {
+        bucket.advance((nowMillis - advancedAtMillis) * (1 - drift));
+        advancedAtMillis = Math.max(advancedAtMillis, nowMillis);
+        boolean settled = nowMillis >= settledAtMillis;
+        if (settled && (ratePerSecond != wantedRatePerSecond || burst != wantedBurst)) {
+            ratePerSecond = wantedRatePerSecond;
+            burst = wantedBurst;
+            resize();
+        }
+    }
+
+    /**
+     * Sets the share that the VM holds for the customer. A smaller share is taken to have been in
+     * force since the last call, since the VM may notice the end of a lease late.
+     */
+    void share(double newShare, long nowMillis, double drift) {
+        if (newShare < share) {
+            share = newShare;
+            resize();
+            advance(nowMillis, drift);
+        } else if (newShare > share) {
+            advance(nowMillis, drift);
+            share = newShare;
+            resize();
+        }
+    }
+
+    private void resize() {
+        bucket.resize(ratePerSecond * share, burst * share);
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/CustomerBuckets.java
@@ -0,0 +1,95 @@
+package io.vanillapoint.core.limit;
+
+import io.vanillapoint.api.model.Customer;
+import io.vanillapoint.api.model.CustomerId;
+import io.vanillapoint.api.model.GatewayConfig;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.core.invariant.Invariants;
+import io.vanillapoint.core.message.HomeView;
+import io.vanillapoint.core.message.LeaseGrant;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Buckets of all customers in one VM.
+ *
+ * <p>Invariant: the share of each bucket is the sum of the shares, own and leased, that place the
+ * customer at this VM, and is at most 1. Confined to one thread.
+ */
+final class CustomerBuckets {
+    private static final double EPSILON = 1e-6;
+
+    private final AuthoritySettings settings;
+    private final Invariants invariants;
+    private final Map<CustomerId, CustomerBucket> buckets = new HashMap<>();
+
+    CustomerBuckets(AuthoritySettings settings, Invariants invariants) {
+        this.settings = settings;
+        this.invariants = invariants;
+    }
+
+    Optional<CustomerBucket> find(CustomerId customer) {
+        return Optional.ofNullable(buckets.get(customer));
+    }
+
+    /** Takes over the customers of a configuration. */
+    void configure(long nowMillis, GatewayConfig config) {
+        buckets.keySet().retainAll(config.customers().keySet());
+        for (Customer customer : config.customers().values()) {
+            double regionShare = customer.regionShare(settings.region());
+            CustomerBucket entry = buckets.get(customer.id());
+            if (entry == null) {
+                entry = new CustomerBucket(customer.grant(), regionShare, nowMillis);
+                buckets.put(customer.id(), entry);
+            } else {
+                entry.advance(nowMillis, settings.timing().drift());
+                entry.change(
+                        customer.grant(),
+                        regionShare,
+                        nowMillis,
+                        settings.timing().settlingMillis());
+            }
+        }
+    }
+
+    /**
+     * Works out the share of every customer anew.
+     *
+     * @param nowMillis monotonic time
+     * @param own this VM's own share
+     * @param held leases of other VMs' shares
+     */
+    void allot(long nowMillis, LeaseGrant own, Collection<LeaseGrant> held) {
+        Map<List<HomeView>, Double> shareByViews = new HashMap<>();
+        shareByViews.merge(own.views(), own.share(), Double::sum);
+        for (LeaseGrant grant : held) {
+            shareByViews.merge(grant.views(), grant.share(), Double::sum);
+        }
+        for (Map.Entry<CustomerId, CustomerBucket> entry : buckets.entrySet()) {
+            double share = placedHere(entry.getKey(), shareByViews);
+            entry.getValue().share(share, nowMillis, settings.timing().drift());
+            invariants.check(
+                    share <= 1 + EPSILON,
+                    "share of one VM",
+                    () -> settings.self() + " holds " + share + " of " + entry.getKey());
+        }
+    }
+
+    private double placedHere(CustomerId customer, Map<List<HomeView>, Double> shareByViews) {
+        double share = 0;
+        for (Map.Entry<List<HomeView>, Double> part : shareByViews.entrySet()) {
+            boolean here = part.getKey().stream().allMatch(view -> isHome(view.home(customer)));
+            if (here) {
+                share += part.getValue();
+            }
+        }
+        return share;
+    }
+
+    private boolean isHome(Optional<VmId> home) {
+        return home.isPresent() && home.get().equals(settings.self());
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/MemberTable.java
@@ -0,0 +1,138 @@
+package io.vanillapoint.core.limit;
+
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.core.message.Member;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * The VMs of the region that one VM counts when it works out its base share.
+ *
+ * <p>Invariant: a VM leaves the table only after the platform's list, at a revision not older than
+ * one in which the VM was seen, no longer holds it, and only after a quarantine that outlasts every
+ * lease that the VM may have given. Confined to one thread.
+ */
+final class MemberTable {
+    private final VmId self;
+    private final long quarantineMillis;
+    private final Map<VmId, Entry> entries = new TreeMap<>();
+    private final Map<VmId, Long> removed = new HashMap<>();
+    private long listRevision;
+    private Set<VmId> listed = Set.of();
+
+    MemberTable(VmId self, long quarantineMillis) {
+        this.self = self;
+        this.quarantineMillis = quarantineMillis;
+    }
+
+    /** Revision of the newest list, 0 if none was read. */
+    long listRevision() {
+        return listRevision;
+    }
+
+    /** Revision in which this VM sees itself listed, 0 if the newest list does not hold it. */
+    long selfListedAt() {
+        return listed.contains(self) ? listRevision : 0;
+    }
+
+    int size() {
+        return entries.size();
+    }
+
+    Set<VmId> vms() {
+        return entries.keySet();
+    }
+
+    boolean contains(VmId vm) {
+        return entries.containsKey(vm);
+    }
+
+    /** True while some member was dropped from the list and still counts. */
+    boolean hasQuarantined() {
+        return entries.values().stream().anyMatch(Entry::isDropped);
+    }
+
+    List<Member> members() {
+        List<Member> members = new ArrayList<>(entries.size());
+        entries.forEach((vm, entry) -> members.add(new Member(vm, entry.listedAt)));
+        return members;
+    }
+
+    /**
+     * Takes over a list of the platform.
+     *
+     * @param nowMillis monotonic time
+     * @param revision revision of the list; an older one is ignored
+     * @param vms names of the region's VMs, leaving ones included
+     */
+    void acceptList(long nowMillis, long revision, Collection<VmId> vms) {
+        if (revision < listRevision) {
+            return;
+        }
+        listRevision = revision;
+        listed = Set.copyOf(new TreeSet<>(vms));
+        for (VmId vm : listed) {
+            add(vm, revision);
+        }
+        entries.forEach((vm, entry) -> markIfDropped(nowMillis, vm, entry));
+    }
+
+    /** Adds what another VM counts. */
+    void merge(long nowMillis, Collection<Member> members) {
+        for (Member member : members) {
+            Long removedAt = removed.get(member.vm());
+            if (removedAt != null && removedAt >= member.listedAt()) {
+                continue;
+            }
+            add(member.vm(), member.listedAt());
+            markIfDropped(nowMillis, member.vm(), entries.get(member.vm()));
+        }
+    }
+
+    /** Removes members whose quarantine is over. */
+    void expire(long nowMillis) {
+        Iterator<Map.Entry<VmId, Entry>> iterator = entries.entrySet().iterator();
+        while (iterator.hasNext()) {
+            Map.Entry<VmId, Entry> next = iterator.next();
+            Entry entry = next.getValue();
+            if (entry.isDropped() && nowMillis - entry.droppedAtMillis >= quarantineMillis) {
+                removed.put(next.getKey(), entry.listedAt);
+                iterator.remove();
+            }
+        }
+    }
+
+    private void add(VmId vm, long listedAt) {
+        Entry entry = entries.computeIfAbsent(vm, name -> new Entry());
+        entry.listedAt = Math.max(entry.listedAt, listedAt);
+        if (entry.listedAt > listRevision || listed.contains(vm)) {
+            entry.droppedAtMillis = Entry.NOT_DROPPED;
+        }
+    }
+
+    private void markIfDropped(long nowMillis, VmId vm, Entry entry) {
+        boolean gone = !listed.contains(vm) && listRevision >= entry.listedAt && listRevision > 0;
+        if (gone && !entry.isDropped() && !vm.equals(self)) {
+            entry.droppedAtMillis = nowMillis;
+        }
+    }
+
+    /** State of one member. */
+    private static final class Entry {
+        private static final long NOT_DROPPED = Long.MIN_VALUE;
+
+        private long listedAt;
+        private long droppedAtMillis = NOT_DROPPED;
+
+        private boolean isDropped() {
+            return droppedAtMillis != NOT_DROPPED;
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/RegionAuthority.java
@@ -0,0 +1,481 @@
+package io.vanillapoint.core.limit;
+
+import io.vanillapoint.api.event.EventCode;
+import io.vanillapoint.api.event.EventSink;
+import io.vanillapoint.api.model.CustomerId;
+import io.vanillapoint.api.model.GatewayConfig;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.Vm;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.core.invariant.Invariants;
+import io.vanillapoint.core.limit.PeerTable.Peer;
+import io.vanillapoint.core.limit.ReservationTable.Reservation;
+import io.vanillapoint.core.message.Heartbeat;
+import io.vanillapoint.core.message.HeartbeatReply;
+import io.vanillapoint.core.message.HomeView;
+import io.vanillapoint.core.message.LeaseGrant;
+import io.vanillapoint.core.message.Member;
+import io.vanillapoint.core.message.Outgoing;
+import io.vanillapoint.core.time.ClockReading;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * One VM's part in holding every customer to its rate and burst, without a store and without votes.
+ *
+ * <p>Each region has a fixed part of a customer's grant. Each VM of the region has a base share of
+ * that part, which it uses itself or leases to the customer's home VM. Why the fleet never grants
+ * more than burst + rate x time in any window:
+ *
+ * <ol>
+ *   <li>Every active VM counts all active VMs of its region. A newcomer activates only after each
+ *       VM that it counts has said, in answer to a recent question, that it counts the newcomer;
+ *       and what it counts comes from a list read after the list's lag has passed since its start,
+ *       or from an active VM asked after the quarantine since its start.
+ *   <li>So base shares 1 / (members counted) add up to 1 at most. A VM says that it counts the
+ *       newcomer only once no lease of a larger share is in use, and a member leaves the count only
+ *       after the platform has dropped it and a quarantine has outlasted its leases.
+ *   <li>Any two leases of one VM that are in use, and its own use, name a common view, under which
+ *       a customer has one home. So no part of a share is used by two VMs. The holder counts a
+ *       lease from when it asked, the giver from when it gave.
+ *   <li>A bucket's cap is the burst times the shares held now, its level never exceeds the cap, and
+ *       the level of a new share starts at 0. So the levels add up to the burst at most at any time
+ *       and the inflow to the rate.
+ * </ol>
+ *
+ * <p>Assumption: a VM that the platform's list has dropped is no longer running.
+ *
+ * <p>Confined to one thread. Time and messages come in as arguments, messages to send go out as
+ * results.
+ */
+public final class RegionAuthority {
+    private static final double EPSILON = 1e-9;
+
+    private final AuthoritySettings settings;
+    private final LimitTiming timing;
+    private final EventSink events;
+    private final MemberTable members;
+    private final PeerTable peers = new PeerTable();
+    private final GivenLeases given;
+    private final HeldLeases held;
+    private final HomeViews views;
+    private final CustomerBuckets buckets;
+    private final ReservationTable reservations = new ReservationTable();
+
+    private Set<VmId> regionVms = new TreeSet<>();
+    private long configRevision;
+    private boolean leaving;
+    private boolean active;
+    private double baseShare;
+    private long newcomerSinceMillis;
+    private long listReadAtMillis = Long.MIN_VALUE;
+    private long activePeerAskedAtMillis = Long.MIN_VALUE;
+    private long newcomerSinceCautiousMillis;
+    private long nextHeartbeatMillis = Long.MIN_VALUE;
+
+    /**
+     * Creates the authority of a process that has just started.
+     *
+     * @param settings who the VM is
+     * @param now time of the start
+     * @param events where events are recorded
+     * @param invariants checks
+     */
+    public RegionAuthority(
+            AuthoritySettings settings, ClockReading now, EventSink events, Invariants invariants) {
+        this.settings = settings;
+        this.timing = settings.timing();
+        this.events = events;
+        this.members = new MemberTable(settings.self(), timing.quarantineMillis());
+        this.given = new GivenLeases(timing, 1);
+        this.held = new HeldLeases(timing);
+        this.views =
+                new HomeViews(settings.policy().view(settings.self(), List.of(settings.self())));
+        this.buckets = new CustomerBuckets(settings, invariants);
+        this.newcomerSinceMillis = now.monotonicMillis();
+        this.newcomerSinceCautiousMillis = now.cautiousMillis();
+    }
+
+    /**
+     * Tells whether this VM holds its base share.
+     *
+     * @return false for a newcomer
+     */
+    public boolean isActive() {
+        return active;
+    }
+
+    /**
+     * Fraction of the region's rate and burst that is this VM's own.
+     *
+     * @return from 0 to 1; 0 while the VM is not active
+     */
+    public double baseShare() {
+        return baseShare;
+    }
+
+    /**
+     * Part of the region's grant that this VM holds for a customer now.
+     *
+     * @param now time
+     * @param customer name of the customer
+     * @return from 0 to 1
+     */
+    public double shareOf(ClockReading now, CustomerId customer) {
+        expire(now);
+        return buckets.find(customer).map(CustomerBucket::share).orElse(0.0);
+    }
+
+    /**
+     * VM of this region to ask for a customer's tokens.
+     *
+     * @param customer name of the customer
+     * @return the home, or nothing if no VM is known to be alive
+     */
+    public Optional<VmId> home(CustomerId customer) {
+        return views.newest().home(customer);
+    }
+
+    /**
+     * VMs of this region that are alive and take new work.
+     *
+     * @param now time
+     * @return sorted names, this VM included unless it is leaving
+     */
+    public Set<VmId> liveVms(ClockReading now) {
+        Set<VmId> live = new TreeSet<>();
+        for (VmId vm : regionVms) {
+            Peer peer = peers.peer(vm);
+            boolean alive = peers.isAlive(vm, now.monotonicMillis(), timing.failureMillis());
+            if (alive && !peer.leaving()) {
+                live.add(vm);
+            }
+        }
+        if (!leaving) {
+            live.add(settings.self());
+        }
+        return live;
+    }
+
+    /**
+     * Members that this VM counts.
+     *
+     * @return immutable copy
+     */
+    public Set<VmId> members() {
+        return Set.copyOf(members.vms());
+    }
+
+    /**
+     * Takes over a configuration.
+     *
+     * @param now time
+     * @param config configuration with the platform's list of VMs
+     * @param listRevision revision of the list of VMs
+     */
+    public void configure(ClockReading now, GatewayConfig config, long listRevision) {
+        expire(now);
+        configRevision = config.revision();
+        RegionId region = settings.region();
+        Set<VmId> listed = new TreeSet<>();
+        for (Vm vm : config.vms().values()) {
+            if (vm.region().equals(region)) {
+                listed.add(vm.id());
+            }
+        }
+        members.acceptList(now.monotonicMillis(), listRevision, listed);
+        regionVms.addAll(listed);
+        buckets.configure(now.monotonicMillis(), config);
+        buckets.allot(now.monotonicMillis(), ownShare(), held.grants());
+        refreshBaseShare(now);
+    }
+
+    /**
+     * Notes that the platform itself has just answered a read of the list, changed or not.
+     *
+     * @param askedAt time at which the read was asked for
+     */
+    public void listRead(ClockReading askedAt) {
+        listReadAtMillis = askedAt.monotonicMillis();
+    }
+
+    /** Begins the graceful shutdown: this VM is no longer the home of any customer. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /**
+     * Lets time pass. To be called at least once per heartbeat interval.
+     *
+     * @param now time
+     * @return heartbeats to send
+     */
+    public List<Outgoing> tick(ClockReading now) {
+        expire(now);
+        refreshBaseShare(now);
+        advanceViews(now);
+        if (now.monotonicMillis() < nextHeartbeatMillis) {
+            return List.of();
+        }
+        nextHeartbeatMillis = now.monotonicMillis() + timing.heartbeatMillis();
+        List<Outgoing> outgoing = new ArrayList<>();
+        Set<VmId> receivers = new TreeSet<>(regionVms);
+        receivers.addAll(members.vms());
+        receivers.remove(settings.self());
+        for (VmId vm : receivers) {
+            outgoing.add(new Outgoing(vm, heartbeat(now, vm)));
+        }
+        return outgoing;
+    }
+
+    /**
+     * Answers a heartbeat.
+     *
+     * @param now time
+     * @param from sender
+     * @param message the heartbeat
+     * @return the answer
+     */
+    public HeartbeatReply receive(ClockReading now, VmId from, Heartbeat message) {
+        expire(now);
+        hear(now, from, message.incarnation(), message.members());
+        peers.peer(from).leaving(message.leaving());
+        if (message.listedAt() > 0) {
+            members.merge(now.monotonicMillis(), List.of(new Member(from, message.listedAt())));
+        }
+        if (message.heldLease().incarnation() == settings.incarnation()) {
+            given.confirm(from, message.incarnation(), message.heldLease().sequence());
+        } else {
+            given.confirm(from, message.incarnation(), 0);
+        }
+        refreshBaseShare(now);
+        advanceViews(now);
+        boolean counted = counts(now, from);
+        Optional<LeaseGrant> lease = lease(now, from, message);
+        return new HeartbeatReply(
+                settings.incarnation(),
+                message.incarnation(),
+                message.sequence(),
+                active,
+                counted,
+                configRevision,
+                members.members(),
+                lease);
+    }
+
+    /**
+     * Takes the answer to a heartbeat.
+     *
+     * @param now time
+     * @param from sender
+     * @param message the answer
+     */
+    public void receive(ClockReading now, VmId from, HeartbeatReply message) {
+        expire(now);
+        if (message.askerIncarnation() != settings.incarnation()) {
+            return;
+        }
+        Peer peer = peers.peer(from);
+        Long askedAt = peer.answered(message.sequence());
+        if (askedAt == null) {
+            return;
+        }
+        hear(now, from, message.incarnation(), message.members());
+        peer.counted(message.counted(), askedAt);
+        if (message.active()) {
+            activePeerAskedAtMillis = Math.max(activePeerAskedAtMillis, askedAt);
+        }
+        refreshBaseShare(now);
+        if (message.lease().isPresent()) {
+            takeLease(now, from, message.incarnation(), message.lease().get(), askedAt);
+        }
+    }
+
+    /**
+     * Takes tokens from what this VM holds for a customer.
+     *
+     * @param now time
+     * @param asker VM that runs the request
+     * @param id number of the reservation, chosen by the asker
+     * @param customer whose tokens
+     * @param tokens how many
+     * @param partial true if fewer are welcome
+     * @return what was taken
+     */
+    public ReserveOutcome reserve(
+            ClockReading now,
+            VmId asker,
+            long id,
+            CustomerId customer,
+            double tokens,
+            boolean partial) {
+        expire(now);
+        Optional<CustomerBucket> found = buckets.find(customer);
+        if (found.isEmpty() || reservations.contains(asker, id)) {
+            return new ReserveOutcome(0, Long.MAX_VALUE, 0);
+        }
+        CustomerBucket entry = found.get();
+        entry.advance(now.monotonicMillis(), timing.drift());
+        double taken = take(entry.bucket(), tokens, partial);
+        if (taken > 0) {
+            reservations.add(asker, id, customer, taken);
+        }
+        long wait = entry.bucket().millisUntil(tokens - taken);
+        return new ReserveOutcome(taken, taken >= tokens ? 0 : wait, entry.share());
+    }
+
+    /**
+     * Puts the unused part of a reservation back. A second call for the same one does nothing.
+     *
+     * @param now time
+     * @param asker VM that reserved
+     * @param id number of the reservation
+     * @param unused tokens that were not used
+     * @return tokens that count as given back
+     */
+    public double settle(ClockReading now, VmId asker, long id, double unused) {
+        expire(now);
+        Optional<Reservation> found = reservations.remove(asker, id);
+        if (found.isEmpty() || !(unused > 0)) {
+            return 0;
+        }
+        double back = Math.min(unused, found.get().tokens());
+        Optional<CustomerBucket> entry = buckets.find(found.get().customer());
+        if (entry.isEmpty()) {
+            return 0;
+        }
+        entry.get().advance(now.monotonicMillis(), timing.drift());
+        entry.get().bucket().giveBack(back);
+        return back;
+    }
+
+    private static double take(TokenBucket bucket, double tokens, boolean partial) {
+        if (partial) {
+            return bucket.takeUpTo(tokens);
+        }
+        return bucket.take(tokens) ? tokens : 0;
+    }
+
+    private Heartbeat heartbeat(ClockReading now, VmId to) {
+        return new Heartbeat(
+                settings.incarnation(),
+                peers.peer(to).ask(now.cautiousMillis()),
+                members.selfListedAt(),
+                leaving,
+                held.newest(to),
+                configRevision,
+                members.members());
+    }
+
+    private void hear(ClockReading now, VmId from, long incarnation, Collection<Member> counted) {
+        peers.peer(from).heard(now.monotonicMillis(), incarnation);
+        regionVms.add(from);
+        members.merge(now.monotonicMillis(), counted);
+    }
+
+    /** True if every share that this VM uses or has leased counts the other VM. */
+    private boolean counts(ClockReading now, VmId other) {
+        long age = now.monotonicMillis() - newcomerSinceMillis;
+        return age >= timing.quarantineMillis()
+                && members.contains(other)
+                && given.largestShare() <= baseShare + EPSILON;
+    }
+
+    private Optional<LeaseGrant> lease(ClockReading now, VmId holder, Heartbeat asked) {
+        boolean inViews = views.named().stream().allMatch(view -> view.vms().contains(holder));
+        if (!active || !settings.policy().givesLeases() || !inViews) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                given.give(
+                        now.monotonicMillis(),
+                        holder,
+                        asked.incarnation(),
+                        baseShare,
+                        views.named()));
+    }
+
+    private void takeLease(
+            ClockReading now, VmId giver, long incarnation, LeaseGrant grant, long askedAtMillis) {
+        HeldLeases.Change change = held.accept(giver, incarnation, grant, askedAtMillis);
+        if (change == HeldLeases.Change.NONE) {
+            return;
+        }
+        if (change == HeldLeases.Change.GAINED) {
+            events.record(EventCode.LEASE_GAINED, giver, grant.share());
+        }
+        expire(now);
+        buckets.allot(now.monotonicMillis(), ownShare(), held.grants());
+    }
+
+    /** Ends everything whose time has passed. Runs before every decision. */
+    private void expire(ClockReading now) {
+        given.expire(now.monotonicMillis());
+        members.expire(now.monotonicMillis());
+        List<VmId> lapsed = held.expire(now.cautiousMillis());
+        if (lapsed.isEmpty()) {
+            return;
+        }
+        lapsed.forEach(giver -> events.record(EventCode.LEASE_LAPSED, giver));
+        buckets.allot(now.monotonicMillis(), ownShare(), held.grants());
+    }
+
+    private void refreshBaseShare(ClockReading now) {
+        if (members.listRevision() > 0 && members.selfListedAt() == 0 && active) {
+            deactivate(now, "dropped from the platform's list");
+        }
+        if (!active && mayActivate(now)) {
+            active = true;
+            events.record(EventCode.SHARE_ACTIVE, 1.0 / members.size(), members.size());
+        }
+        double share = active ? 1.0 / members.size() : 0;
+        if (share != baseShare) {
+            baseShare = share;
+            events.record(EventCode.SHARE_CHANGED, share, members.size());
+            buckets.allot(now.monotonicMillis(), ownShare(), held.grants());
+        }
+    }
+
+    private void deactivate(ClockReading now, String reason) {
+        active = false;
+        newcomerSinceMillis = now.monotonicMillis();
+        newcomerSinceCautiousMillis = now.cautiousMillis();
+        activePeerAskedAtMillis = Long.MIN_VALUE;
+        listReadAtMillis = Long.MIN_VALUE;
+        events.record(EventCode.SHARE_INACTIVE, reason);
+    }
+
+    private boolean mayActivate(ClockReading now) {
+        long quarantine = timing.quarantineMillis();
+        boolean quarantineOver = now.monotonicMillis() - newcomerSinceMillis >= quarantine;
+        if (!quarantineOver || members.selfListedAt() == 0 || members.hasQuarantined()) {
+            return false;
+        }
+        boolean freshList = listReadAtMillis >= newcomerSinceMillis + timing.listLagMillis();
+        boolean activePeer = activePeerAskedAtMillis >= newcomerSinceCautiousMillis + quarantine;
+        return (freshList || activePeer) && isCountedByAll(now);
+    }
+
+    private boolean isCountedByAll(ClockReading now) {
+        long earliestAsked = now.cautiousMillis() - timing.leaseMillis() / 2;
+        return members.vms().stream()
+                .filter(vm -> !vm.equals(settings.self()))
+                .allMatch(vm -> peers.peer(vm).countsSince(earliestAsked));
+    }
+
+    private void advanceViews(ClockReading now) {
+        HomeView wanted = settings.policy().view(settings.self(), liveVms(now));
+        if (views.advance(wanted, given)) {
+            buckets.allot(now.monotonicMillis(), ownShare(), held.grants());
+        }
+    }
+
+    /** This VM's own share as if it were a lease to itself. */
+    private LeaseGrant ownShare() {
+        return new LeaseGrant(0, baseShare, 0, views.named());
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/TokenBucket.java
@@ -0,0 +1,110 @@
+package io.vanillapoint.core.limit;
+
+/**
+ * Token bucket whose rate and cap change over time.
+ *
+ * <p>Invariant: the level lies between 0 and the cap. A bucket starts empty, a higher cap does not
+ * raise the level, and a lower cap cuts it. So what is taken in a window is at most the cap at its
+ * start plus what flowed in. Confined to one thread.
+ */
+public final class TokenBucket {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private double level;
+    private double cap;
+    private double ratePerSecond;
+
+    /**
+     * Tokens that can be taken now.
+     *
+     * @return level, zero or more
+     */
+    public double level() {
+        return level;
+    }
+
+    /**
+     * Largest level.
+     *
+     * @return cap, zero or more
+     */
+    public double cap() {
+        return cap;
+    }
+
+    /**
+     * Lets time pass at the present rate.
+     *
+     * @param elapsedMillis time since the last call, in milliseconds
+     */
+    public void advance(double elapsedMillis) {
+        if (elapsedMillis <= 0) {
+            return;
+        }
+        double inflow = ratePerSecond * elapsedMillis / MILLIS_PER_SECOND;
+        level = Math.min(cap, level + inflow);
+    }
+
+    /**
+     * Changes rate and cap from now on.
+     *
+     * @param newRatePerSecond tokens a second
+     * @param newCap largest level
+     */
+    public void resize(double newRatePerSecond, double newCap) {
+        ratePerSecond = newRatePerSecond;
+        cap = newCap;
+        level = Math.min(level, cap);
+    }
+
+    /**
+     * Takes tokens if all of them are there.
+     *
+     * @param tokens how many
+     * @return true if they were taken
+     */
+    public boolean take(double tokens) {
+        if (tokens > level) {
+            return false;
+        }
+        level -= tokens;
+        return true;
+    }
+
+    /**
+     * Takes as many tokens as there are, up to a number.
+     *
+     * @param tokens how many at most
+     * @return how many were taken
+     */
+    public double takeUpTo(double tokens) {
+        double taken = Math.min(tokens, level);
+        level -= taken;
+        return taken;
+    }
+
+    /**
+     * Puts tokens back that were taken from this bucket.
+     *
+     * @param tokens how many; what does not fit is lost
+     */
+    public void giveBack(double tokens) {
+        level = Math.min(cap, level + tokens);
+    }
+
+    /**
+     * Time until a number of tokens is there.
+     *
+     * @param tokens how many
+     * @return milliseconds, or {@link Long#MAX_VALUE} if they never will be
+     */
+    public long millisUntil(double tokens) {
+        if (tokens <= level) {
+            return 0;
+        }
+        if (tokens > cap || ratePerSecond <= 0) {
+            return Long.MAX_VALUE;
+        }
+        return (long) Math.ceil((tokens - level) / ratePerSecond * MILLIS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/HeaderField.java
@@ -0,0 +1,9 @@
+package io.vanillapoint.core.message;
+
+/**
+ * One HTTP header. Immutable.
+ *
+ * @param name name
+ * @param value value
+ */
+public record HeaderField(String name, String value) {}
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/HomeView.java
@@ -0,0 +1,43 @@
+package io.vanillapoint.core.message;
+
+import io.vanillapoint.api.model.CustomerId;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.core.hash.Rendezvous;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * The VMs over which customers are placed. Two equal views give every customer the same home.
+ *
+ * <p>Invariant: the VMs are sorted and distinct. Immutable.
+ *
+ * @param vms names of the VMs
+ */
+public record HomeView(List<VmId> vms) {
+    /** Sorts the VMs. */
+    public HomeView {
+        vms = List.copyOf(new TreeSet<>(vms));
+    }
+
+    /**
+     * Creates a view.
+     *
+     * @param vms names of the VMs in any order
+     * @return the view
+     */
+    public static HomeView of(Collection<VmId> vms) {
+        return new HomeView(List.copyOf(vms));
+    }
+
+    /**
+     * Home of a customer under this view.
+     *
+     * @param customer name of the customer
+     * @return the VM, or nothing if the view is empty
+     */
+    public Optional<VmId> home(CustomerId customer) {
+        return Rendezvous.pick(customer.value(), vms, VmId::value);
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/PeerMessage.java
@@ -0,0 +1,22 @@
+package io.vanillapoint.core.message;
+
+/** A message between VMs. Implementations are immutable. */
+public sealed interface PeerMessage
+        permits Heartbeat,
+                HeartbeatReply,
+                ReserveRequest,
+                ReserveReply,
+                Settle,
+                RegisterRequest,
+                RegisterReply,
+                CompleteKey,
+                ConfigRequest,
+                ConfigReply,
+                ForwardRequest,
+                ForwardHead,
+                ForwardData,
+                ForwardEnd,
+                ForwardFailure,
+                ForwardCancel,
+                ForwardCredit,
+                PeerHello {}
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/StoredAnswer.java
@@ -0,0 +1,30 @@
+package io.vanillapoint.core.message;
+
+import java.util.Arrays;
+
+/**
+ * A kept answer. Immutable: the body must not be changed by anyone who holds it.
+ *
+ * @param status HTTP status
+ * @param contentType media type
+ * @param body body of the answer
+ */
+public record StoredAnswer(int status, String contentType, byte[] body) {
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof StoredAnswer that
+                && status == that.status
+                && contentType.equals(that.contentType)
+                && Arrays.equals(body, that.body);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * status + Arrays.hashCode(body);
+    }
+
+    @Override
+    public String toString() {
+        return "StoredAnswer[" + status + ", " + body.length + " bytes]";
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/routing/Dispatcher.java
@@ -0,0 +1,133 @@
+package io.vanillapoint.core.routing;
+
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.api.model.GatewayConfig;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.Vm;
+import io.vanillapoint.api.plugin.UpstreamCandidate;
+import io.vanillapoint.api.plugin.UpstreamChoice;
+import io.vanillapoint.api.plugin.UpstreamPolicy;
+import io.vanillapoint.core.hash.Rendezvous;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+
+/**
+ * Decides where a request goes next: to an upstream of this region, else to a VM of another region
+ * that the customer permits and the request has not visited.
+ *
+ * <p>Invariant: whatever it returns has passed {@link RouteGuard}. Confined to one thread.
+ */
+public final class Dispatcher {
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(2);
+
+    private final RegionId region;
+    private final UpstreamTable upstreams;
+    private final UpstreamPolicy policy;
+    private final LongSupplier random;
+    private GatewayConfig config = GatewayConfig.empty();
+    private long choices;
+
+    /**
+     * Creates a dispatcher.
+     *
+     * @param region region of this VM
+     * @param upstreams what is known of the upstreams
+     * @param policy how to choose among the upstreams of this region
+     * @param random source of 64 random bits
+     */
+    public Dispatcher(
+            RegionId region, UpstreamTable upstreams, UpstreamPolicy policy, LongSupplier random) {
+        this.region = region;
+        this.upstreams = upstreams;
+        this.policy = policy;
+        this.random = random;
+    }
+
+    /**
+     * Takes over a configuration.
+     *
+     * @param newConfig configuration in force
+     */
+    public void configure(GatewayConfig newConfig) {
+        config = newConfig;
+        upstreams.configure(newConfig);
+    }
+
+    /**
+     * Decides.
+     *
+     * @param nowMillis monotonic time
+     * @param query the request
+     * @param isReachable whether a VM is thought to answer
+     * @return where to go
+     */
+    public Dispatch choose(long nowMillis, DispatchQuery query, Predicate<Vm> isReachable) {
+        if (RouteGuard.processing(query.customer(), region).isEmpty()) {
+            List<UpstreamCandidate> local =
+                    upstreams.candidates(nowMillis, query.target(), region, query.triedUpstreams());
+            if (!local.isEmpty()) {
+                return new Dispatch.ToUpstream(chooseUpstream(query, local).upstream());
+            }
+        }
+        return remoteVm(query, isReachable)
+                .<Dispatch>map(Dispatch.ToVm::new)
+                .orElseGet(() -> new Dispatch.Nowhere(nowhere(query)));
+    }
+
+    private UpstreamCandidate chooseUpstream(
+            DispatchQuery query, List<UpstreamCandidate> candidates) {
+        return policy.choose(
+                new UpstreamChoice(query.affinityKey(), choices++, random.getAsLong(), candidates));
+    }
+
+    private Optional<Vm> remoteVm(DispatchQuery query, Predicate<Vm> isReachable) {
+        List<Vm> suitable = new ArrayList<>();
+        for (Vm vm : config.vms().values()) {
+            boolean open = vm.state().takesNewWork() && !query.triedVms().contains(vm.id());
+            if (open && !vm.region().equals(region) && mayForward(query, vm)) {
+                suitable.add(vm);
+            }
+        }
+        List<Vm> reachable = suitable.stream().filter(isReachable).toList();
+        List<Vm> choices = reachable.isEmpty() ? suitable : reachable;
+        return pickRegion(query, choices)
+                .flatMap(
+                        chosen ->
+                                pick(
+                                        choices.stream()
+                                                .filter(vm -> vm.region().equals(chosen))
+                                                .toList()));
+    }
+
+    private boolean mayForward(DispatchQuery query, Vm vm) {
+        return upstreams.isServedIn(query.target(), vm.region())
+                && RouteGuard.forwarding(query.customer(), query.path(), vm.id(), vm.region())
+                        .isEmpty();
+    }
+
+    private static Optional<RegionId> pickRegion(DispatchQuery query, List<Vm> vms) {
+        TreeSet<RegionId> regions = new TreeSet<>();
+        vms.forEach(vm -> regions.add(vm.region()));
+        return Rendezvous.pick(query.affinityKey(), regions, RegionId::value);
+    }
+
+    private Optional<Vm> pick(List<Vm> vms) {
+        if (vms.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(vms.get((int) Math.floorMod(random.getAsLong(), (long) vms.size())));
+    }
+
+    private VanillapointException nowhere(DispatchQuery query) {
+        return VanillapointException.refusal(
+                ErrorCode.NO_UPSTREAM,
+                "expected an upstream for " + query.target() + " in a permitted region",
+                RETRY_AFTER);
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/routing/RouteGuard.java
@@ -0,0 +1,70 @@
+package io.vanillapoint.core.routing;
+
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.api.model.Customer;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.core.message.VisitedPath;
+import java.util.Optional;
+
+/**
+ * The one place that decides whether a request and its data may go somewhere. Every dispatch,
+ * retry, forward and receipt asks it. Stateless.
+ */
+public final class RouteGuard {
+    private RouteGuard() {}
+
+    /**
+     * Decides whether data may be processed in a region.
+     *
+     * @param customer customer of the request, or null on a route that is open to all
+     * @param region where it would be processed
+     * @return the refusal, or nothing if it may
+     */
+    public static Optional<VanillapointException> processing(Customer customer, RegionId region) {
+        if (customer == null || customer.permits(region)) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new VanillapointException(
+                        ErrorCode.REGION_NOT_PERMITTED,
+                        "region " + region,
+                        "expected a region that customer " + customer.id() + " permits"));
+    }
+
+    /**
+     * Decides whether a request may go on to another VM.
+     *
+     * @param customer customer of the request, or null on a route that is open to all
+     * @param path VMs visited so far, the present one included
+     * @param vm next VM
+     * @param region its region
+     * @return the refusal, or nothing if it may
+     */
+    public static Optional<VanillapointException> forwarding(
+            Customer customer, VisitedPath path, VmId vm, RegionId region) {
+        if (path.isFull() || path.visited(vm) || path.visited(region)) {
+            return Optional.of(
+                    new VanillapointException(
+                            ErrorCode.PATH_REVISITED,
+                            "VM " + vm,
+                            "expected a VM and region that the request has not visited"));
+        }
+        return processing(customer, region);
+    }
+
+    /**
+     * Checks a request that came from another VM.
+     *
+     * @param customer customer of the request, or null on a route that is open to all
+     * @param path VMs visited so far, the present one not included
+     * @param self present VM
+     * @param region its region
+     * @return the refusal, or nothing if it may be run here
+     */
+    public static Optional<VanillapointException> receiving(
+            Customer customer, VisitedPath path, VmId self, RegionId region) {
+        return forwarding(customer, path, self, region);
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/Daemon.java
@@ -0,0 +1,164 @@
+package io.vanillapoint.server;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.jvm.MemoryUsageGaugeSet;
+import io.vanillapoint.api.event.EventCode;
+import io.vanillapoint.config.impl.DocumentParser;
+import io.vanillapoint.core.message.PeerHello;
+import io.vanillapoint.server.control.ControlPlane;
+import io.vanillapoint.server.event.EventRecorder;
+import io.vanillapoint.server.event.HybridClock;
+import io.vanillapoint.server.kernel.Kernel;
+import io.vanillapoint.server.operator.OperatorListener;
+import io.vanillapoint.server.platform.PlatformWatcher;
+import io.vanillapoint.server.settings.DaemonSettings;
+import io.vanillapoint.server.traffic.TrafficVerticle;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One running gateway: a control thread, traffic threads and three listeners.
+ *
+ * <p>Usage: {@link #start()}, then {@link #drain()} once; {@link #stopped()} completes when
+ * everything has ended. Safe for use by several threads.
+ */
+public final class Daemon {
+    private static final long DRAIN_CHECK_MILLIS = 50;
+    private static final long CUT_MILLIS = 500;
+
+    private final DaemonSettings settings;
+    private final EventRecorder recorder;
+    private final Vertx controlVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final Vertx trafficVertx;
+    private final Kernel kernel = Kernel.load();
+    private final PeerHello hello;
+    private final ControlPlane control;
+    private final List<TrafficVerticle> traffic = new ArrayList<>();
+    private final Promise<Integer> stopped = Promise.promise();
+    private boolean draining;
+    private boolean cutting;
+
+    /**
+     * Creates a daemon.
+     *
+     * @param settings checked settings
+     */
+    public Daemon(DaemonSettings settings) {
+        this.settings = settings;
+        HybridClock clock = new HybridClock(System::currentTimeMillis);
+        this.recorder =
+                new EventRecorder(settings.vm().value(), clock, settings.limits().timelineEvents());
+        this.hello = new PeerHello(settings.vm(), System.currentTimeMillis(), PeerHello.PROTOCOL);
+        this.trafficVertx =
+                Vertx.vertx(
+                        new VertxOptions()
+                                .setEventLoopPoolSize(settings.limits().trafficThreads()));
+        this.control =
+                new ControlPlane(
+                        controlVertx,
+                        settings,
+                        hello,
+                        kernel.upstreamPolicy(settings.upstreamPolicy()),
+                        DocumentParser.json(),
+                        recorder);
+    }
+
+    /**
+     * Starts all parts.
+     *
+     * @return completed when the listeners are open
+     */
+    public Future<Void> start() {
+        PlatformWatcher watcher =
+                new PlatformWatcher(
+                        controlVertx,
+                        settings.platform(),
+                        settings.timeouts().connectMillis(),
+                        control);
+        OperatorListener operators =
+                new OperatorListener(
+                        control, recorder, metrics(), settings.operatorKey(), this::drain);
+        List<Future<?>> parts = new ArrayList<>();
+        for (int i = 0; i < settings.limits().trafficThreads(); i++) {
+            String prefix = settings.vm() + "-" + Long.toString(hello.incarnation(), 36) + "-" + i;
+            TrafficVerticle verticle =
+                    new TrafficVerticle(settings, kernel, control, hello, recorder, prefix + "-");
+            traffic.add(verticle);
+            parts.add(trafficVertx.deployVerticle(verticle));
+        }
+        parts.add(operators.listen(trafficVertx, settings.operators()));
+        control.start();
+        watcher.start();
+        return Future.all(parts)
+                .onSuccess(
+                        nothing ->
+                                recorder.record(
+                                        EventCode.STARTED,
+                                        hello.incarnation(),
+                                        settings.region(),
+                                        settings.callers(),
+                                        settings.peers()))
+                .mapEmpty();
+    }
+
+    /** Begins the graceful shutdown; a second call cuts what still runs. */
+    public synchronized void drain() {
+        if (draining) {
+            cut();
+            return;
+        }
+        draining = true;
+        control.drain();
+        trafficVertx.setTimer(settings.timeouts().drainMillis(), timer -> cut());
+        trafficVertx.setPeriodic(DRAIN_CHECK_MILLIS, this::stopIfIdle);
+    }
+
+    /**
+     * End of the daemon.
+     *
+     * @return completed with the number of requests that were cut
+     */
+    public Future<Integer> stopped() {
+        return stopped.future();
+    }
+
+    private synchronized void cut() {
+        if (cutting) {
+            return;
+        }
+        cutting = true;
+        int running = running();
+        traffic.forEach(TrafficVerticle::cut);
+        trafficVertx.setTimer(CUT_MILLIS, timer -> stop(running));
+    }
+
+    private void stopIfIdle(long timer) {
+        if (running() == 0) {
+            trafficVertx.cancelTimer(timer);
+            stop(0);
+        }
+    }
+
+    private void stop(int cut) {
+        recorder.record(EventCode.STOPPED, cut);
+        stopped.tryComplete(cut);
+    }
+
+    private int running() {
+        return traffic.stream().mapToInt(TrafficVerticle::running).sum();
+    }
+
+    private MetricRegistry metrics() {
+        MetricRegistry metrics = new MetricRegistry();
+        metrics.register("requests.running", (Gauge<Integer>) this::running);
+        metrics.register("config.revision", (Gauge<Long>) () -> control.config().revision());
+        metrics.register("invariants.broken", (Gauge<Long>) recorder::violations);
+        metrics.register("memory", new MemoryUsageGaugeSet());
+        return metrics;
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/Signals.java
@@ -0,0 +1,45 @@
+package io.vanillapoint.server;
+
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import java.lang.reflect.Proxy;
+
+/**
+ * Handles signals of the operating system. A shutdown hook can't tell a second signal from the
+ * first, so the platform's signal class is used; it is reached by reflection because the compiler
+ * warns about every direct use. Stateless.
+ */
+final class Signals {
+    private static final String SIGNAL_CLASS = "sun.misc.Signal";
+    private static final String HANDLER_CLASS = "sun.misc.SignalHandler";
+
+    private Signals() {}
+
+    /**
+     * Runs an action each time a signal arrives.
+     *
+     * @param name name without SIG, for example TERM
+     * @param action what to run, on a thread of its own
+     */
+    static void handle(String name, Runnable action) {
+        try {
+            Class<?> signalClass = Class.forName(SIGNAL_CLASS);
+            Class<?> handlerClass = Class.forName(HANDLER_CLASS);
+            Object signal = signalClass.getConstructor(String.class).newInstance(name);
+            Object handler =
+                    Proxy.newProxyInstance(
+                            Signals.class.getClassLoader(),
+                            new Class<?>[] {handlerClass},
+                            (proxy, method, arguments) -> {
+                                action.run();
+                                return null;
+                            });
+            signalClass
+                    .getMethod("handle", signalClass, handlerClass)
+                    .invoke(null, signal, handler);
+        } catch (ReflectiveOperationException e) {
+            throw new VanillapointException(
+                    ErrorCode.INTERNAL, "signal " + name, "can't be handled: " + e);
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/Vanillapointd.java
@@ -0,0 +1,55 @@
+package io.vanillapoint.server;
+
+import io.vanillapoint.server.settings.DaemonSettings;
+import io.vanillapoint.server.settings.SettingsReader;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import org.apache.logging.log4j.LogManager;
+
+/** Entry point of the daemon. */
+public final class Vanillapointd {
+    private static final int EXIT_SETTINGS = 2;
+    private static final int EXIT_START = 3;
+
+    private Vanillapointd() {}
+
+    /**
+     * Runs the daemon until it has been drained.
+     *
+     * @param args flags
+     */
+    public static void main(String[] args) {
+        SettingsReader reader = new SettingsReader();
+        Optional<DaemonSettings> settings = reader.read(List.of(args), System.getenv());
+        if (reader.helpWanted()) {
+            System.out.print(reader.help());
+            return;
+        }
+        if (settings.isEmpty()) {
+            System.err.print(reader.findings());
+            System.exit(EXIT_SETTINGS);
+        }
+        run(new Daemon(settings.orElseThrow()));
+    }
+
+    private static void run(Daemon daemon) {
+        CountDownLatch ended = new CountDownLatch(1);
+        Signals.handle("TERM", daemon::drain);
+        Signals.handle("INT", daemon::drain);
+        daemon.stopped().onSuccess(cut -> ended.countDown());
+        daemon.start()
+                .onFailure(
+                        error -> {
+                            System.err.println("can't start: " + error.getMessage());
+                            System.exit(EXIT_START);
+                        });
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        LogManager.shutdown();
+        System.exit(0);
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlIdentity.java
@@ -0,0 +1,15 @@
+package io.vanillapoint.server.control;
+
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.core.limit.SharePolicy;
+
+/**
+ * Who this VM is to the parts of the control plane. Immutable.
+ *
+ * @param vm name of this VM
+ * @param region its region
+ * @param sharePolicy how VMs share rates
+ * @param peerMillis longest wait for a peer's word in milliseconds
+ */
+record ControlIdentity(VmId vm, RegionId region, SharePolicy sharePolicy, long peerMillis) {}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
@@ -0,0 +1,520 @@
+package io.vanillapoint.server.control;
+
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.api.event.EventCode;
+import io.vanillapoint.api.event.EventSink;
+import io.vanillapoint.api.model.Customer;
+import io.vanillapoint.api.model.CustomerId;
+import io.vanillapoint.api.model.GatewayConfig;
+import io.vanillapoint.api.model.KeyDigest;
+import io.vanillapoint.api.model.UpstreamId;
+import io.vanillapoint.api.model.Vm;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.api.plugin.UpstreamPolicy;
+import io.vanillapoint.core.admission.AdmissionQueue;
+import io.vanillapoint.core.admission.AdmissionQueue.Ticket;
+import io.vanillapoint.core.config.ConfigStore;
+import io.vanillapoint.core.config.ValueParser;
+import io.vanillapoint.core.hash.Rendezvous;
+import io.vanillapoint.core.invariant.Invariants;
+import io.vanillapoint.core.limit.AuthoritySettings;
+import io.vanillapoint.core.limit.RegionAuthority;
+import io.vanillapoint.core.limit.ReserveOutcome;
+import io.vanillapoint.core.limit.TokenGather.Part;
+import io.vanillapoint.core.message.ConfigReply;
+import io.vanillapoint.core.message.ConfigRequest;
+import io.vanillapoint.core.message.Heartbeat;
+import io.vanillapoint.core.message.HeartbeatReply;
+import io.vanillapoint.core.message.PeerHello;
+import io.vanillapoint.core.message.PeerMessage;
+import io.vanillapoint.core.message.PublishedValue;
+import io.vanillapoint.core.message.ReserveReply;
+import io.vanillapoint.core.message.ReserveRequest;
+import io.vanillapoint.core.message.Settle;
+import io.vanillapoint.core.routing.Dispatch;
+import io.vanillapoint.core.routing.DispatchQuery;
+import io.vanillapoint.core.routing.Dispatcher;
+import io.vanillapoint.core.routing.UpstreamTable;
+import io.vanillapoint.core.time.CautiousClock;
+import io.vanillapoint.core.time.ClockReading;
+import io.vanillapoint.server.peer.ControlLinks;
+import io.vanillapoint.server.settings.DaemonSettings;
+import io.vanillapoint.wire.PeerCodec;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Owns all state of this VM that changes: configuration, shares of rates, loads of upstreams,
+ * places of running requests. One thread runs it; traffic threads call the methods that return
+ * futures and read {@link #config()}, which is an immutable snapshot.
+ */
+public final class ControlPlane {
+    private static final long TICK_MILLIS = 50;
+    private static final long PEER_CONFIG_MILLIS = 1_000;
+    private static final Duration RETRY_SOON = Duration.ofSeconds(1);
+    private static final CustomerId OPEN_ROUTE = new CustomerId("(open)");
+
+    private final DaemonSettings settings;
+    private final EventSink events;
+    private final Vertx vertx;
+    private final Context context;
+    private final CautiousClock clock;
+    private final ConfigStore store;
+    private final RegionAuthority authority;
+    private final UpstreamTable upstreams;
+    private final Dispatcher dispatcher;
+    private final AdmissionQueue queue;
+    private final ControlLinks links;
+    private final TokenReserver reserver;
+    private final Map<Ticket, Promise<Void>> waiting = new HashMap<>();
+    private volatile GatewayConfig config = GatewayConfig.empty();
+    private volatile boolean draining;
+    private boolean platformUp = true;
+    private long nextPeerConfigMillis;
+
+    /**
+     * Creates the control plane.
+     *
+     * @param vertx instance with one event loop, used by nothing else
+     * @param settings settings of the daemon
+     * @param hello who this VM is to its peers
+     * @param policy how upstreams are chosen
+     * @param parser reads published values
+     * @param events where events are recorded
+     */
+    public ControlPlane(
+            Vertx vertx,
+            DaemonSettings settings,
+            PeerHello hello,
+            UpstreamPolicy policy,
+            ValueParser parser,
+            EventSink events) {
+        this.vertx = vertx;
+        this.context = vertx.getOrCreateContext();
+        this.settings = settings;
+        this.events = events;
+        this.clock = new CautiousClock(monotonicMillis(), System.currentTimeMillis());
+        this.store = new ConfigStore(parser, events);
+        this.authority =
+                new RegionAuthority(
+                        new AuthoritySettings(
+                                settings.vm(),
+                                settings.region(),
+                                hello.incarnation(),
+                                settings.timing(),
+                                settings.sharePolicy()),
+                        now(),
+                        events,
+                        new Invariants(events));
+        this.upstreams = new UpstreamTable(events);
+        this.dispatcher =
+                new Dispatcher(
+                        settings.region(),
+                        upstreams,
+                        policy,
+                        () -> ThreadLocalRandom.current().nextLong());
+        this.queue =
+                new AdmissionQueue(
+                        settings.limits().maxRunning(),
+                        settings.limits().maxQueue(),
+                        settings.timeouts().queueMillis());
+        this.links =
+                new ControlLinks(
+                        vertx,
+                        new PeerCodec(settings.limits().maxFrameBytes()),
+                        hello,
+                        settings.timeouts().connectMillis(),
+                        settings.timing().failureMillis(),
+                        events,
+                        this::receiveAnswer);
+        this.reserver =
+                new TokenReserver(
+                        vertx,
+                        new ControlIdentity(
+                                settings.vm(),
+                                settings.region(),
+                                settings.sharePolicy(),
+                                settings.timeouts().peerMillis()),
+                        authority,
+                        this::now,
+                        this::send,
+                        vm -> links.isReachable(vm.id()));
+    }
+
+    /** Begins to send heartbeats. */
+    public void start() {
+        context.runOnContext(nothing -> vertx.setPeriodic(TICK_MILLIS, timer -> tick()));
+    }
+
+    /**
+     * Configuration in force. May be read by any thread.
+     *
+     * @return immutable configuration
+     */
+    public GatewayConfig config() {
+        return config;
+    }
+
+    /**
+     * Tells whether this VM finishes its work and takes nothing new. May be read by any thread.
+     *
+     * @return true after {@link #drain}
+     */
+    public boolean isDraining() {
+        return draining;
+    }
+
+    /**
+     * Context of the control thread.
+     *
+     * @return the context
+     */
+    public Context context() {
+        return context;
+    }
+
+    /** Takes no new work from now on. May be called by any thread. */
+    public void drain() {
+        draining = true;
+        context.runOnContext(
+                nothing -> {
+                    events.record(EventCode.DRAINING, queue.running());
+                    authority.leave();
+                });
+    }
+
+    /**
+     * State for operators.
+     *
+     * @return completed on the caller's context
+     */
+    public Future<ControlStatus> status() {
+        return Threads.call(context, () -> Future.succeededFuture(statusNow()));
+    }
+
+    /**
+     * Admits a request: a place to run in, and its tokens.
+     *
+     * @param customer customer, or null on a route that is open to all
+     * @param tokens tokens to reserve
+     * @param interactive true for short work that someone waits for
+     * @return the admission, or a refusal
+     */
+    public Future<Admission> admit(Customer customer, long tokens, boolean interactive) {
+        return Threads.call(context, () -> admitHere(customer, tokens, interactive));
+    }
+
+    /**
+     * Ends a request.
+     *
+     * @param admission its admission
+     * @param used tokens that it used
+     */
+    public void finish(Admission admission, long used) {
+        context.runOnContext(
+                nothing -> {
+                    reserver.settle(admission.parts(), used);
+                    release(admission.ticket());
+                });
+    }
+
+    /**
+     * Decides where a request goes next. The key is checked again, since it may have been withdrawn
+     * while the request waited.
+     *
+     * @param key digest of the caller's key, or null if none was needed or another VM checked it
+     * @param query the request
+     * @param tokens tokens reserved for it
+     * @return where to go; an upstream is already charged with the request
+     */
+    public Future<Dispatch> dispatch(KeyDigest key, DispatchQuery query, long tokens) {
+        return Threads.call(
+                context,
+                () -> {
+                    if (key != null && config.customerByKey(key).isEmpty()) {
+                        return Future.succeededFuture(new Dispatch.Nowhere(withdrawn()));
+                    }
+                    Dispatch chosen =
+                            dispatcher.choose(
+                                    monotonicMillis(), query, vm -> links.isReachable(vm.id()));
+                    if (chosen instanceof Dispatch.ToUpstream local) {
+                        upstreams.begin(local.upstream().id(), tokens);
+                    }
+                    return Future.succeededFuture(chosen);
+                });
+    }
+
+    /**
+     * Takes note that an upstream has ended a request.
+     *
+     * @param upstream the upstream
+     * @param tokens tokens reserved for the request
+     * @param succeeded false if the upstream failed
+     */
+    public void upstreamEnded(UpstreamId upstream, long tokens, boolean succeeded) {
+        context.runOnContext(
+                nothing -> upstreams.end(monotonicMillis(), upstream, tokens, succeeded));
+    }
+
+    /**
+     * VMs for a caller to use, the best first.
+     *
+     * @param customer the caller's customer
+     * @return VMs in the customer's permitted regions that take new work; this region's first
+     */
+    public Future<List<Vm>> entries(Customer customer) {
+        return Threads.call(context, () -> Future.succeededFuture(entriesHere(customer)));
+    }
+
+    /**
+     * Answers a control message of another VM.
+     *
+     * @param from sender
+     * @param message what it sent
+     * @return the answer, if the message has one
+     */
+    public Future<Optional<PeerMessage>> receive(VmId from, PeerMessage message) {
+        return Threads.call(context, () -> Future.succeededFuture(answer(from, message)));
+    }
+
+    /**
+     * Takes values that the platform or a peer sent. Runs on the control thread.
+     *
+     * @param values the values
+     * @param completeTo revision up to which they are complete
+     * @param source who sent them
+     */
+    public void acceptValues(Collection<PublishedValue> values, long completeTo, String source) {
+        if (store.accept(values, completeTo, source)) {
+            config = store.current();
+            dispatcher.configure(config);
+        }
+        authority.configure(now(), config, store.vmListRevision());
+    }
+
+    /**
+     * Takes note that the platform has answered a read. Runs on the control thread.
+     *
+     * @param askedAt when the read was asked for
+     */
+    public void platformAnswered(ClockReading askedAt) {
+        authority.listRead(askedAt);
+        if (!platformUp) {
+            platformUp = true;
+            events.record(EventCode.PLATFORM_REACHABLE, store.completeTo());
+        }
+    }
+
+    /**
+     * Takes note that the platform does not answer. Runs on the control thread.
+     *
+     * @param error what went wrong
+     */
+    public void platformFailed(Throwable error) {
+        if (platformUp) {
+            platformUp = false;
+            events.record(EventCode.PLATFORM_UNREACHABLE, error.getMessage());
+        }
+    }
+
+    /**
+     * Revision up to which all values are known. Runs on the control thread.
+     *
+     * @return revision, 0 before the first read
+     */
+    public long completeTo() {
+        return store.completeTo();
+    }
+
+    /**
+     * Tells whether this VM holds its base share of the rates. Runs on the control thread.
+     *
+     * @return false for a newcomer
+     */
+    public boolean holdsShare() {
+        return authority.isActive();
+    }
+
+    /**
+     * Reads the clocks. Runs on the control thread.
+     *
+     * @return the reading
+     */
+    public ClockReading now() {
+        return clock.read(monotonicMillis(), System.currentTimeMillis());
+    }
+
+    private void tick() {
+        ClockReading now = now();
+        authority.tick(now).forEach(outgoing -> send(outgoing.to(), outgoing.message()));
+        for (Ticket ticket : queue.expire(now.monotonicMillis())) {
+            Promise<Void> promise = waiting.remove(ticket);
+            promise.tryFail(
+                    VanillapointException.refusal(
+                            ErrorCode.QUEUE_TIMEOUT, "no place became free in time", RETRY_SOON));
+        }
+        if (!platformUp && now.monotonicMillis() >= nextPeerConfigMillis) {
+            nextPeerConfigMillis = now.monotonicMillis() + PEER_CONFIG_MILLIS;
+            anyOtherVm().ifPresent(vm -> send(vm, new ConfigRequest(store.completeTo())));
+        }
+    }
+
+    private Future<Admission> admitHere(Customer customer, long tokens, boolean interactive) {
+        if (draining) {
+            return refuse(ErrorCode.SHUTTING_DOWN, "this VM is shutting down");
+        }
+        CustomerId name = customer == null ? OPEN_ROUTE : customer.id();
+        Optional<Ticket> entered = queue.enter(monotonicMillis(), name, interactive);
+        if (entered.isEmpty()) {
+            return refuse(ErrorCode.OVERLOADED, "too many requests wait");
+        }
+        Ticket ticket = entered.get();
+        return place(ticket)
+                .compose(nothing -> reserve(customer, tokens))
+                .map(parts -> new Admission(ticket, parts))
+                .onFailure(error -> release(ticket));
+    }
+
+    private Future<Void> place(Ticket ticket) {
+        if (ticket.isRunning()) {
+            return Future.succeededFuture();
+        }
+        Promise<Void> promise = Promise.promise();
+        waiting.put(ticket, promise);
+        return promise.future();
+    }
+
+    private Future<List<Part>> reserve(Customer customer, long tokens) {
+        if (customer == null) {
+            return Future.succeededFuture(List.of());
+        }
+        return reserver.reserve(config, customer, tokens);
+    }
+
+    private void release(Ticket ticket) {
+        waiting.remove(ticket);
+        Optional<Ticket> next = queue.leave(monotonicMillis(), ticket);
+        next.ifPresent(started -> waiting.remove(started).tryComplete());
+    }
+
+    private Optional<PeerMessage> answer(VmId from, PeerMessage message) {
+        if (message instanceof Heartbeat heartbeat) {
+            catchUp(from, heartbeat.configRevision());
+            return Optional.of(authority.receive(now(), from, heartbeat));
+        }
+        if (message instanceof ReserveRequest request) {
+            ReserveOutcome outcome =
+                    authority.reserve(
+                            now(),
+                            from,
+                            request.id(),
+                            request.customer(),
+                            request.tokens(),
+                            request.partial());
+            return Optional.of(
+                    new ReserveReply(
+                            request.id(),
+                            outcome.granted(),
+                            outcome.retryAfterMillis(),
+                            outcome.share()));
+        }
+        if (message instanceof Settle settle) {
+            authority.settle(now(), from, settle.id(), settle.unused());
+            return Optional.empty();
+        }
+        if (message instanceof ConfigRequest request) {
+            return Optional.of(
+                    new ConfigReply(store.completeTo(), store.newerThan(request.newerThan())));
+        }
+        return Optional.empty();
+    }
+
+    private void receiveAnswer(VmId from, PeerMessage message) {
+        if (message instanceof HeartbeatReply reply) {
+            catchUp(from, reply.configRevision());
+            authority.receive(now(), from, reply);
+        } else if (message instanceof ReserveReply reply) {
+            reserver.answer(reply);
+        } else if (message instanceof ConfigReply reply) {
+            acceptValues(reply.values(), reply.completeTo(), "peer " + from);
+        }
+    }
+
+    private void catchUp(VmId from, long revision) {
+        if (revision > config.revision()) {
+            send(from, new ConfigRequest(store.completeTo()));
+        }
+    }
+
+    private void send(VmId to, PeerMessage message) {
+        Vm vm = config.vms().get(to);
+        if (vm != null) {
+            links.send(to, vm.peers(), message);
+        }
+    }
+
+    private Optional<VmId> anyOtherVm() {
+        List<VmId> others = new ArrayList<>(config.vms().keySet());
+        others.remove(settings.vm());
+        if (others.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(others.get(ThreadLocalRandom.current().nextInt(others.size())));
+    }
+
+    private List<Vm> entriesHere(Customer customer) {
+        Set<VmId> live = authority.liveVms(now());
+        List<Vm> open = new ArrayList<>();
+        for (Vm vm : config.vms().values()) {
+            boolean here = vm.region().equals(settings.region());
+            boolean alive = here ? live.contains(vm.id()) : links.isReachable(vm.id());
+            if (alive && vm.state().takesNewWork() && customer.permits(vm.region())) {
+                open.add(vm);
+            }
+        }
+        List<Vm> ranked = Rendezvous.rank(customer.id().value(), open, vm -> vm.id().value());
+        List<Vm> ordered = new ArrayList<>();
+        ranked.stream().filter(vm -> vm.region().equals(settings.region())).forEach(ordered::add);
+        ranked.stream().filter(vm -> !ordered.contains(vm)).forEach(ordered::add);
+        return ordered;
+    }
+
+    private ControlStatus statusNow() {
+        return new ControlStatus(
+                settings.vm(),
+                settings.region(),
+                config.revision(),
+                authority.isActive(),
+                authority.baseShare(),
+                List.copyOf(authority.liveVms(now())),
+                queue.running(),
+                queue.waiting(),
+                draining);
+    }
+
+    private static <T> Future<T> refuse(ErrorCode code, String message) {
+        return Future.failedFuture(VanillapointException.refusal(code, message, RETRY_SOON));
+    }
+
+    private static VanillapointException withdrawn() {
+        return new VanillapointException(
+                ErrorCode.UNKNOWN_KEY, "key", "the key was withdrawn while the request waited");
+    }
+
+    private static long monotonicMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/event/EventRecorder.java
@@ -0,0 +1,86 @@
+package io.vanillapoint.server.event;
+
+import io.vanillapoint.api.event.Event;
+import io.vanillapoint.api.event.EventCode;
+import io.vanillapoint.api.event.EventLevel;
+import io.vanillapoint.api.event.EventSink;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Keeps the newest events for the time line and writes them to the log.
+ *
+ * <p>Invariant: never holds more than its limit. Safe for use by several threads.
+ */
+public final class EventRecorder implements EventSink {
+    private static final Logger LOG = LogManager.getLogger("io.vanillapoint.events");
+
+    private final String source;
+    private final HybridClock clock;
+    private final int limit;
+    private final ArrayDeque<Event> ring = new ArrayDeque<>();
+    private long violations;
+
+    /**
+     * Creates a recorder.
+     *
+     * @param source name of this process
+     * @param clock clock that stamps the events
+     * @param limit number of events to keep
+     */
+    public EventRecorder(String source, HybridClock clock, int limit) {
+        this.source = source;
+        this.clock = clock;
+        this.limit = limit;
+    }
+
+    @Override
+    public void record(EventCode code, Object... values) {
+        List<String> texts = Arrays.stream(values).map(String::valueOf).toList();
+        Event event = new Event(clock.next(), source, code, texts);
+        keep(event);
+        LOG.log(level(code.level()), "{}", event.text());
+    }
+
+    /**
+     * Events that are kept, the oldest first.
+     *
+     * @return immutable copy
+     */
+    public synchronized List<Event> events() {
+        return List.copyOf(new ArrayList<>(ring));
+    }
+
+    /**
+     * Broken invariants so far.
+     *
+     * @return zero or more
+     */
+    public synchronized long violations() {
+        return violations;
+    }
+
+    private synchronized void keep(Event event) {
+        if (event.code() == EventCode.INVARIANT_BROKEN) {
+            violations++;
+        }
+        ring.addLast(event);
+        if (ring.size() > limit) {
+            ring.removeFirst();
+        }
+    }
+
+    private static Level level(EventLevel level) {
+        return switch (level) {
+            case DEBUG -> Level.DEBUG;
+            case INFO -> Level.INFO;
+            case WARN -> Level.WARN;
+            case ERROR -> Level.ERROR;
+        };
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/operator/MetricsText.java
@@ -0,0 +1,76 @@
+package io.vanillapoint.server.operator;
+
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import com.codahale.metrics.Timer;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+/** Writes metrics as JSON and as Prometheus text. Stateless. */
+final class MetricsText {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final double[] QUANTILES = {0.5, 0.95, 0.99};
+
+    private MetricsText() {}
+
+    static ObjectNode json(MetricRegistry metrics) {
+        ObjectNode root = MAPPER.createObjectNode();
+        metrics.getCounters().forEach((name, counter) -> root.put(name, counter.getCount()));
+        metrics.getMeters().forEach((name, meter) -> root.put(name, meter.getCount()));
+        metrics.getGauges().forEach((name, gauge) -> root.put(name, number(gauge.getValue())));
+        metrics.getTimers().forEach((name, timer) -> timer(root.putObject(name), timer));
+        return root;
+    }
+
+    static String prometheus(MetricRegistry metrics) {
+        StringBuilder text = new StringBuilder();
+        metrics.getCounters()
+                .forEach((name, counter) -> line(text, name, "counter", counter.getCount()));
+        metrics.getMeters().forEach((name, meter) -> line(text, name, "counter", meter.getCount()));
+        metrics.getGauges()
+                .forEach((name, gauge) -> line(text, name, "gauge", number(gauge.getValue())));
+        metrics.getTimers().forEach((name, timer) -> summary(text, name, timer));
+        return text.toString();
+    }
+
+    private static void timer(ObjectNode node, Timer timer) {
+        Snapshot snapshot = timer.getSnapshot();
+        node.put("count", timer.getCount());
+        for (double quantile : QUANTILES) {
+            String name = "p" + Math.round(quantile * 100) + "_ms";
+            node.put(name, millis(snapshot.getValue(quantile)));
+        }
+    }
+
+    private static void summary(StringBuilder text, String name, Timer timer) {
+        String metric = metricName(name) + "_seconds";
+        text.append("# TYPE ").append(metric).append(" summary\n");
+        Snapshot snapshot = timer.getSnapshot();
+        for (double quantile : QUANTILES) {
+            double seconds = millis(snapshot.getValue(quantile)) / 1_000;
+            text.append(metric).append("{quantile=\"").append(quantile).append("\"} ");
+            text.append(seconds).append('\n');
+        }
+        text.append(metric).append("_count ").append(timer.getCount()).append('\n');
+    }
+
+    private static void line(StringBuilder text, String name, String type, Object value) {
+        String metric = metricName(name);
+        text.append("# TYPE ").append(metric).append(' ').append(type).append('\n');
+        text.append(metric).append(' ').append(value).append('\n');
+    }
+
+    private static String metricName(String name) {
+        return "vanillapoint_" + name.toLowerCase(Locale.ROOT).replaceAll("[^a-z0-9]", "_");
+    }
+
+    private static double number(Object value) {
+        return value instanceof Number number ? number.doubleValue() : 0;
+    }
+
+    private static double millis(double nanos) {
+        return nanos / TimeUnit.MILLISECONDS.toNanos(1);
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/operator/OperatorListener.java
@@ -0,0 +1,136 @@
+package io.vanillapoint.server.operator;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vanillapoint.api.event.Event;
+import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.api.model.KeyDigest;
+import io.vanillapoint.server.control.ControlPlane;
+import io.vanillapoint.server.control.ControlStatus;
+import io.vanillapoint.server.event.EventRecorder;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerRequest;
+
+/**
+ * Answers operators: health, state, time line, metrics and the order to drain. All but health need
+ * the operators' key. Confined to one event loop.
+ */
+public final class OperatorListener {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final String JSON = "application/json";
+    private static final String BEARER = "Bearer ";
+
+    private final ControlPlane control;
+    private final EventRecorder recorder;
+    private final MetricRegistry metrics;
+    private final KeyDigest operatorKey;
+    private final Runnable drain;
+
+    /**
+     * Creates a listener.
+     *
+     * @param control the control plane
+     * @param recorder events for the time line
+     * @param metrics counts for other tools
+     * @param operatorKey digest of the operators' key
+     * @param drain begins the graceful shutdown
+     */
+    public OperatorListener(
+            ControlPlane control,
+            EventRecorder recorder,
+            MetricRegistry metrics,
+            KeyDigest operatorKey,
+            Runnable drain) {
+        this.control = control;
+        this.recorder = recorder;
+        this.metrics = metrics;
+        this.operatorKey = operatorKey;
+        this.drain = drain;
+    }
+
+    /**
+     * Begins to listen.
+     *
+     * @param vertx instance to run on
+     * @param address where to listen
+     * @return completed when operators can connect
+     */
+    public Future<?> listen(Vertx vertx, Endpoint address) {
+        return vertx.createHttpServer()
+                .requestHandler(this::handle)
+                .listen(address.port(), address.host());
+    }
+
+    private void handle(HttpServerRequest request) {
+        String call = request.method() + " " + request.path();
+        if (call.equals("GET /health")) {
+            boolean ready = control.config().revision() > 0 && !control.isDraining();
+            request.response().setStatusCode(ready ? 200 : 503).end();
+            return;
+        }
+        if (!isOperator(request)) {
+            request.response().setStatusCode(401).end();
+            return;
+        }
+        switch (call) {
+            case "GET /status" -> control.status().onSuccess(status -> json(request, of(status)));
+            case "GET /timeline" -> json(request, timeline());
+            case "GET /metrics" -> json(request, MetricsText.json(metrics));
+            case "GET /metrics/prometheus" ->
+                    request.response()
+                            .putHeader("content-type", "text/plain; version=0.0.4")
+                            .end(MetricsText.prometheus(metrics));
+            case "POST /drain" -> {
+                drain.run();
+                request.response().setStatusCode(202).end();
+            }
+            default -> request.response().setStatusCode(404).end();
+        }
+    }
+
+    private boolean isOperator(HttpServerRequest request) {
+        String authorization = request.getHeader("authorization");
+        if (authorization == null || !authorization.startsWith(BEARER)) {
+            return false;
+        }
+        String key = authorization.substring(BEARER.length());
+        return KeyDigest.of(key).equals(operatorKey);
+    }
+
+    private static void json(HttpServerRequest request, ObjectNode body) {
+        request.response().putHeader("content-type", JSON).end(body.toString());
+    }
+
+    private static ObjectNode of(ControlStatus status) {
+        ObjectNode node = MAPPER.createObjectNode();
+        node.put("vm", status.vm().value());
+        node.put("region", status.region().value());
+        node.put("config_revision", status.configRevision());
+        node.put("share_active", status.shareActive());
+        node.put("base_share", status.baseShare());
+        ArrayNode live = node.putArray("live_vms");
+        status.liveVms().forEach(vm -> live.add(vm.value()));
+        node.put("running", status.running());
+        node.put("waiting", status.waiting());
+        node.put("draining", status.draining());
+        return node;
+    }
+
+    private ObjectNode timeline() {
+        ObjectNode node = MAPPER.createObjectNode();
+        ArrayNode events = node.putArray("events");
+        for (Event event : recorder.events()) {
+            ObjectNode entry = events.addObject();
+            entry.put("wall_ms", event.at().wallMillis());
+            entry.put("counter", event.at().counter());
+            entry.put("source", event.source());
+            entry.put("number", event.code().number());
+            entry.put("level", event.code().level().name());
+            entry.put("text", event.text());
+        }
+        return node;
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/ControlLinks.java
@@ -0,0 +1,164 @@
+package io.vanillapoint.server.peer;
+
+import io.vanillapoint.api.event.EventCode;
+import io.vanillapoint.api.event.EventSink;
+import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.core.message.PeerHello;
+import io.vanillapoint.core.message.PeerMessage;
+import io.vanillapoint.wire.PeerCodec;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetSocket;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+/**
+ * Outgoing connections for control messages, one for each other VM, opened when first needed.
+ *
+ * <p>A connection on which nothing has come back for a while although messages were sent is taken
+ * as dead and replaced. Messages to a VM that can't be reached are dropped; the protocols above
+ * bear loss. Confined to the control thread.
+ */
+public final class ControlLinks {
+    private final NetClient client;
+    private final PeerCodec codec;
+    private final PeerHello hello;
+    private final EventSink events;
+    private final long silenceMillis;
+    private final BiConsumer<VmId, PeerMessage> receiver;
+    private final Map<VmId, Link> links = new HashMap<>();
+
+    /**
+     * Creates the links.
+     *
+     * @param vertx instance of the control thread
+     * @param codec reads and writes payloads
+     * @param hello first message on each connection
+     * @param connectMillis longest wait for a connection
+     * @param silenceMillis silence after which a connection is dead
+     * @param events where events are recorded
+     * @param receiver takes the answers
+     */
+    public ControlLinks(
+            Vertx vertx,
+            PeerCodec codec,
+            PeerHello hello,
+            long connectMillis,
+            long silenceMillis,
+            EventSink events,
+            BiConsumer<VmId, PeerMessage> receiver) {
+        this.client =
+                vertx.createNetClient(
+                        new NetClientOptions()
+                                .setConnectTimeout((int) connectMillis)
+                                .setTcpNoDelay(true));
+        this.codec = codec;
+        this.hello = hello;
+        this.events = events;
+        this.silenceMillis = silenceMillis;
+        this.receiver = receiver;
+    }
+
+    /**
+     * Sends a message.
+     *
+     * @param to receiver
+     * @param address its address for peers
+     * @param message what to send
+     */
+    public void send(VmId to, Endpoint address, PeerMessage message) {
+        Link link = links.computeIfAbsent(to, vm -> new Link());
+        if (link.socket != null && link.isSilent()) {
+            link.socket.close();
+            link.drop(to);
+        }
+        if (link.socket != null) {
+            link.write(message);
+            return;
+        }
+        if (link.connecting) {
+            return;
+        }
+        link.connecting = true;
+        client.connect(address.port(), address.host())
+                .onSuccess(socket -> link.opened(to, socket, message))
+                .onFailure(error -> link.connecting = false);
+    }
+
+    /**
+     * Tells whether a VM has answered lately or has not been asked yet.
+     *
+     * @param vm the VM
+     * @return false if it is thought to be unreachable
+     */
+    public boolean isReachable(VmId vm) {
+        Link link = links.get(vm);
+        return link == null || !link.failed;
+    }
+
+    /** Connection to one VM. */
+    private final class Link {
+        private FrameSocket socket;
+        private boolean connecting;
+        private boolean up;
+        private boolean failed;
+        private long oldestUnansweredMillis;
+
+        private boolean isSilent() {
+            return oldestUnansweredMillis > 0 && now() - oldestUnansweredMillis > silenceMillis;
+        }
+
+        private void opened(VmId to, NetSocket connection, PeerMessage message) {
+            connecting = false;
+            socket = new FrameSocket(connection, codec, events);
+            oldestUnansweredMillis = 0;
+            FrameSocket opened = socket;
+            socket.receiver(answer -> received(to, opened, answer));
+            socket.closeHandler(
+                    () -> {
+                        if (socket == opened) {
+                            drop(to);
+                        }
+                    });
+            socket.send(hello);
+            write(message);
+        }
+
+        private void write(PeerMessage message) {
+            if (oldestUnansweredMillis == 0) {
+                oldestUnansweredMillis = now();
+            }
+            socket.send(message);
+        }
+
+        private void received(VmId to, FrameSocket from, PeerMessage answer) {
+            if (socket != from) {
+                return;
+            }
+            oldestUnansweredMillis = 0;
+            failed = false;
+            if (!up) {
+                up = true;
+                events.record(EventCode.PEER_UP, to);
+            }
+            receiver.accept(to, answer);
+        }
+
+        private void drop(VmId to) {
+            socket = null;
+            failed = true;
+            if (up) {
+                up = false;
+                events.record(EventCode.PEER_DOWN, to);
+            }
+        }
+
+        private long now() {
+            return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/FrameSocket.java
@@ -0,0 +1,117 @@
+package io.vanillapoint.server.peer;
+
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.api.event.EventCode;
+import io.vanillapoint.api.event.EventSink;
+import io.vanillapoint.core.message.PeerMessage;
+import io.vanillapoint.wire.PeerCodec;
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.parsetools.RecordParser;
+import java.util.function.Consumer;
+
+/**
+ * Messages over one connection: each frame is its length in four bytes, then the payload. A frame
+ * that can't be read closes the connection. Confined to the connection's event loop.
+ */
+public final class FrameSocket {
+    private static final int LENGTH_BYTES = 4;
+
+    private final NetSocket socket;
+    private final PeerCodec codec;
+    private final EventSink events;
+    private final RecordParser parser = RecordParser.newFixed(LENGTH_BYTES);
+    private Consumer<PeerMessage> receiver = message -> {};
+    private boolean lengthNext = true;
+    private boolean closed;
+
+    /**
+     * Wraps a connection.
+     *
+     * @param socket the connection
+     * @param codec reads and writes payloads
+     * @param events where events are recorded
+     */
+    public FrameSocket(NetSocket socket, PeerCodec codec, EventSink events) {
+        this.socket = socket;
+        this.codec = codec;
+        this.events = events;
+        parser.handler(this::receive);
+        socket.handler(parser);
+    }
+
+    /**
+     * Sets who takes the messages.
+     *
+     * @param newReceiver called for each message
+     */
+    public void receiver(Consumer<PeerMessage> newReceiver) {
+        receiver = newReceiver;
+    }
+
+    /**
+     * Sets what to do at the end of the connection.
+     *
+     * @param handler called once
+     */
+    public void closeHandler(Runnable handler) {
+        socket.closeHandler(
+                nothing -> {
+                    closed = true;
+                    handler.run();
+                });
+    }
+
+    /**
+     * Sends a message.
+     *
+     * @param message what to send
+     * @return completed when it was written
+     */
+    public Future<Void> send(PeerMessage message) {
+        if (closed) {
+            return Future.failedFuture("connection is closed");
+        }
+        byte[] payload = codec.encode(message);
+        Buffer frame = Buffer.buffer(LENGTH_BYTES + payload.length);
+        frame.appendInt(payload.length);
+        frame.appendBytes(payload);
+        return socket.write(frame);
+    }
+
+    /** Closes the connection. */
+    public void close() {
+        closed = true;
+        socket.close();
+    }
+
+    private void receive(Buffer buffer) {
+        if (closed) {
+            return;
+        }
+        try {
+            if (lengthNext) {
+                expectPayload(buffer.getInt(0));
+            } else {
+                lengthNext = true;
+                parser.fixedSizeMode(LENGTH_BYTES);
+                codec.decode(buffer.getBytes()).ifPresent(receiver);
+            }
+        } catch (VanillapointException e) {
+            events.record(EventCode.PEER_BAD_FRAME, socket.remoteAddress(), e.getMessage());
+            close();
+        }
+    }
+
+    private void expectPayload(int length) {
+        if (length <= 0 || length > codec.maxFrameBytes()) {
+            String text = "expected 1 to " + codec.maxFrameBytes() + " bytes, got " + length;
+            events.record(EventCode.PEER_BAD_FRAME, socket.remoteAddress(), text);
+            close();
+            return;
+        }
+        lengthNext = false;
+        parser.fixedSizeMode(length);
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/platform/PlatformWatcher.java
@@ -0,0 +1,116 @@
+package io.vanillapoint.server.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.core.message.PublishedValue;
+import io.vanillapoint.core.time.ClockReading;
+import io.vanillapoint.server.control.ControlPlane;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Reads the platform's configuration service and waits for changes, one waiting read at a time.
+ *
+ * <p>Each wait is short, so that a silent connection is noticed and the list of VMs is known to be
+ * fresh. Confined to the control thread.
+ */
+public final class PlatformWatcher {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int WAIT_SECONDS = 5;
+    private static final int NEWCOMER_WAIT_SECONDS = 1;
+    private static final long ANSWER_MILLIS = 8_000;
+    private static final long FIRST_RETRY_MILLIS = 250;
+    private static final long LONGEST_RETRY_MILLIS = 2_000;
+
+    private final Vertx vertx;
+    private final HttpClient client;
+    private final Endpoint address;
+    private final ControlPlane control;
+    private long retryMillis = FIRST_RETRY_MILLIS;
+    private boolean answered;
+
+    /**
+     * Creates a watcher.
+     *
+     * @param vertx instance of the control thread
+     * @param address the platform's configuration service
+     * @param connectMillis longest wait for a connection
+     * @param control takes the values
+     */
+    public PlatformWatcher(
+            Vertx vertx, Endpoint address, long connectMillis, ControlPlane control) {
+        this.vertx = vertx;
+        this.address = address;
+        this.control = control;
+        this.client =
+                vertx.createHttpClient(
+                        new HttpClientOptions().setConnectTimeout((int) connectMillis));
+    }
+
+    /** Begins to read. */
+    public void start() {
+        control.context().runOnContext(nothing -> read());
+    }
+
+    private void read() {
+        ClockReading askedAt = control.now();
+        int longest = control.holdsShare() ? WAIT_SECONDS : NEWCOMER_WAIT_SECONDS;
+        int wait = answered ? longest : 0;
+        String uri = "/v1/values?since=" + control.completeTo() + "&wait=" + wait;
+        Future<Buffer> body =
+                client.request(HttpMethod.GET, address.port(), address.host(), uri)
+                        .compose(request -> request.send())
+                        .compose(
+                                response ->
+                                        response.statusCode() == 200
+                                                ? response.body()
+                                                : Future.failedFuture(
+                                                        "status " + response.statusCode()));
+        body.timeout(ANSWER_MILLIS, TimeUnit.MILLISECONDS)
+                .map(buffer -> accept(askedAt, buffer))
+                .onSuccess(nothing -> read())
+                .onFailure(this::failed);
+    }
+
+    private Void accept(ClockReading askedAt, Buffer buffer) {
+        try {
+            JsonNode answer = MAPPER.readTree(buffer.getBytes());
+            List<PublishedValue> values = new ArrayList<>();
+            for (JsonNode value : answer.path("values")) {
+                values.add(
+                        new PublishedValue(
+                                value.path("key").asText(),
+                                value.path("revision").asLong(),
+                                value.path("value").toString()));
+            }
+            control.acceptValues(values, answer.path("revision").asLong(), "platform");
+        } catch (IOException e) {
+            throw new VanillapointException(
+                    ErrorCode.INVALID_CONFIGURATION,
+                    "platform",
+                    "expected JSON: " + e.getMessage());
+        }
+        control.platformAnswered(askedAt);
+        answered = true;
+        retryMillis = FIRST_RETRY_MILLIS;
+        return null;
+    }
+
+    private void failed(Throwable error) {
+        control.platformFailed(error);
+        answered = false;
+        vertx.setTimer(retryMillis, timer -> read());
+        retryMillis = Math.min(LONGEST_RETRY_MILLIS, 2 * retryMillis);
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/protocol/ChatProtocol.java
@@ -0,0 +1,141 @@
+package io.vanillapoint.server.protocol;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.api.model.GatewayConfig;
+import io.vanillapoint.api.model.ModelDeclaration;
+import io.vanillapoint.api.model.UpstreamKind;
+import io.vanillapoint.api.plugin.CallView;
+import io.vanillapoint.api.plugin.RequestPlan;
+import io.vanillapoint.api.plugin.RequestProtocol;
+import io.vanillapoint.api.plugin.UsageMeter;
+import java.io.IOException;
+
+/**
+ * The chat-completions protocol with answers as JSON or as server-sent events. Reserves an estimate
+ * of the prompt's tokens plus the output cap, and imposes the cap on the upstream. Stateless and
+ * safe for use by several threads.
+ */
+public final class ChatProtocol implements RequestProtocol {
+    private static final String PATH = "/v1/chat/completions";
+    private static final int CHARACTERS_PER_TOKEN = 4;
+    private static final int AFFINITY_CHARACTERS = 1_024;
+    private static final int INTERACTIVE_TOKENS = 1_000;
+    private static final String[] CAP_FIELDS = {"max_completion_tokens", "max_tokens"};
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    @Override
+    public boolean matches(String path) {
+        return path.equals(PATH);
+    }
+
+    @Override
+    public boolean isOpen(String path, GatewayConfig config) {
+        return false;
+    }
+
+    @Override
+    public RequestPlan plan(CallView call, GatewayConfig config) {
+        if (!call.method().equals("POST")) {
+            throw bad("method", "expected POST, got " + call.method());
+        }
+        ObjectNode body = parse(call.body());
+        String name = body.path("model").asText("");
+        ModelDeclaration model =
+                config.model(name)
+                        .orElseThrow(
+                                () ->
+                                        new VanillapointException(
+                                                ErrorCode.NOT_FOUND,
+                                                "/model",
+                                                "expected a declared model, got '" + name + "'"));
+        String prompt = prompt(body);
+        int cap = outputCap(body, model);
+        if (body.path("n").asInt(1) != 1) {
+            throw bad("/n", "expected 1 answer a request");
+        }
+        body.put("max_tokens", cap);
+        body.remove("max_completion_tokens");
+        long tokens = estimate(prompt) + cap;
+        return new RequestPlan(
+                UpstreamKind.MODEL,
+                name,
+                PATH,
+                write(body),
+                false,
+                true,
+                tokens,
+                prompt.substring(0, Math.min(prompt.length(), AFFINITY_CHARACTERS)),
+                tokens <= INTERACTIVE_TOKENS);
+    }
+
+    @Override
+    public UsageMeter meter(RequestPlan plan) {
+        return new ChatMeter();
+    }
+
+    /** Tokens of a text by its length. */
+    static long estimate(String text) {
+        return (text.length() + CHARACTERS_PER_TOKEN - 1) / CHARACTERS_PER_TOKEN;
+    }
+
+    private static ObjectNode parse(byte[] body) {
+        try {
+            JsonNode node = MAPPER.readTree(body);
+            if (node instanceof ObjectNode object) {
+                return object;
+            }
+            throw bad("body", "expected a JSON object");
+        } catch (JsonProcessingException e) {
+            int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
+            int column = e.getLocation() == null ? 0 : e.getLocation().getColumnNr();
+            throw bad("body:" + line + ":" + column, "expected JSON");
+        } catch (IOException e) {
+            throw bad("body", "expected JSON");
+        }
+    }
+
+    private static String prompt(ObjectNode body) {
+        JsonNode messages = body.path("messages");
+        if (!messages.isArray() || messages.isEmpty()) {
+            throw bad("/messages", "expected at least one message");
+        }
+        StringBuilder prompt = new StringBuilder();
+        for (JsonNode message : messages) {
+            JsonNode content = message.path("content");
+            prompt.append(content.isTextual() ? content.asText() : content.toString()).append('\n');
+        }
+        return prompt.toString();
+    }
+
+    private static int outputCap(ObjectNode body, ModelDeclaration model) {
+        for (String field : CAP_FIELDS) {
+            JsonNode cap = body.get(field);
+            if (cap == null || cap.isNull()) {
+                continue;
+            }
+            if (!cap.isInt() || cap.asInt() < 1 || cap.asInt() > model.maxOutputTokens()) {
+                String expected = "expected a whole number from 1 to " + model.maxOutputTokens();
+                throw bad("/" + field, expected);
+            }
+            return cap.asInt();
+        }
+        return model.maxOutputTokens();
+    }
+
+    private static byte[] write(ObjectNode body) {
+        try {
+            return MAPPER.writeValueAsBytes(body);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree that was read can be written", e);
+        }
+    }
+
+    private static VanillapointException bad(String place, String message) {
+        return new VanillapointException(ErrorCode.BAD_REQUEST, place, message);
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/protocol/ServiceProtocol.java
@@ -0,0 +1,84 @@
+package io.vanillapoint.server.protocol;
+
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.api.model.GatewayConfig;
+import io.vanillapoint.api.model.ServiceDeclaration;
+import io.vanillapoint.api.model.UpstreamKind;
+import io.vanillapoint.api.plugin.CallView;
+import io.vanillapoint.api.plugin.RequestPlan;
+import io.vanillapoint.api.plugin.RequestProtocol;
+import io.vanillapoint.api.plugin.UsageMeter;
+
+/**
+ * Plain services under {@code /services/NAME/...}. The upstream sees the path after the name.
+ * Stateless and safe for use by several threads.
+ */
+public final class ServiceProtocol implements RequestProtocol {
+    private static final String PREFIX = "/services/";
+
+    @Override
+    public boolean matches(String path) {
+        return path.startsWith(PREFIX) && path.length() > PREFIX.length();
+    }
+
+    @Override
+    public boolean isOpen(String path, GatewayConfig config) {
+        return config.service(name(path)).map(ServiceDeclaration::openToAll).orElse(false);
+    }
+
+    @Override
+    public RequestPlan plan(CallView call, GatewayConfig config) {
+        String name = name(call.path());
+        ServiceDeclaration service =
+                config.service(name)
+                        .orElseThrow(
+                                () ->
+                                        new VanillapointException(
+                                                ErrorCode.NOT_FOUND,
+                                                "path",
+                                                "expected a declared service, got '" + name + "'"));
+        String rest = call.path().substring(PREFIX.length() + name.length());
+        String path = rest.isEmpty() ? "/" : rest;
+        String uri = call.query().isEmpty() ? path : path + "?" + call.query();
+        return new RequestPlan(
+                UpstreamKind.SERVICE,
+                name,
+                uri,
+                call.body(),
+                service.openToAll(),
+                service.idempotent().mayRepeat(call.method()),
+                service.tokensPerCall(),
+                name + path,
+                true);
+    }
+
+    @Override
+    public UsageMeter meter(RequestPlan plan) {
+        return new FixedMeter();
+    }
+
+    private static String name(String path) {
+        int end = path.indexOf('/', PREFIX.length());
+        return end < 0 ? path.substring(PREFIX.length()) : path.substring(PREFIX.length(), end);
+    }
+
+    /** A call costs what was reserved. Stateless. */
+    private static final class FixedMeter implements UsageMeter {
+        @Override
+        public void head(int status, String contentType) {}
+
+        @Override
+        public void data(byte[] bytes) {}
+
+        @Override
+        public boolean isWhole() {
+            return true;
+        }
+
+        @Override
+        public long usedTokens(long reserved) {
+            return reserved;
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/settings/DaemonOptions.java
@@ -0,0 +1,136 @@
+package io.vanillapoint.server.settings;
+
+import org.kohsuke.args4j.Option;
+
+/**
+ * Flags of the daemon as text. Each flag is also an environment variable: {@code --max-running} is
+ * {@code VANILLAPOINT_MAX_RUNNING}. A flag goes before its variable. Filled by args4j; checked by
+ * {@link SettingsReader}.
+ */
+final class DaemonOptions {
+    @Option(name = "--vm", metaVar = "NAME", usage = "name of this VM in the platform's list")
+    String vm = "";
+
+    @Option(name = "--region", metaVar = "NAME", usage = "region of this VM")
+    String region = "";
+
+    @Option(name = "--zone", metaVar = "NAME", usage = "availability zone of this VM")
+    String zone = "";
+
+    @Option(name = "--callers", metaVar = "IP:PORT", usage = "where callers connect")
+    String callers = "";
+
+    @Option(name = "--peers", metaVar = "IP:PORT", usage = "where other VMs connect")
+    String peers = "";
+
+    @Option(name = "--operators", metaVar = "IP:PORT", usage = "where operators connect")
+    String operators = "";
+
+    @Option(
+            name = "--platform",
+            metaVar = "IP:PORT",
+            usage = "the platform's configuration service")
+    String platform = "";
+
+    @Option(
+            name = "--operator-key-sha256",
+            metaVar = "HEX",
+            usage = "SHA-256 digest of the operators' key")
+    String operatorKeySha256 = "";
+
+    @Option(
+            name = "--share-policy",
+            metaVar = "NAME",
+            usage = "how VMs share rates: delegated, no-delegation or static-split")
+    String sharePolicy = "delegated";
+
+    @Option(
+            name = "--upstream-policy",
+            metaVar = "NAME",
+            usage = "how upstreams are chosen: name that a plug-in registers")
+    String upstreamPolicy = "prefix-affinity";
+
+    @Option(name = "--traffic-threads", metaVar = "N", usage = "event loops for traffic, 1 to 64")
+    String trafficThreads = "2";
+
+    @Option(name = "--max-header-bytes", metaVar = "N", usage = "largest request head in bytes")
+    String maxHeaderBytes = "16384";
+
+    @Option(name = "--max-body-bytes", metaVar = "N", usage = "largest request body in bytes")
+    String maxBodyBytes = "4194304";
+
+    @Option(name = "--max-frame-bytes", metaVar = "N", usage = "largest frame of a peer in bytes")
+    String maxFrameBytes = "8388608";
+
+    @Option(name = "--max-running", metaVar = "N", usage = "requests that run at the same time")
+    String maxRunning = "256";
+
+    @Option(name = "--max-queue", metaVar = "N", usage = "requests that wait for a free place")
+    String maxQueue = "256";
+
+    @Option(
+            name = "--queue-timeout-ms",
+            metaVar = "N",
+            usage = "longest wait for a free place in milliseconds")
+    String queueTimeoutMs = "2000";
+
+    @Option(
+            name = "--connect-timeout-ms",
+            metaVar = "N",
+            usage = "longest wait for a connection in milliseconds")
+    String connectTimeoutMs = "1000";
+
+    @Option(
+            name = "--first-byte-timeout-ms",
+            metaVar = "N",
+            usage = "longest wait for the head of an answer in milliseconds")
+    String firstByteTimeoutMs = "10000";
+
+    @Option(
+            name = "--idle-timeout-ms",
+            metaVar = "N",
+            usage = "longest silence inside an answer in milliseconds")
+    String idleTimeoutMs = "10000";
+
+    @Option(
+            name = "--peer-timeout-ms",
+            metaVar = "N",
+            usage = "longest wait for a peer's word on tokens or keys in milliseconds")
+    String peerTimeoutMs = "400";
+
+    @Option(name = "--max-attempts", metaVar = "N", usage = "runs of a request, retries included")
+    String maxAttempts = "3";
+
+    @Option(
+            name = "--drain-timeout-s",
+            metaVar = "N",
+            usage = "longest graceful shutdown in seconds")
+    String drainTimeoutS = "120";
+
+    @Option(
+            name = "--heartbeat-ms",
+            metaVar = "N",
+            usage = "time between heartbeats in milliseconds")
+    String heartbeatMs = "500";
+
+    @Option(
+            name = "--lease-ms",
+            metaVar = "N",
+            usage = "life of a lease in milliseconds, the same on all VMs")
+    String leaseMs = "2000";
+
+    @Option(
+            name = "--list-lag-ms",
+            metaVar = "N",
+            usage = "largest lag of the platform's list of VMs in milliseconds")
+    String listLagMs = "5000";
+
+    @Option(
+            name = "--timeline-events",
+            metaVar = "N",
+            usage = "events kept in memory for the time line")
+    String timelineEvents = "10000";
+
+    @Option(name = "--help", help = true, usage = "print this text and exit")
+    boolean help;
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/BodyReader.java
@@ -0,0 +1,53 @@
+package io.vanillapoint.server.traffic;
+
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.RunState;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+
+/** Reads the body of a request up to a limit. Confined to one event loop, for one request. */
+final class BodyReader {
+    private final int maxBytes;
+    private final Buffer body = Buffer.buffer();
+    private final Promise<Buffer> promise = Promise.promise();
+
+    BodyReader(int maxBytes) {
+        this.maxBytes = maxBytes;
+    }
+
+    /** Reads a paused request to its end. */
+    Future<Buffer> read(HttpServerRequest request) {
+        request.handler(this::take);
+        request.endHandler(nothing -> promise.tryComplete(body));
+        request.exceptionHandler(
+                error ->
+                        promise.tryFail(
+                                new VanillapointException(
+                                        ErrorCode.BAD_REQUEST,
+                                        "body",
+                                        "the body ended too early",
+                                        RunState.NOT_RUN,
+                                        null)));
+        request.resume();
+        return promise.future();
+    }
+
+    static VanillapointException tooLarge(int limit) {
+        return new VanillapointException(
+                ErrorCode.BODY_TOO_LARGE, "body", "expected at most " + limit + " bytes");
+    }
+
+    private void take(Buffer part) {
+        if (promise.future().isComplete()) {
+            return;
+        }
+        if (body.length() + part.length() > maxBytes) {
+            promise.fail(tooLarge(maxBytes));
+            return;
+        }
+        body.appendBuffer(part);
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerHandler.java
@@ -0,0 +1,276 @@
+package io.vanillapoint.server.traffic;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.api.event.EventCode;
+import io.vanillapoint.api.model.Customer;
+import io.vanillapoint.api.model.GatewayConfig;
+import io.vanillapoint.api.model.KeyDigest;
+import io.vanillapoint.api.model.UpstreamKind;
+import io.vanillapoint.api.model.Vm;
+import io.vanillapoint.api.plugin.CallView;
+import io.vanillapoint.api.plugin.RequestPlan;
+import io.vanillapoint.api.plugin.RequestProtocol;
+import io.vanillapoint.core.message.Hop;
+import io.vanillapoint.core.message.VisitedPath;
+import io.vanillapoint.core.routing.RouteGuard;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpVersion;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Answers callers. Key, region and grant are decided from the headers before any byte of the body
+ * is taken. Confined to one event loop.
+ */
+final class CallerHandler {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long ENTRIES_LIFETIME_SECONDS = 10;
+    private static final long CLOSE_DELAY_MILLIS = 200;
+    private static final Duration RETRY_SOON = Duration.ofSeconds(1);
+    private static final Set<String> METHODS =
+            Set.of("GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE");
+
+    private final Vertx vertx;
+    private final TrafficContext context;
+    private final String idPrefix;
+    private long nextId;
+
+    CallerHandler(Vertx vertx, TrafficContext context, String idPrefix) {
+        this.vertx = vertx;
+        this.context = context;
+        this.idPrefix = idPrefix;
+    }
+
+    /** Takes a request whose body has not been read. */
+    void handle(HttpServerRequest request) {
+        request.pause();
+        try {
+            route(request);
+        } catch (VanillapointException e) {
+            refuseUnread(request, e, ErrorBody.of(e));
+        }
+    }
+
+    private void route(HttpServerRequest request) {
+        GatewayConfig config = context.control().config();
+        String path = request.path() == null ? "" : request.path();
+        if (path.equals("/healthz")) {
+            request.response().setStatusCode(config.revision() == 0 ? 503 : 200).end();
+            return;
+        }
+        if (config.revision() == 0) {
+            throw VanillapointException.refusal(
+                    ErrorCode.NOT_READY, "the configuration has not been read yet", RETRY_SOON);
+        }
+        if (path.equals("/entries")) {
+            entries(request, caller(request, config));
+            return;
+        }
+        if (path.equals("/v1/models")) {
+            models(request, caller(request, config));
+            return;
+        }
+        RequestProtocol protocol =
+                context.kernel()
+                        .protocol(path)
+                        .orElseThrow(
+                                () ->
+                                        new VanillapointException(
+                                                ErrorCode.NOT_FOUND, "path", "no such path"));
+        if (!METHODS.contains(request.method().name())) {
+            throw new VanillapointException(
+                    ErrorCode.BAD_REQUEST, "method", "expected one of " + METHODS);
+        }
+        Caller caller = protocol.isOpen(path, config) ? Caller.ANYONE : caller(request, config);
+        checkRegion(request, caller, config);
+        serve(request, protocol, caller);
+    }
+
+    private Caller caller(HttpServerRequest request, GatewayConfig config) {
+        String key = CallerKey.find(request.headers()).orElseThrow(CallerHandler::unknownKey);
+        KeyDigest digest = KeyDigest.of(key);
+        Customer customer = config.customerByKey(digest).orElseThrow(CallerHandler::unknownKey);
+        return new Caller(key, digest, customer);
+    }
+
+    private void checkRegion(HttpServerRequest request, Caller caller, GatewayConfig config) {
+        Optional<VanillapointException> refusal =
+                RouteGuard.processing(caller.customer, context.settings().region());
+        if (refusal.isEmpty()) {
+            return;
+        }
+        List<Vm> permitted =
+                config.vms().values().stream()
+                        .filter(vm -> caller.customer.permits(vm.region()))
+                        .filter(vm -> vm.state().takesNewWork())
+                        .toList();
+        ObjectNode body = ErrorBody.withEntries(ErrorBody.of(refusal.get()), permitted);
+        throw new RefusedWithBody(refusal.get(), body);
+    }
+
+    private void serve(HttpServerRequest request, RequestProtocol protocol, Caller caller) {
+        if (context.control().isDraining()) {
+            throw VanillapointException.refusal(
+                    ErrorCode.SHUTTING_DOWN, "this VM is shutting down", RETRY_SOON);
+        }
+        checkLength(request);
+        if ("100-continue".equalsIgnoreCase(request.getHeader("expect"))) {
+            request.response().writeContinue();
+        }
+        BodyReader reader = new BodyReader(context.settings().limits().maxBodyBytes());
+        reader.read(request)
+                .onSuccess(body -> run(request, protocol, caller, body))
+                .onFailure(error -> fail(request, VanillapointErrors.of(error)));
+    }
+
+    private void run(
+            HttpServerRequest request, RequestProtocol protocol, Caller caller, Buffer body) {
+        CallerSink sink = new CallerSink(request);
+        try {
+            GatewayConfig config = context.control().config();
+            String query = request.query() == null ? "" : request.query();
+            byte[] bytes = body.getBytes();
+            refuseVisibleKey(caller, request.uri(), bytes);
+            CallView call = new CallView(request.method().name(), request.path(), query, bytes);
+            RequestPlan plan = protocol.plan(call, config);
+            checkGrant(caller, plan);
+            RunRequest run =
+                    new RunRequest(
+                            idPrefix + nextId++,
+                            caller.digest,
+                            caller.customer,
+                            plan,
+                            request.method().name(),
+                            HeaderRules.toUpstream(request.headers(), caller.key),
+                            VisitedPath.empty().with(here()));
+            new RequestExecution(context, run, protocol.meter(plan), sink).start();
+        } catch (VanillapointException e) {
+            fail(request, e);
+        }
+    }
+
+    private Hop here() {
+        return new Hop(context.settings().vm(), context.settings().region());
+    }
+
+    private static void refuseVisibleKey(Caller caller, String uri, byte[] body) {
+        if (caller.key == null) {
+            return;
+        }
+        if (uri.contains(caller.key) || CallerKey.isIn(body, caller.key)) {
+            throw new VanillapointException(
+                    ErrorCode.BAD_REQUEST,
+                    "request",
+                    "the key stands in the path, query or body; it would reach the upstream");
+        }
+    }
+
+    private static void checkGrant(Caller caller, RequestPlan plan) {
+        if (caller.customer == null) {
+            return;
+        }
+        Set<String> granted =
+                plan.kind() == UpstreamKind.MODEL
+                        ? caller.customer.models()
+                        : caller.customer.services();
+        if (!granted.contains(plan.target())) {
+            String kind = plan.kind().name().toLowerCase(Locale.ROOT);
+            throw new VanillapointException(
+                    ErrorCode.NOT_GRANTED,
+                    "request",
+                    "customer " + caller.customer.id() + " may not call this " + kind);
+        }
+    }
+
+    private void checkLength(HttpServerRequest request) {
+        String length = request.getHeader("content-length");
+        int limit = context.settings().limits().maxBodyBytes();
+        if (length != null && length.length() < 19 && Long.parseLong(length) > limit) {
+            throw BodyReader.tooLarge(limit);
+        }
+    }
+
+    private void entries(HttpServerRequest request, Caller caller) {
+        context.control()
+                .entries(caller.customer)
+                .onSuccess(
+                        vms -> {
+                            ObjectNode body = MAPPER.createObjectNode();
+                            body.put("customer", caller.customer.id().value());
+                            body.put("lifetime_seconds", ENTRIES_LIFETIME_SECONDS);
+                            ErrorBody.withEntries(body, vms);
+                            json(request, body);
+                        })
+                .onFailure(error -> fail(request, VanillapointErrors.of(error)));
+    }
+
+    private static void models(HttpServerRequest request, Caller caller) {
+        ObjectNode body = MAPPER.createObjectNode();
+        body.put("object", "list");
+        ArrayNode data = body.putArray("data");
+        for (String model : caller.customer.models()) {
+            data.addObject().put("id", model).put("object", "model");
+        }
+        json(request, body);
+    }
+
+    private static void json(HttpServerRequest request, ObjectNode body) {
+        request.response().putHeader("content-type", "application/json").end(body.toString());
+    }
+
+    private void fail(HttpServerRequest request, VanillapointException error) {
+        context.events()
+                .record(EventCode.REQUEST_REFUSED, idPrefix + nextId++, error.code().code());
+        new CallerSink(request).fail(error);
+    }
+
+    /** Refuses a request without taking its body, then closes a connection that still holds it. */
+    private void refuseUnread(
+            HttpServerRequest request, VanillapointException error, ObjectNode body) {
+        context.events()
+                .record(EventCode.REQUEST_REFUSED, idPrefix + nextId++, error.code().code());
+        ObjectNode told = error instanceof RefusedWithBody special ? special.body : body;
+        boolean bodyFollows =
+                request.getHeader("content-length") != null
+                        || request.getHeader("transfer-encoding") != null;
+        boolean close = bodyFollows && request.version() != HttpVersion.HTTP_2;
+        if (close) {
+            request.response().putHeader("connection", "close");
+        }
+        new CallerSink(request).sendError(error, told);
+        if (close) {
+            vertx.setTimer(CLOSE_DELAY_MILLIS, timer -> request.connection().close());
+        }
+    }
+
+    private static VanillapointException unknownKey() {
+        return new VanillapointException(
+                ErrorCode.UNKNOWN_KEY, "key", "expected a key that is granted and not withdrawn");
+    }
+
+    /** Who calls. Immutable. */
+    private record Caller(String key, KeyDigest digest, Customer customer) {
+        private static final Caller ANYONE = new Caller(null, null, null);
+    }
+
+    /** A refusal with a body of its own. */
+    private static final class RefusedWithBody extends VanillapointException {
+        private static final long serialVersionUID = 1L;
+
+        private final transient ObjectNode body;
+
+        private RefusedWithBody(VanillapointException error, ObjectNode body) {
+            super(error.code(), error.place(), error.getMessage());
+            this.body = body;
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerKey.java
@@ -0,0 +1,57 @@
+package io.vanillapoint.server.traffic;
+
+import io.vertx.core.MultiMap;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/** Finds the key that a caller presents. Stateless. */
+final class CallerKey {
+    private static final String BEARER = "bearer ";
+    private static final int MAX_KEY_CHARACTERS = 512;
+
+    private CallerKey() {}
+
+    /**
+     * Reads the key from {@code Authorization: Bearer} or {@code X-Api-Key}.
+     *
+     * @param headers headers of the request
+     * @return the key, or nothing if there is none
+     */
+    static Optional<String> find(MultiMap headers) {
+        String authorization = headers.get("authorization");
+        if (authorization != null && isBearer(authorization)) {
+            return usable(authorization.substring(BEARER.length()).trim());
+        }
+        String apiKey = headers.get("x-api-key");
+        return apiKey == null ? Optional.empty() : usable(apiKey.trim());
+    }
+
+    /** True if a body holds the key in clear. */
+    static boolean isIn(byte[] body, String key) {
+        byte[] wanted = key.getBytes(StandardCharsets.UTF_8);
+        for (int start = 0; start + wanted.length <= body.length; start++) {
+            if (body[start] == wanted[0] && matches(body, start, wanted)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean matches(byte[] body, int start, byte[] wanted) {
+        for (int i = 0; i < wanted.length; i++) {
+            if (body[start + i] != wanted[i]) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean isBearer(String text) {
+        return text.regionMatches(true, 0, BEARER, 0, BEARER.length());
+    }
+
+    private static Optional<String> usable(String key) {
+        boolean usable = !key.isEmpty() && key.length() <= MAX_KEY_CHARACTERS;
+        return usable ? Optional.of(key) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerSink.java
@@ -0,0 +1,98 @@
+package io.vanillapoint.server.traffic;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.core.message.HeaderField;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.HttpVersion;
+import java.util.List;
+
+/** Passes an answer to a caller over HTTP. Confined to the connection's event loop. */
+final class CallerSink implements AnswerSink {
+    private static final String JSON = "application/json";
+
+    private final HttpServerRequest request;
+    private final HttpServerResponse response;
+
+    CallerSink(HttpServerRequest request) {
+        this.request = request;
+        this.response = request.response();
+    }
+
+    @Override
+    public void head(int status, List<HeaderField> headers) {
+        response.setStatusCode(status);
+        headers.forEach(header -> response.headers().add(header.name(), header.value()));
+        if (response.headers().get("content-length") == null) {
+            response.setChunked(true);
+        }
+    }
+
+    @Override
+    public void data(Buffer part) {
+        if (!response.closed()) {
+            response.write(part);
+        }
+    }
+
+    @Override
+    public boolean isFull() {
+        return response.writeQueueFull();
+    }
+
+    @Override
+    public void onDrain(Runnable handler) {
+        response.drainHandler(nothing -> handler.run());
+    }
+
+    @Override
+    public void end() {
+        if (!response.closed()) {
+            response.end();
+        }
+    }
+
+    @Override
+    public void fail(VanillapointException error) {
+        if (response.closed() || response.ended()) {
+            return;
+        }
+        if (response.headWritten()) {
+            cut();
+            return;
+        }
+        response.headers().clear();
+        response.setChunked(false);
+        sendError(error, ErrorBody.of(error));
+    }
+
+    @Override
+    public void onClose(Runnable handler) {
+        response.closeHandler(nothing -> handler.run());
+        response.exceptionHandler(error -> handler.run());
+    }
+
+    /** Sends an error with a body of its own. */
+    void sendError(VanillapointException error, ObjectNode body) {
+        response.setStatusCode(error.code().httpStatus());
+        response.putHeader("content-type", JSON);
+        error.retryAfter()
+                .ifPresent(
+                        wait ->
+                                response.putHeader(
+                                        "retry-after",
+                                        String.valueOf(ErrorBody.retryAfterSeconds(wait))));
+        response.end(body.toString());
+    }
+
+    /** Cuts the answer so that the caller sees that it is not whole. */
+    private void cut() {
+        if (request.version() == HttpVersion.HTTP_2) {
+            response.reset();
+        } else {
+            request.connection().close();
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/HeaderRules.java
@@ -0,0 +1,64 @@
+package io.vanillapoint.server.traffic;
+
+import io.vanillapoint.core.message.HeaderField;
+import io.vertx.core.MultiMap;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** Which headers go on to an upstream and back to a caller. Stateless. */
+final class HeaderRules {
+    private static final Set<String> TO_UPSTREAM =
+            Set.of(
+                    "accept",
+                    "accept-language",
+                    "content-type",
+                    "content-language",
+                    "if-match",
+                    "if-none-match",
+                    "traceparent",
+                    "x-request-id");
+    private static final Set<String> HOP_BY_HOP =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-authenticate",
+                    "proxy-connection",
+                    "set-cookie",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade");
+
+    private HeaderRules() {}
+
+    /**
+     * Headers for an upstream: a fixed list, and never one whose value holds the key.
+     *
+     * @param headers headers of the caller
+     * @param key the caller's key, or null if there is none
+     */
+    static List<HeaderField> toUpstream(MultiMap headers, String key) {
+        List<HeaderField> passed = new ArrayList<>();
+        for (Map.Entry<String, String> header : headers) {
+            boolean listed = TO_UPSTREAM.contains(header.getKey().toLowerCase(Locale.ROOT));
+            if (listed && (key == null || !header.getValue().contains(key))) {
+                passed.add(new HeaderField(header.getKey(), header.getValue()));
+            }
+        }
+        return passed;
+    }
+
+    /** Headers for a caller: all but those that belong to the upstream's connection. */
+    static List<HeaderField> toCaller(MultiMap headers) {
+        List<HeaderField> passed = new ArrayList<>();
+        for (Map.Entry<String, String> header : headers) {
+            if (!HOP_BY_HOP.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+                passed.add(new HeaderField(header.getKey(), header.getValue()));
+            }
+        }
+        return passed;
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/PeerConnection.java
@@ -0,0 +1,128 @@
+package io.vanillapoint.server.traffic;
+
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.api.model.Customer;
+import io.vanillapoint.api.model.UpstreamKind;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.api.plugin.RequestPlan;
+import io.vanillapoint.api.plugin.UsageMeter;
+import io.vanillapoint.core.message.ForwardCancel;
+import io.vanillapoint.core.message.ForwardCredit;
+import io.vanillapoint.core.message.ForwardRequest;
+import io.vanillapoint.core.message.Hop;
+import io.vanillapoint.core.message.PeerHello;
+import io.vanillapoint.core.message.PeerMessage;
+import io.vanillapoint.core.routing.RouteGuard;
+import io.vanillapoint.server.peer.FrameSocket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One connection from another VM. Control messages go to the control thread; forwarded requests run
+ * on this event loop. Confined to one event loop.
+ */
+final class PeerConnection {
+    private final TrafficContext context;
+    private final FrameSocket socket;
+    private final Map<Long, PeerSink> sinks = new HashMap<>();
+    private VmId peer;
+
+    PeerConnection(TrafficContext context, FrameSocket socket) {
+        this.context = context;
+        this.socket = socket;
+        socket.receiver(this::receive);
+        socket.closeHandler(this::closed);
+    }
+
+    private void receive(PeerMessage message) {
+        if (message instanceof PeerHello hello) {
+            peer = hello.vm();
+        } else if (peer == null) {
+            socket.close();
+        } else if (message instanceof ForwardRequest request) {
+            forward(request);
+        } else if (message instanceof ForwardCancel cancel) {
+            Optional.ofNullable(sinks.get(cancel.stream())).ifPresent(PeerSink::closed);
+        } else if (message instanceof ForwardCredit credit) {
+            Optional.ofNullable(sinks.get(credit.stream()))
+                    .ifPresent(sink -> sink.credit(credit.bytes()));
+        } else {
+            context.control()
+                    .receive(peer, message)
+                    .onSuccess(answer -> answer.ifPresent(socket::send));
+        }
+    }
+
+    private void forward(ForwardRequest message) {
+        PeerSink sink = new PeerSink(socket, message.stream());
+        Customer customer = null;
+        if (message.customer() != null) {
+            customer = context.control().config().customers().get(message.customer());
+            if (customer == null) {
+                String text = "customer " + message.customer() + " is not known here";
+                sink.fail(new VanillapointException(ErrorCode.NOT_GRANTED, "peer", text));
+                return;
+            }
+        }
+        Hop here = new Hop(context.settings().vm(), context.settings().region());
+        Optional<VanillapointException> refusal =
+                RouteGuard.receiving(customer, message.path(), here.vm(), here.region());
+        if (refusal.isPresent()) {
+            sink.fail(refusal.get());
+            return;
+        }
+        RunRequest request =
+                new RunRequest(
+                        peer + "/" + message.stream(),
+                        null,
+                        customer,
+                        plan(message, customer),
+                        message.method(),
+                        message.headers(),
+                        message.path().with(here));
+        sinks.put(message.stream(), sink);
+        new RequestExecution(context, request, new PassThroughMeter(), sink)
+                .start()
+                .onComplete(done -> sinks.remove(message.stream()));
+    }
+
+    /** Tokens are reserved by the VM that the caller asked, so that none are reserved here. */
+    private static RequestPlan plan(ForwardRequest message, Customer customer) {
+        return new RequestPlan(
+                message.target().kind(),
+                message.target().name(),
+                message.uri(),
+                message.body(),
+                customer == null,
+                message.repeatable(),
+                0,
+                message.target().name(),
+                message.target().kind() == UpstreamKind.SERVICE);
+    }
+
+    private void closed() {
+        new ArrayList<>(sinks.values()).forEach(PeerSink::closed);
+    }
+
+    /** The VM that the caller asked meters the answer. Stateless. */
+    private static final class PassThroughMeter implements UsageMeter {
+        @Override
+        public void head(int status, String contentType) {}
+
+        @Override
+        public void data(byte[] bytes) {}
+
+        @Override
+        public boolean isWhole() {
+            return true;
+        }
+
+        @Override
+        public long usedTokens(long reserved) {
+            return reserved;
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/PeerSink.java
@@ -0,0 +1,96 @@
+package io.vanillapoint.server.traffic;
+
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.core.message.ForwardData;
+import io.vanillapoint.core.message.ForwardEnd;
+import io.vanillapoint.core.message.ForwardFailure;
+import io.vanillapoint.core.message.ForwardHead;
+import io.vanillapoint.core.message.HeaderField;
+import io.vanillapoint.server.peer.FrameSocket;
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * Passes an answer to the VM that forwarded the request, as far as its credit goes. Confined to the
+ * connection's event loop.
+ */
+final class PeerSink implements AnswerSink {
+    private static final long WINDOW_BYTES = 256 * 1024;
+
+    private final FrameSocket socket;
+    private final long stream;
+    private long credit = WINDOW_BYTES;
+    private long bytes;
+    private boolean ended;
+    private Runnable drain = () -> {};
+    private Runnable close = () -> {};
+
+    PeerSink(FrameSocket socket, long stream) {
+        this.socket = socket;
+        this.stream = stream;
+    }
+
+    @Override
+    public void head(int status, List<HeaderField> headers) {
+        socket.send(new ForwardHead(stream, status, headers));
+    }
+
+    @Override
+    public void data(Buffer part) {
+        if (ended) {
+            return;
+        }
+        bytes += part.length();
+        credit -= part.length();
+        socket.send(new ForwardData(stream, part.getBytes()));
+    }
+
+    @Override
+    public boolean isFull() {
+        return credit <= 0;
+    }
+
+    @Override
+    public void onDrain(Runnable handler) {
+        drain = handler;
+    }
+
+    @Override
+    public void end() {
+        ended = true;
+        socket.send(new ForwardEnd(stream, bytes));
+    }
+
+    @Override
+    public void fail(VanillapointException error) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        long retryAfter = error.retryAfter().map(Duration::toMillis).orElse(0L);
+        socket.send(
+                new ForwardFailure(
+                        stream, error.code(), error.getMessage(), error.runState(), retryAfter));
+    }
+
+    @Override
+    public void onClose(Runnable handler) {
+        close = handler;
+    }
+
+    /** The receiver takes more. */
+    void credit(long more) {
+        boolean wasFull = isFull();
+        credit += more;
+        if (wasFull && !isFull()) {
+            drain.run();
+        }
+    }
+
+    /** The receiver is gone or no longer wants the answer. */
+    void closed() {
+        ended = true;
+        close.run();
+    }
+}
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
@@ -0,0 +1,129 @@
+package io.vanillapoint.server.traffic;
+
+import io.vanillapoint.api.event.EventSink;
+import io.vanillapoint.core.message.PeerHello;
+import io.vanillapoint.server.control.ControlPlane;
+import io.vanillapoint.server.kernel.Kernel;
+import io.vanillapoint.server.peer.FrameSocket;
+import io.vanillapoint.server.settings.DaemonSettings;
+import io.vanillapoint.wire.PeerCodec;
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.net.NetServerOptions;
+import java.util.AbstractSet;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.Set;
+
+/**
+ * One event loop of traffic: callers, forwarded requests and calls to upstreams. All instances
+ * share the listening ports. Confined to its event loop, but for {@link #running()}.
+ */
+public final class TrafficVerticle extends VerticleBase {
+    private final DaemonSettings settings;
+    private final Kernel kernel;
+    private final ControlPlane control;
+    private final PeerHello hello;
+    private final EventSink events;
+    private final String idPrefix;
+    private final Set<RequestExecution> executions = new HashSet<>();
+    private volatile int running;
+
+    /**
+     * Creates an instance.
+     *
+     * @param settings settings of the daemon
+     * @param kernel plug-ins
+     * @param control the control plane
+     * @param hello who this VM is to its peers
+     * @param events where events are recorded
+     * @param idPrefix begins the names of this instance's requests
+     */
+    public TrafficVerticle(
+            DaemonSettings settings,
+            Kernel kernel,
+            ControlPlane control,
+            PeerHello hello,
+            EventSink events,
+            String idPrefix) {
+        this.settings = settings;
+        this.kernel = kernel;
+        this.control = control;
+        this.hello = hello;
+        this.events = events;
+        this.idPrefix = idPrefix;
+    }
+
+    @Override
+    public Future<?> start() {
+        PeerCodec codec = new PeerCodec(settings.limits().maxFrameBytes());
+        TrafficContext traffic =
+                new TrafficContext(
+                        settings,
+                        kernel,
+                        control,
+                        events,
+                        new UpstreamClient(vertx, settings.timeouts()),
+                        new ForwardClient(vertx, codec, hello, settings.timeouts(), events),
+                        new CountingSet());
+        CallerHandler callers = new CallerHandler(vertx, traffic, idPrefix);
+        Future<?> http =
+                vertx.createHttpServer(
+                                new HttpServerOptions()
+                                        .setMaxHeaderSize(settings.limits().maxHeaderBytes())
+                                        .setTcpNoDelay(true))
+                        .requestHandler(callers::handle)
+                        .listen(settings.callers().port(), settings.callers().host());
+        Future<?> peers =
+                vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true))
+                        .connectHandler(
+                                socket ->
+                                        new PeerConnection(
+                                                traffic, new FrameSocket(socket, codec, events)))
+                        .listen(settings.peers().port(), settings.peers().host());
+        return Future.all(http, peers);
+    }
+
+    /**
+     * Requests that this event loop runs. May be read by any thread.
+     *
+     * @return zero or more
+     */
+    public int running() {
+        return running;
+    }
+
+    /** Cuts every request that still runs. May be called by any thread. */
+    public void cut() {
+        context.runOnContext(nothing -> new ArrayList<>(executions).forEach(RequestExecution::cut));
+    }
+
+    /** Keeps the count for other threads. */
+    private final class CountingSet extends AbstractSet<RequestExecution> {
+        @Override
+        public boolean add(RequestExecution execution) {
+            boolean added = executions.add(execution);
+            running = executions.size();
+            return added;
+        }
+
+        @Override
+        public boolean remove(Object execution) {
+            boolean removed = executions.remove(execution);
+            running = executions.size();
+            return removed;
+        }
+
+        @Override
+        public Iterator<RequestExecution> iterator() {
+            return executions.iterator();
+        }
+
+        @Override
+        public int size() {
+            return executions.size();
+        }
+    }
+}
