--- /dev/null
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeReader.java
@@ -0,0 +1,230 @@
+package io.vanillapoint.wire;
+
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.RunState;
+import io.vanillapoint.api.model.CustomerId;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.UpstreamKind;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.core.message.CompleteKey;
+import io.vanillapoint.core.message.ConfigReply;
+import io.vanillapoint.core.message.ConfigRequest;
+import io.vanillapoint.core.message.ForwardCancel;
+import io.vanillapoint.core.message.ForwardCredit;
+import io.vanillapoint.core.message.ForwardData;
+import io.vanillapoint.core.message.ForwardEnd;
+import io.vanillapoint.core.message.ForwardFailure;
+import io.vanillapoint.core.message.ForwardHead;
+import io.vanillapoint.core.message.ForwardRequest;
+import io.vanillapoint.core.message.HeaderField;
+import io.vanillapoint.core.message.Heartbeat;
+import io.vanillapoint.core.message.HeartbeatReply;
+import io.vanillapoint.core.message.HomeView;
+import io.vanillapoint.core.message.Hop;
+import io.vanillapoint.core.message.KeyOutcome;
+import io.vanillapoint.core.message.KeyStatus;
+import io.vanillapoint.core.message.LeaseGrant;
+import io.vanillapoint.core.message.LeaseName;
+import io.vanillapoint.core.message.Member;
+import io.vanillapoint.core.message.PeerHello;
+import io.vanillapoint.core.message.PeerMessage;
+import io.vanillapoint.core.message.PublishedValue;
+import io.vanillapoint.core.message.RegisterReply;
+import io.vanillapoint.core.message.RegisterRequest;
+import io.vanillapoint.core.message.ReserveReply;
+import io.vanillapoint.core.message.ReserveRequest;
+import io.vanillapoint.core.message.RouteTarget;
+import io.vanillapoint.core.message.Settle;
+import io.vanillapoint.core.message.StoredAnswer;
+import io.vanillapoint.core.message.VisitedPath;
+import io.vanillapoint.wire.generated.TCompleteKey;
+import io.vanillapoint.wire.generated.TConfigReply;
+import io.vanillapoint.wire.generated.TEnvelope;
+import io.vanillapoint.wire.generated.TForwardFailure;
+import io.vanillapoint.wire.generated.TForwardHead;
+import io.vanillapoint.wire.generated.TForwardRequest;
+import io.vanillapoint.wire.generated.THeader;
+import io.vanillapoint.wire.generated.THeartbeat;
+import io.vanillapoint.wire.generated.THeartbeatReply;
+import io.vanillapoint.wire.generated.TLease;
+import io.vanillapoint.wire.generated.TMember;
+import io.vanillapoint.wire.generated.TRegisterReply;
+import io.vanillapoint.wire.generated.TRegisterRequest;
+import io.vanillapoint.wire.generated.TReserveReply;
+import io.vanillapoint.wire.generated.TReserveRequest;
+import io.vanillapoint.wire.generated.TStoredAnswer;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Turns Thrift structures into messages. A missing field shows as null and is refused by the
+ * message's own checks. Stateless.
+ */
+final class EnvelopeReader {
+    private EnvelopeReader() {}
+
+    static PeerMessage message(TEnvelope envelope) {
+        return switch (envelope.getSetField()) {
+            case HELLO -> hello(envelope);
+            case HEARTBEAT -> heartbeat(envelope.getHeartbeat());
+            case HEARTBEAT_REPLY -> heartbeatReply(envelope.getHeartbeatReply());
+            case RESERVE_REQUEST -> reserveRequest(envelope.getReserveRequest());
+            case RESERVE_REPLY -> reserveReply(envelope.getReserveReply());
+            case SETTLE ->
+                    new Settle(envelope.getSettle().getId(), envelope.getSettle().getUnused());
+            case REGISTER_REQUEST -> registerRequest(envelope.getRegisterRequest());
+            case REGISTER_REPLY -> registerReply(envelope.getRegisterReply());
+            case COMPLETE_KEY -> completeKey(envelope.getCompleteKey());
+            case CONFIG_REQUEST -> new ConfigRequest(envelope.getConfigRequest().getNewerThan());
+            case CONFIG_REPLY -> configReply(envelope.getConfigReply());
+            case FORWARD_REQUEST -> forwardRequest(envelope.getForwardRequest());
+            case FORWARD_HEAD -> forwardHead(envelope.getForwardHead());
+            case FORWARD_DATA ->
+                    new ForwardData(
+                            envelope.getForwardData().getStream(),
+                            envelope.getForwardData().getBytes());
+            case FORWARD_END ->
+                    new ForwardEnd(
+                            envelope.getForwardEnd().getStream(),
+                            envelope.getForwardEnd().getBytes());
+            case FORWARD_FAILURE -> forwardFailure(envelope.getForwardFailure());
+            case FORWARD_CANCEL -> new ForwardCancel(envelope.getForwardCancel().getStream());
+            case FORWARD_CREDIT ->
+                    new ForwardCredit(
+                            envelope.getForwardCredit().getStream(),
+                            envelope.getForwardCredit().getBytes());
+        };
+    }
+
+    private static PeerHello hello(TEnvelope envelope) {
+        return new PeerHello(
+                new VmId(envelope.getHello().getVm()),
+                envelope.getHello().getIncarnation(),
+                envelope.getHello().getProtocol());
+    }
+
+    private static Heartbeat heartbeat(THeartbeat wire) {
+        return new Heartbeat(
+                wire.getIncarnation(),
+                wire.getSequence(),
+                wire.getListedAt(),
+                wire.isLeaving(),
+                new LeaseName(wire.getHeldIncarnation(), wire.getHeldSequence()),
+                wire.getConfigRevision(),
+                members(wire.getMembers()));
+    }
+
+    private static HeartbeatReply heartbeatReply(THeartbeatReply wire) {
+        return new HeartbeatReply(
+                wire.getIncarnation(),
+                wire.getAskerIncarnation(),
+                wire.getSequence(),
+                wire.isActive(),
+                wire.isCounted(),
+                wire.getConfigRevision(),
+                members(wire.getMembers()),
+                Optional.ofNullable(wire.getLease()).map(EnvelopeReader::lease));
+    }
+
+    private static List<Member> members(List<TMember> wire) {
+        return wire.stream()
+                .map(member -> new Member(new VmId(member.getVm()), member.getListedAt()))
+                .toList();
+    }
+
+    private static LeaseGrant lease(TLease wire) {
+        List<HomeView> views =
+                wire.getViews().stream()
+                        .map(view -> new HomeView(view.getVms().stream().map(VmId::new).toList()))
+                        .toList();
+        return new LeaseGrant(wire.getSequence(), wire.getShare(), wire.getDurationMillis(), views);
+    }
+
+    private static ReserveRequest reserveRequest(TReserveRequest wire) {
+        return new ReserveRequest(
+                wire.getId(),
+                new CustomerId(wire.getCustomer()),
+                wire.getTokens(),
+                wire.isPartial());
+    }
+
+    private static ReserveReply reserveReply(TReserveReply wire) {
+        return new ReserveReply(
+                wire.getId(), wire.getGranted(), wire.getRetryAfterMillis(), wire.getShare());
+    }
+
+    private static RegisterRequest registerRequest(TRegisterRequest wire) {
+        return new RegisterRequest(
+                wire.getId(),
+                wire.getKey(),
+                wire.getAttempt(),
+                wire.getFingerprint(),
+                wire.getKeyMillis());
+    }
+
+    private static RegisterReply registerReply(TRegisterReply wire) {
+        return new RegisterReply(
+                wire.getId(),
+                KeyStatus.valueOf(wire.getStatus()),
+                wire.getRemembersSinceMillis(),
+                wire.isFingerprintMatches(),
+                Optional.ofNullable(wire.getAnswer()).map(EnvelopeReader::answer));
+    }
+
+    private static CompleteKey completeKey(TCompleteKey wire) {
+        return new CompleteKey(
+                wire.getKey(),
+                wire.getAttempt(),
+                KeyOutcome.valueOf(wire.getOutcome()),
+                Optional.ofNullable(wire.getAnswer()).map(EnvelopeReader::answer));
+    }
+
+    private static StoredAnswer answer(TStoredAnswer wire) {
+        return new StoredAnswer(wire.getStatus(), wire.getContentType(), wire.getBody());
+    }
+
+    private static ConfigReply configReply(TConfigReply wire) {
+        List<PublishedValue> values =
+                wire.getValues().stream()
+                        .map(v -> new PublishedValue(v.getKey(), v.getRevision(), v.getJson()))
+                        .toList();
+        return new ConfigReply(wire.getCompleteTo(), values);
+    }
+
+    private static ForwardRequest forwardRequest(TForwardRequest wire) {
+        CustomerId customer =
+                wire.getCustomer() == null ? null : new CustomerId(wire.getCustomer());
+        List<Hop> hops =
+                wire.getPath().stream()
+                        .map(hop -> new Hop(new VmId(hop.getVm()), new RegionId(hop.getRegion())))
+                        .toList();
+        return new ForwardRequest(
+                wire.getStream(),
+                customer,
+                new RouteTarget(UpstreamKind.valueOf(wire.getKind()), wire.getTarget()),
+                wire.getMethod(),
+                wire.getUri(),
+                headers(wire.getHeaders()),
+                wire.getBody(),
+                new VisitedPath(hops),
+                wire.isRepeatable(),
+                wire.getTokens());
+    }
+
+    private static ForwardHead forwardHead(TForwardHead wire) {
+        return new ForwardHead(wire.getStream(), wire.getStatus(), headers(wire.getHeaders()));
+    }
+
+    private static ForwardFailure forwardFailure(TForwardFailure wire) {
+        return new ForwardFailure(
+                wire.getStream(),
+                ErrorCode.valueOf(wire.getCode()),
+                wire.getMessage(),
+                RunState.valueOf(wire.getRunState()),
+                wire.getRetryAfterMillis());
+    }
+
+    private static List<HeaderField> headers(List<THeader> wire) {
+        return wire.stream().map(h -> new HeaderField(h.getName(), h.getValue())).toList();
+    }
+}
--- /dev/null
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeWriter.java
@@ -0,0 +1,230 @@
+package io.vanillapoint.wire;
+
+import io.vanillapoint.core.message.CompleteKey;
+import io.vanillapoint.core.message.ConfigReply;
+import io.vanillapoint.core.message.ConfigRequest;
+import io.vanillapoint.core.message.ForwardCancel;
+import io.vanillapoint.core.message.ForwardCredit;
+import io.vanillapoint.core.message.ForwardData;
+import io.vanillapoint.core.message.ForwardEnd;
+import io.vanillapoint.core.message.ForwardFailure;
+import io.vanillapoint.core.message.ForwardHead;
+import io.vanillapoint.core.message.ForwardRequest;
+import io.vanillapoint.core.message.HeaderField;
+import io.vanillapoint.core.message.Heartbeat;
+import io.vanillapoint.core.message.HeartbeatReply;
+import io.vanillapoint.core.message.HomeView;
+import io.vanillapoint.core.message.LeaseGrant;
+import io.vanillapoint.core.message.Member;
+import io.vanillapoint.core.message.PeerHello;
+import io.vanillapoint.core.message.PeerMessage;
+import io.vanillapoint.core.message.RegisterReply;
+import io.vanillapoint.core.message.RegisterRequest;
+import io.vanillapoint.core.message.ReserveReply;
+import io.vanillapoint.core.message.ReserveRequest;
+import io.vanillapoint.core.message.Settle;
+import io.vanillapoint.core.message.StoredAnswer;
+import io.vanillapoint.wire.generated.TCompleteKey;
+import io.vanillapoint.wire.generated.TConfigReply;
+import io.vanillapoint.wire.generated.TConfigRequest;
+import io.vanillapoint.wire.generated.TEnvelope;
+import io.vanillapoint.wire.generated.TForwardCancel;
+import io.vanillapoint.wire.generated.TForwardCredit;
+import io.vanillapoint.wire.generated.TForwardData;
+import io.vanillapoint.wire.generated.TForwardEnd;
+import io.vanillapoint.wire.generated.TForwardFailure;
+import io.vanillapoint.wire.generated.TForwardHead;
+import io.vanillapoint.wire.generated.TForwardRequest;
+import io.vanillapoint.wire.generated.THeader;
+import io.vanillapoint.wire.generated.THeartbeat;
+import io.vanillapoint.wire.generated.THeartbeatReply;
+import io.vanillapoint.wire.generated.THello;
+import io.vanillapoint.wire.generated.THop;
+import io.vanillapoint.wire.generated.TLease;
+import io.vanillapoint.wire.generated.TMember;
+import io.vanillapoint.wire.generated.TPublishedValue;
+import io.vanillapoint.wire.generated.TRegisterReply;
+import io.vanillapoint.wire.generated.TRegisterRequest;
+import io.vanillapoint.wire.generated.TReserveReply;
+import io.vanillapoint.wire.generated.TReserveRequest;
+import io.vanillapoint.wire.generated.TSettle;
+import io.vanillapoint.wire.generated.TStoredAnswer;
+import io.vanillapoint.wire.generated.TView;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/** Turns messages into Thrift structures. Stateless. */
+final class EnvelopeWriter {
+    private static final Map<Class<?>, Function<PeerMessage, TEnvelope>> WRITERS = new HashMap<>();
+
+    static {
+        on(PeerHello.class, m -> TEnvelope.hello(hello(m)));
+        on(Heartbeat.class, m -> TEnvelope.heartbeat(heartbeat(m)));
+        on(HeartbeatReply.class, m -> TEnvelope.heartbeatReply(heartbeatReply(m)));
+        on(
+                ReserveRequest.class,
+                m ->
+                        TEnvelope.reserveRequest(
+                                new TReserveRequest(
+                                        m.id(), m.customer().value(), m.tokens(), m.partial())));
+        on(
+                ReserveReply.class,
+                m ->
+                        TEnvelope.reserveReply(
+                                new TReserveReply(
+                                        m.id(), m.granted(), m.retryAfterMillis(), m.share())));
+        on(Settle.class, m -> TEnvelope.settle(new TSettle(m.id(), m.unused())));
+        on(RegisterRequest.class, m -> TEnvelope.registerRequest(registerRequest(m)));
+        on(RegisterReply.class, m -> TEnvelope.registerReply(registerReply(m)));
+        on(CompleteKey.class, m -> TEnvelope.completeKey(completeKey(m)));
+        on(ConfigRequest.class, m -> TEnvelope.configRequest(new TConfigRequest(m.newerThan())));
+        on(ConfigReply.class, m -> TEnvelope.configReply(configReply(m)));
+        on(ForwardRequest.class, m -> TEnvelope.forwardRequest(forwardRequest(m)));
+        on(
+                ForwardHead.class,
+                m ->
+                        TEnvelope.forwardHead(
+                                new TForwardHead(m.stream(), m.status(), headers(m.headers()))));
+        on(
+                ForwardData.class,
+                m ->
+                        TEnvelope.forwardData(
+                                new TForwardData(m.stream(), ByteBuffer.wrap(m.bytes()))));
+        on(ForwardEnd.class, m -> TEnvelope.forwardEnd(new TForwardEnd(m.stream(), m.bytes())));
+        on(ForwardFailure.class, m -> TEnvelope.forwardFailure(forwardFailure(m)));
+        on(ForwardCancel.class, m -> TEnvelope.forwardCancel(new TForwardCancel(m.stream())));
+        on(
+                ForwardCredit.class,
+                m -> TEnvelope.forwardCredit(new TForwardCredit(m.stream(), m.bytes())));
+    }
+
+    private EnvelopeWriter() {}
+
+    static TEnvelope envelope(PeerMessage message) {
+        return WRITERS.get(message.getClass()).apply(message);
+    }
+
+    private static <T extends PeerMessage> void on(Class<T> type, Function<T, TEnvelope> writer) {
+        WRITERS.put(type, message -> writer.apply(type.cast(message)));
+    }
+
+    private static THello hello(PeerHello message) {
+        return new THello(message.vm().value(), message.incarnation(), message.protocol());
+    }
+
+    private static THeartbeat heartbeat(Heartbeat message) {
+        return new THeartbeat(
+                message.incarnation(),
+                message.sequence(),
+                message.listedAt(),
+                message.leaving(),
+                message.heldLease().incarnation(),
+                message.heldLease().sequence(),
+                message.configRevision(),
+                members(message.members()));
+    }
+
+    private static THeartbeatReply heartbeatReply(HeartbeatReply message) {
+        THeartbeatReply reply =
+                new THeartbeatReply(
+                        message.incarnation(),
+                        message.askerIncarnation(),
+                        message.sequence(),
+                        message.active(),
+                        message.counted(),
+                        message.configRevision(),
+                        members(message.members()));
+        message.lease().ifPresent(lease -> reply.setLease(lease(lease)));
+        return reply;
+    }
+
+    private static List<TMember> members(List<Member> members) {
+        return members.stream().map(m -> new TMember(m.vm().value(), m.listedAt())).toList();
+    }
+
+    private static TLease lease(LeaseGrant lease) {
+        List<TView> views = lease.views().stream().map(EnvelopeWriter::view).toList();
+        return new TLease(lease.sequence(), lease.share(), lease.durationMillis(), views);
+    }
+
+    private static TView view(HomeView view) {
+        return new TView(view.vms().stream().map(vm -> vm.value()).toList());
+    }
+
+    private static TRegisterRequest registerRequest(RegisterRequest message) {
+        return new TRegisterRequest(
+                message.id(),
+                message.key(),
+                message.attempt(),
+                message.fingerprint(),
+                message.keyMillis());
+    }
+
+    private static TRegisterReply registerReply(RegisterReply message) {
+        TRegisterReply reply =
+                new TRegisterReply(
+                        message.id(),
+                        message.status().name(),
+                        message.remembersSinceMillis(),
+                        message.fingerprintMatches());
+        message.answer().ifPresent(answer -> reply.setAnswer(answer(answer)));
+        return reply;
+    }
+
+    private static TCompleteKey completeKey(CompleteKey message) {
+        TCompleteKey complete =
+                new TCompleteKey(message.key(), message.attempt(), message.outcome().name());
+        message.answer().ifPresent(answer -> complete.setAnswer(answer(answer)));
+        return complete;
+    }
+
+    private static TStoredAnswer answer(StoredAnswer answer) {
+        return new TStoredAnswer(
+                answer.status(), answer.contentType(), ByteBuffer.wrap(answer.body()));
+    }
+
+    private static TConfigReply configReply(ConfigReply message) {
+        List<TPublishedValue> values =
+                message.values().stream()
+                        .map(v -> new TPublishedValue(v.key(), v.revision(), v.json()))
+                        .toList();
+        return new TConfigReply(message.completeTo(), values);
+    }
+
+    private static TForwardRequest forwardRequest(ForwardRequest message) {
+        TForwardRequest request = new TForwardRequest();
+        request.setStream(message.stream());
+        if (message.customer() != null) {
+            request.setCustomer(message.customer().value());
+        }
+        request.setKind(message.target().kind().name());
+        request.setTarget(message.target().name());
+        request.setMethod(message.method());
+        request.setUri(message.uri());
+        request.setHeaders(headers(message.headers()));
+        request.setBody(message.body());
+        request.setPath(
+                message.path().hops().stream()
+                        .map(hop -> new THop(hop.vm().value(), hop.region().value()))
+                        .toList());
+        request.setRepeatable(message.repeatable());
+        request.setTokens(message.tokens());
+        return request;
+    }
+
+    private static TForwardFailure forwardFailure(ForwardFailure message) {
+        return new TForwardFailure(
+                message.stream(),
+                message.code().name(),
+                message.message(),
+                message.runState().name(),
+                message.retryAfterMillis());
+    }
+
+    private static List<THeader> headers(List<HeaderField> headers) {
+        return headers.stream().map(h -> new THeader(h.name(), h.value())).toList();
+    }
+}
--- /dev/null
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/PeerCodec.java
@@ -0,0 +1,92 @@
+package io.vanillapoint.wire;
+
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.core.message.PeerMessage;
+import io.vanillapoint.wire.generated.TEnvelope;
+import java.util.Arrays;
+import java.util.Optional;
+import org.apache.thrift.TConfiguration;
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.transport.TMemoryBuffer;
+import org.apache.thrift.transport.TMemoryInputTransport;
+
+/**
+ * Turns messages between VMs into the payload of a frame and back: Thrift's compact protocol around
+ * one {@link TEnvelope}. Unknown fields are skipped, so that versions can mix during a roll-out.
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+public final class PeerCodec {
+    private static final int INITIAL_BYTES = 512;
+    private static final int MAX_RECURSION = 16;
+
+    private final int maxFrameBytes;
+
+    /**
+     * Creates a codec.
+     *
+     * @param maxFrameBytes largest payload in bytes, for both directions
+     */
+    public PeerCodec(int maxFrameBytes) {
+        this.maxFrameBytes = maxFrameBytes;
+    }
+
+    /**
+     * Largest payload.
+     *
+     * @return bytes
+     */
+    public int maxFrameBytes() {
+        return maxFrameBytes;
+    }
+
+    /**
+     * Writes a message.
+     *
+     * @param message what to write
+     * @return the payload of one frame
+     * @throws VanillapointException with {@link ErrorCode#BAD_MESSAGE} if it is too large
+     */
+    public byte[] encode(PeerMessage message) {
+        try {
+            TMemoryBuffer buffer = new TMemoryBuffer(INITIAL_BYTES);
+            EnvelopeWriter.envelope(message).write(new TCompactProtocol(buffer));
+            if (buffer.length() > maxFrameBytes) {
+                throw bad("expected at most " + maxFrameBytes + " bytes, got " + buffer.length());
+            }
+            return Arrays.copyOf(buffer.getArray(), buffer.length());
+        } catch (TException e) {
+            throw bad(e.toString());
+        }
+    }
+
+    /**
+     * Reads a message.
+     *
+     * @param payload payload of one frame
+     * @return the message, or nothing if this version does not know its type
+     * @throws VanillapointException with {@link ErrorCode#BAD_MESSAGE} if it is malformed
+     */
+    public Optional<PeerMessage> decode(byte[] payload) {
+        if (payload.length > maxFrameBytes) {
+            throw bad("expected at most " + maxFrameBytes + " bytes, got " + payload.length);
+        }
+        try {
+            TConfiguration limits = new TConfiguration(maxFrameBytes, maxFrameBytes, MAX_RECURSION);
+            TEnvelope envelope = new TEnvelope();
+            envelope.read(new TCompactProtocol(new TMemoryInputTransport(limits, payload)));
+            if (!envelope.isSet()) {
+                return Optional.empty();
+            }
+            return Optional.of(EnvelopeReader.message(envelope));
+        } catch (TException | RuntimeException e) {
+            throw bad(e.toString());
+        }
+    }
+
+    private static VanillapointException bad(String message) {
+        return new VanillapointException(ErrorCode.BAD_MESSAGE, "peer frame", message);
+    }
+}
--- /dev/null
+++ b/vanillapoint-wire/src/main/thrift/peer.thrift
@@ -0,0 +1,62 @@
+namespace java io.vanillapoint.wire.generated
+
+struct TMember { 1: string vm, 2: i64 listedAt }
+struct TView { 1: list<string> vms }
+struct TLease { 1: i64 sequence, 2: double share, 3: i64 durationMillis, 4: list<TView> views }
+struct THello { 1: string vm, 2: i64 incarnation, 3: i32 protocol }
+struct THeartbeat {
+  1: i64 incarnation, 2: i64 sequence, 3: i64 listedAt, 4: bool leaving,
+  5: i64 heldIncarnation, 6: i64 heldSequence, 7: i64 configRevision, 8: list<TMember> members
+}
+struct THeartbeatReply {
+  1: i64 incarnation, 2: i64 askerIncarnation, 3: i64 sequence, 4: bool active, 5: bool counted,
+  6: i64 configRevision, 7: list<TMember> members, 8: optional TLease lease
+}
+struct TReserveRequest { 1: i64 id, 2: string customer, 3: double tokens, 4: bool partial }
+struct TReserveReply { 1: i64 id, 2: double granted, 3: i64 retryAfterMillis, 4: double share }
+struct TSettle { 1: i64 id, 2: double unused }
+struct TRegisterRequest { 1: i64 id, 2: string key, 3: string attempt, 4: string fingerprint, 5: i64 keyMillis }
+struct TStoredAnswer { 1: i32 status, 2: string contentType, 3: binary body }
+struct TRegisterReply {
+  1: i64 id, 2: string status, 3: i64 remembersSinceMillis, 4: bool fingerprintMatches,
+  5: optional TStoredAnswer answer
+}
+struct TCompleteKey { 1: string key, 2: string attempt, 3: string outcome, 4: optional TStoredAnswer answer }
+struct TConfigRequest { 1: i64 newerThan }
+struct TPublishedValue { 1: string key, 2: i64 revision, 3: string json }
+struct TConfigReply { 1: i64 completeTo, 2: list<TPublishedValue> values }
+struct THeader { 1: string name, 2: string value }
+struct THop { 1: string vm, 2: string region }
+struct TForwardRequest {
+  1: i64 stream, 2: optional string customer, 3: string kind, 4: string target, 5: string method,
+  6: string uri, 7: list<THeader> headers, 8: binary body, 9: list<THop> path, 10: bool repeatable,
+  11: i64 tokens
+}
+struct TForwardHead { 1: i64 stream, 2: i32 status, 3: list<THeader> headers }
+struct TForwardData { 1: i64 stream, 2: binary bytes }
+struct TForwardEnd { 1: i64 stream, 2: i64 bytes }
+struct TForwardFailure { 1: i64 stream, 2: string code, 3: string message, 4: string runState, 5: i64 retryAfterMillis }
+struct TForwardCancel { 1: i64 stream }
+struct TForwardCredit { 1: i64 stream, 2: i64 bytes }
+
+/** One frame between two VMs. */
+union TEnvelope {
+  1: THello hello
+  2: THeartbeat heartbeat
+  3: THeartbeatReply heartbeatReply
+  4: TReserveRequest reserveRequest
+  5: TReserveReply reserveReply
+  6: TSettle settle
+  7: TRegisterRequest registerRequest
+  8: TRegisterReply registerReply
+  9: TCompleteKey completeKey
+  10: TConfigRequest configRequest
+  11: TConfigReply configReply
+  12: TForwardRequest forwardRequest
+  13: TForwardHead forwardHead
+  14: TForwardData forwardData
+  15: TForwardEnd forwardEnd
+  16: TForwardFailure forwardFailure
+  17: TForwardCancel forwardCancel
+  18: TForwardCredit forwardCredit
+}
