Prove rate and burst over the fleet under random faults

Cause: the limit protocol was written from an argument and had no run behind it. Ruled out: millisecond clocks for inflow. Inflow is now counted in nanoseconds. Change: a virtual fleet of two regions with loss, late, doubled and cut messages, kills, restarts, replacements, pauses, suspension, clock steps and lagging lists; shares are checked at each step and grants at each window.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/CustomerBucket.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/CustomerBucket.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.core.limit;
 
 import io.vanillapoint.api.model.TokenGrant;
+import io.vanillapoint.core.time.ClockReading;
 
 /**
  * Bucket of one customer in one VM: the region's part of the customer's grant, times the share that
@@ -17,14 +18,14 @@
     private double wantedBurst;
     private long settledAtMillis;
     private double share;
-    private long advancedAtMillis;
+    private long advancedAtNanos;
 
-    CustomerBucket(TokenGrant grant, double regionShare, long nowMillis) {
+    CustomerBucket(TokenGrant grant, double regionShare, ClockReading now) {
         this.wantedRatePerSecond = grant.ratePerSecond() * regionShare;
         this.wantedBurst = grant.burst() * regionShare;
         this.ratePerSecond = wantedRatePerSecond;
         this.burst = wantedBurst;
-        this.advancedAtMillis = nowMillis;
+        this.advancedAtNanos = now.monotonicNanos();
     }
 
     TokenBucket bucket() {
@@ -36,7 +37,7 @@
     }
 
     /** Changes the grant. The caller has advanced the bucket to now. */
-    void change(TokenGrant grant, double regionShare, long nowMillis, long settlingMillis) {
+    void change(TokenGrant grant, double regionShare, ClockReading now, long settlingMillis) {
         double newRate = grant.ratePerSecond() * regionShare;
         double newBurst = grant.burst() * regionShare;
         if (newRate == wantedRatePerSecond && newBurst == wantedBurst) {
@@ -46,15 +47,15 @@
         wantedBurst = newBurst;
         ratePerSecond = Math.min(ratePerSecond, newRate);
         burst = Math.min(burst, newBurst);
-        settledAtMillis = nowMillis + settlingMillis;
+        settledAtMillis = now.monotonicMillis() + settlingMillis;
         resize();
     }
 
     /** Lets time pass, then puts a settled grant in force. */
-    void advance(long nowMillis, double drift) {
-        bucket.advance((nowMillis - advancedAtMillis) * (1 - drift));
-        advancedAtMillis = Math.max(advancedAtMillis, nowMillis);
-        boolean settled = nowMillis >= settledAtMillis;
+    void advance(ClockReading now, double drift) {
+        bucket.advance((now.monotonicNanos() - advancedAtNanos) * (1 - drift));
+        advancedAtNanos = Math.max(advancedAtNanos, now.monotonicNanos());
+        boolean settled = now.monotonicMillis() >= settledAtMillis;
         if (settled && (ratePerSecond != wantedRatePerSecond || burst != wantedBurst)) {
             ratePerSecond = wantedRatePerSecond;
             burst = wantedBurst;
@@ -66,13 +67,13 @@
      * Sets the share that the VM holds for the customer. A smaller share is taken to have been in
      * force since the last call, since the VM may notice the end of a lease late.
      */
-    void share(double newShare, long nowMillis, double drift) {
+    void share(double newShare, ClockReading now, double drift) {
         if (newShare < share) {
             share = newShare;
             resize();
-            advance(nowMillis, drift);
+            advance(now, drift);
         } else if (newShare > share) {
-            advance(nowMillis, drift);
+            advance(now, drift);
             share = newShare;
             resize();
         }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/CustomerBuckets.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/CustomerBuckets.java
@@ -7,6 +7,7 @@
 import io.vanillapoint.core.invariant.Invariants;
 import io.vanillapoint.core.message.HomeView;
 import io.vanillapoint.core.message.LeaseGrant;
+import io.vanillapoint.core.time.ClockReading;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -36,21 +37,18 @@
     }
 
     /** Takes over the customers of a configuration. */
-    void configure(long nowMillis, GatewayConfig config) {
+    void configure(ClockReading now, GatewayConfig config) {
         buckets.keySet().retainAll(config.customers().keySet());
         for (Customer customer : config.customers().values()) {
             double regionShare = customer.regionShare(settings.region());
             CustomerBucket entry = buckets.get(customer.id());
             if (entry == null) {
-                entry = new CustomerBucket(customer.grant(), regionShare, nowMillis);
+                entry = new CustomerBucket(customer.grant(), regionShare, now);
                 buckets.put(customer.id(), entry);
             } else {
-                entry.advance(nowMillis, settings.timing().drift());
+                entry.advance(now, settings.timing().drift());
                 entry.change(
-                        customer.grant(),
-                        regionShare,
-                        nowMillis,
-                        settings.timing().settlingMillis());
+                        customer.grant(), regionShare, now, settings.timing().settlingMillis());
             }
         }
     }
@@ -58,11 +56,11 @@
     /**
      * Works out the share of every customer anew.
      *
-     * @param nowMillis monotonic time
+     * @param now time
      * @param own this VM's own share
      * @param held leases of other VMs' shares
      */
-    void allot(long nowMillis, LeaseGrant own, Collection<LeaseGrant> held) {
+    void allot(ClockReading now, LeaseGrant own, Collection<LeaseGrant> held) {
         Map<List<HomeView>, Double> shareByViews = new HashMap<>();
         shareByViews.merge(own.views(), own.share(), Double::sum);
         for (LeaseGrant grant : held) {
@@ -70,7 +68,7 @@
         }
         for (Map.Entry<CustomerId, CustomerBucket> entry : buckets.entrySet()) {
             double share = placedHere(entry.getKey(), shareByViews);
-            entry.getValue().share(share, nowMillis, settings.timing().drift());
+            entry.getValue().share(share, now, settings.timing().drift());
             invariants.check(
                     share <= 1 + EPSILON,
                     "share of one VM",
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/RegionAuthority.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/RegionAuthority.java
@@ -189,8 +189,8 @@
         }
         members.acceptList(now.monotonicMillis(), listRevision, listed);
         regionVms.addAll(listed);
-        buckets.configure(now.monotonicMillis(), config);
-        buckets.allot(now.monotonicMillis(), ownShare(), held.grants());
+        buckets.configure(now, config);
+        buckets.allot(now, ownShare(), held.grants());
         refreshBaseShare(now);
     }
 
@@ -319,7 +319,7 @@
             return new ReserveOutcome(0, Long.MAX_VALUE, 0);
         }
         CustomerBucket entry = found.get();
-        entry.advance(now.monotonicMillis(), timing.drift());
+        entry.advance(now, timing.drift());
         double taken = take(entry.bucket(), tokens, partial);
         if (taken > 0) {
             reservations.add(asker, id, customer, taken);
@@ -348,11 +348,22 @@
         if (entry.isEmpty()) {
             return 0;
         }
-        entry.get().advance(now.monotonicMillis(), timing.drift());
+        entry.get().advance(now, timing.drift());
         entry.get().bucket().giveBack(back);
         return back;
     }
 
+    /**
+     * Finds whose tokens a reservation holds.
+     *
+     * @param asker VM that reserved
+     * @param id number of the reservation
+     * @return the customer, or nothing if the reservation is settled or forgotten
+     */
+    public Optional<CustomerId> reservedFor(VmId asker, long id) {
+        return reservations.find(asker, id).map(Reservation::customer);
+    }
+
     private static double take(TokenBucket bucket, double tokens, boolean partial) {
         if (partial) {
             return bucket.takeUpTo(tokens);
@@ -409,7 +420,7 @@
             events.record(EventCode.LEASE_GAINED, giver, grant.share());
         }
         expire(now);
-        buckets.allot(now.monotonicMillis(), ownShare(), held.grants());
+        buckets.allot(now, ownShare(), held.grants());
     }
 
     /** Ends everything whose time has passed. Runs before every decision. */
@@ -421,7 +432,7 @@
             return;
         }
         lapsed.forEach(giver -> events.record(EventCode.LEASE_LAPSED, giver));
-        buckets.allot(now.monotonicMillis(), ownShare(), held.grants());
+        buckets.allot(now, ownShare(), held.grants());
     }
 
     private void refreshBaseShare(ClockReading now) {
@@ -436,7 +447,7 @@
         if (share != baseShare) {
             baseShare = share;
             events.record(EventCode.SHARE_CHANGED, share, members.size());
-            buckets.allot(now.monotonicMillis(), ownShare(), held.grants());
+            buckets.allot(now, ownShare(), held.grants());
         }
     }
 
@@ -470,7 +481,7 @@
     private void advanceViews(ClockReading now) {
         HomeView wanted = settings.policy().view(settings.self(), liveVms(now));
         if (views.advance(wanted, given)) {
-            buckets.allot(now.monotonicMillis(), ownShare(), held.grants());
+            buckets.allot(now, ownShare(), held.grants());
         }
     }
 
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/TokenBucket.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/TokenBucket.java
@@ -9,6 +9,7 @@
  */
 public final class TokenBucket {
     private static final double MILLIS_PER_SECOND = 1_000;
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private double level;
     private double cap;
@@ -35,13 +36,13 @@
     /**
      * Lets time pass at the present rate.
      *
-     * @param elapsedMillis time since the last call, in milliseconds
+     * @param elapsedNanos time since the last call, in nanoseconds
      */
-    public void advance(double elapsedMillis) {
-        if (elapsedMillis <= 0) {
+    public void advance(double elapsedNanos) {
+        if (elapsedNanos <= 0) {
             return;
         }
-        double inflow = ratePerSecond * elapsedMillis / MILLIS_PER_SECOND;
+        double inflow = ratePerSecond * elapsedNanos / NANOS_PER_SECOND;
         level = Math.min(cap, level + inflow);
     }
 
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/time/CautiousClock.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/time/CautiousClock.java
@@ -7,35 +7,41 @@
  * safe for use by several threads.
  */
 public final class CautiousClock {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     private long lastMonotonic;
+    private long lastNanos;
     private long lastWall;
     private long cautious;
 
     /**
      * Creates a clock.
      *
-     * @param monotonicMillis monotonic time at the start
+     * @param monotonicNanos monotonic time at the start
      * @param wallMillis wall time at the start
      */
-    public CautiousClock(long monotonicMillis, long wallMillis) {
-        this.lastMonotonic = monotonicMillis;
+    public CautiousClock(long monotonicNanos, long wallMillis) {
+        this.lastNanos = monotonicNanos;
+        this.lastMonotonic = monotonicNanos / NANOS_PER_MILLI;
         this.lastWall = wallMillis;
-        this.cautious = monotonicMillis;
+        this.cautious = lastMonotonic;
     }
 
     /**
      * Turns two clock values into a reading.
      *
-     * @param monotonicMillis monotonic time now
+     * @param monotonicNanos monotonic time now
      * @param wallMillis wall time now
      * @return the reading
      */
-    public ClockReading read(long monotonicMillis, long wallMillis) {
+    public ClockReading read(long monotonicNanos, long wallMillis) {
+        long monotonicMillis = monotonicNanos / NANOS_PER_MILLI;
         long monotonicElapsed = Math.max(0, monotonicMillis - lastMonotonic);
         long wallElapsed = Math.max(0, wallMillis - lastWall);
         cautious += Math.max(monotonicElapsed, wallElapsed);
         lastMonotonic = Math.max(lastMonotonic, monotonicMillis);
+        lastNanos = Math.max(lastNanos, monotonicNanos);
         lastWall = wallMillis;
-        return new ClockReading(lastMonotonic, cautious);
+        return new ClockReading(lastMonotonic, cautious, lastNanos);
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/time/ClockReading.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/time/ClockReading.java
@@ -11,8 +11,12 @@
  * @param monotonicMillis monotonic time in milliseconds
  * @param cautiousMillis time in milliseconds that also covers suspension and steps of the wall
  *     clock
+ * @param monotonicNanos monotonic time in nanoseconds, for amounts that grow with time: a coarse
+ *     clock would let a window take in one tick too much
  */
-public record ClockReading(long monotonicMillis, long cautiousMillis) {
+public record ClockReading(long monotonicMillis, long cautiousMillis, long monotonicNanos) {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     /**
      * Reading of a clock that never steps and is never suspended.
      *
@@ -20,6 +24,6 @@
      * @return a reading with both times equal
      */
     public static ClockReading steady(long millis) {
-        return new ClockReading(millis, millis);
+        return new ClockReading(millis, millis, millis * NANOS_PER_MILLI);
     }
 }
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/BaseShareTest.java
@@ -0,0 +1,111 @@
+package io.vanillapoint.core.limit;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.is;
+
+import io.vanillapoint.api.model.CustomerId;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.TokenGrant;
+import io.vanillapoint.core.limit.VirtualFleet.Node;
+import org.junit.jupiter.api.Test;
+
+/** Single steps of the argument in {@link RegionAuthority}, each with the fault it is meant for. */
+class BaseShareTest {
+    private static final TokenGrant GRANT = new TokenGrant(100, 300);
+    private static final RegionId REGION = VirtualFleet.REGIONS.get(0);
+    private static final CustomerId CUSTOMER = VirtualFleet.CUSTOMERS.get(0);
+    private static final long WARM_UP_MILLIS = 8_000;
+
+    @Test
+    void sharesAddUpToOneWhenAllAreActive() {
+        VirtualFleet fleet = fleet(LimitTiming.defaults());
+        fleet.addVm(REGION);
+        fleet.addVm(REGION);
+        fleet.addVm(REGION);
+        fleet.advance(WARM_UP_MILLIS);
+        double sum =
+                fleet.nodes.values().stream()
+                        .mapToDouble(node -> node.authority.shareOf(node.clock(), CUSTOMER))
+                        .sum();
+        assertThat(sum, closeTo(1, 1e-9));
+    }
+
+    @Test
+    void lonelyVmTakesTheWholeShare() {
+        VirtualFleet fleet = fleet(LimitTiming.defaults());
+        Node node = fleet.addVm(REGION);
+        fleet.advance(WARM_UP_MILLIS);
+        assertThat(node.authority.baseShare(), is(1.0));
+    }
+
+    /** The predecessor's leases may still be in use, so that a restarted VM must wait for them. */
+    @Test
+    void restartedVmWaitsForItsPredecessorsLeases() {
+        VirtualFleet fleet = fleet(LimitTiming.defaults().withListLagMillis(0));
+        Node restarted = fleet.addVm(REGION);
+        fleet.addVm(REGION);
+        fleet.advance(WARM_UP_MILLIS);
+        restarted.kill();
+        restarted.start();
+        fleet.advance(1_900);
+        assertThat(restarted.authority.isActive(), is(false));
+        fleet.advance(2_000);
+        assertThat(restarted.authority.isActive(), is(true));
+    }
+
+    /**
+     * A restarted VM reads a list from before another VM came, and can't reach that VM. It must
+     * wait out the list's lag, or it would take the whole share while the other holds half.
+     */
+    @Test
+    void restartedVmWithAnOldListWaitsOutTheLag() {
+        VirtualFleet fleet = fleet(LimitTiming.defaults());
+        Node restarted = fleet.addVm(REGION);
+        fleet.advance(WARM_UP_MILLIS);
+        Node other = fleet.addVm(REGION);
+        fleet.advance(3_000);
+        assertThat(other.authority.isActive(), is(true));
+        restarted.kill();
+        fleet.cut(restarted.id, other.id);
+        fleet.cut(other.id, restarted.id);
+        restarted.listAgeMillis = 5_000;
+        restarted.start();
+        fleet.advance(WARM_UP_MILLIS);
+        assertThat(restarted.authority.isActive(), is(false));
+    }
+
+    @Test
+    void deadVmsPartComesBackOnceThePlatformDropsIt() {
+        VirtualFleet fleet = fleet(LimitTiming.defaults());
+        Node stays = fleet.addVm(REGION);
+        Node dies = fleet.addVm(REGION);
+        fleet.advance(WARM_UP_MILLIS);
+        dies.kill();
+        fleet.advance(WARM_UP_MILLIS);
+        assertThat(stays.authority.shareOf(stays.clock(), CUSTOMER), closeTo(0.5, 1e-9));
+        fleet.drop(dies.id);
+        fleet.advance(WARM_UP_MILLIS);
+        assertThat(stays.authority.shareOf(stays.clock(), CUSTOMER), closeTo(1, 1e-9));
+    }
+
+    @Test
+    void pausedHolderFindsItsLeasesLapsed() {
+        VirtualFleet fleet = fleet(LimitTiming.defaults());
+        fleet.addVm(REGION);
+        fleet.addVm(REGION);
+        fleet.advance(WARM_UP_MILLIS);
+        Node holder =
+                fleet.nodes.values().stream()
+                        .filter(node -> node.authority.shareOf(node.clock(), CUSTOMER) == 1.0)
+                        .findFirst()
+                        .orElseThrow();
+        holder.suspend(5_000);
+        fleet.advance(4_900);
+        assertThat(holder.authority.shareOf(holder.clock(), CUSTOMER), closeTo(0.5, 1e-9));
+    }
+
+    private static VirtualFleet fleet(LimitTiming timing) {
+        return new VirtualFleet(1, SharePolicy.DELEGATED, timing, GRANT);
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/FaultAction.java
@@ -0,0 +1,193 @@
+package io.vanillapoint.core.limit;
+
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.core.limit.VirtualFleet.Node;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One step of a random run. The numbers pick VMs and lengths of time, so that any list of actions
+ * can be run and shrunk.
+ *
+ * @param kind what happens
+ * @param first picks a VM
+ * @param second picks another VM or a length of time
+ */
+record FaultAction(Kind kind, int first, int second) {
+    /** What may happen. */
+    enum Kind {
+        WAIT {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                fleet.advance(100 + 25L * (second % 200));
+            }
+        },
+        SHORT_WAIT {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                fleet.advance(25L * (1 + second % 20));
+            }
+        },
+        BURST {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                for (int i = 0; i < 12; i++) {
+                    VmId entry = vm(fleet, first + i).id;
+                    fleet.request(entry, VirtualFleet.CUSTOMERS.get(second % 6), 20 + second % 60);
+                    fleet.advance(25);
+                }
+            }
+        },
+        KILL {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                vm(fleet, first).kill();
+            }
+        },
+        RESTART {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                Node node = vm(fleet, first);
+                node.kill();
+                fleet.advance(25L * (second % 40));
+                if (fleet.isListed(node.id)) {
+                    node.start();
+                }
+            }
+        },
+        START {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                vm(fleet, first).start();
+            }
+        },
+        ADD {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                RegionId region = vm(fleet, first).region;
+                if (fleet.listedIn(region) < MAX_VMS) {
+                    fleet.addVm(region);
+                }
+            }
+        },
+        REMOVE {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                Node node = vm(fleet, first);
+                if (fleet.listedIn(node.region) > 2) {
+                    node.kill();
+                    fleet.drop(node.id);
+                }
+            }
+        },
+        REPLACE {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                Node node = vm(fleet, first);
+                node.kill();
+                fleet.drop(node.id);
+                fleet.addVm(node.region);
+            }
+        },
+        PAUSE {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                vm(fleet, first).pause(25L * (second % 200));
+            }
+        },
+        SUSPEND {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                vm(fleet, first).suspend(25L * (second % 200));
+            }
+        },
+        CLOCK_STEP {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                vm(fleet, first).wallOffset += (second - 500) * 10L;
+            }
+        },
+        CUT_ONE_WAY {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                fleet.cut(vm(fleet, first).id, vm(fleet, second).id);
+            }
+        },
+        CUT_BOTH_WAYS {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                fleet.cut(vm(fleet, first).id, vm(fleet, second).id);
+                fleet.cut(vm(fleet, second).id, vm(fleet, first).id);
+            }
+        },
+        HEAL_ONE {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                VmId one = vm(fleet, first).id;
+                VmId other = vm(fleet, second).id;
+                fleet.cuts.remove(new VirtualFleet.Pair(one, other));
+                fleet.cuts.remove(new VirtualFleet.Pair(other, one));
+            }
+        },
+        PLATFORM_OF_ONE {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                Node node = vm(fleet, first);
+                node.cutFromPlatform = !node.cutFromPlatform;
+            }
+        },
+        CUT_OFF {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                VmId lone = vm(fleet, first).id;
+                for (VmId other : fleet.nodes.keySet()) {
+                    fleet.cut(lone, other);
+                    fleet.cut(other, lone);
+                }
+            }
+        },
+        CUT_REGIONS {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                for (Node one : fleet.nodes.values()) {
+                    for (Node other : fleet.nodes.values()) {
+                        if (!one.region.equals(other.region)) {
+                            fleet.cut(one.id, other.id);
+                        }
+                    }
+                }
+            }
+        },
+        HEAL {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                fleet.cuts.clear();
+                fleet.platformDown = false;
+                fleet.nodes.values().forEach(node -> node.cutFromPlatform = false);
+            }
+        },
+        PLATFORM {
+            @Override
+            void run(VirtualFleet fleet, int first, int second) {
+                fleet.platformDown = !fleet.platformDown;
+            }
+        };
+
+        private static final int MAX_VMS = 5;
+
+        abstract void run(VirtualFleet fleet, int first, int second);
+
+        /** Picks a VM that the platform lists. */
+        private static Node vm(VirtualFleet fleet, int number) {
+            List<Node> listed = new ArrayList<>(fleet.nodes.values());
+            listed.removeIf(node -> !fleet.isListed(node.id));
+            return listed.get(number % listed.size());
+        }
+    }
+
+    void run(VirtualFleet fleet) {
+        fleet.note("action " + this);
+        kind.run(fleet, first, second);
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/VirtualFleet.java
@@ -0,0 +1,473 @@
+package io.vanillapoint.core.limit;
+
+import io.vanillapoint.api.event.EventCode;
+import io.vanillapoint.api.model.Customer;
+import io.vanillapoint.api.model.CustomerId;
+import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.api.model.GatewayConfig;
+import io.vanillapoint.api.model.Lifecycle;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.TokenGrant;
+import io.vanillapoint.api.model.Vm;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.hash.Rendezvous;
+import io.vanillapoint.core.invariant.Invariants;
+import io.vanillapoint.core.limit.TokenGather.Ask;
+import io.vanillapoint.core.limit.TokenGather.Part;
+import io.vanillapoint.core.message.Heartbeat;
+import io.vanillapoint.core.message.HeartbeatReply;
+import io.vanillapoint.core.message.Outgoing;
+import io.vanillapoint.core.message.PeerMessage;
+import io.vanillapoint.core.message.ReserveReply;
+import io.vanillapoint.core.message.ReserveRequest;
+import io.vanillapoint.core.message.Settle;
+import io.vanillapoint.core.time.CautiousClock;
+import io.vanillapoint.core.time.ClockReading;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+
+/**
+ * VMs of two regions in virtual time, with a network and a platform that fail. It drives {@link
+ * RegionAuthority} and {@link TokenGather} as they are and asserts the promise on rate and burst at
+ * every grant.
+ */
+final class VirtualFleet {
+    static final List<RegionId> REGIONS = List.of(new RegionId("a"), new RegionId("b"));
+    static final List<CustomerId> CUSTOMERS =
+            IntStream.range(0, 6).mapToObj(number -> new CustomerId("c" + number)).toList();
+
+    private static final long STEP_MILLIS = 25;
+    private static final long ASK_MILLIS = 400;
+    private static final long RANDOM_AGE = -1;
+    private static final double EPSILON = 1e-6;
+
+    final LimitTiming timing;
+    final Random random;
+    final Map<VmId, Node> nodes = new TreeMap<>();
+    final Set<Pair> cuts = new HashSet<>();
+    double lossRate;
+    double lateRate;
+    double doubleRate;
+    double giveBackRate = 0.5;
+    boolean platformDown;
+    long now = 1_000_000;
+    int granted;
+    int refused;
+    double grantedTokens;
+    long remoteAsks;
+
+    private final SharePolicy policy;
+    private final TokenGrant grant;
+    private final GrantLedger ledger = new GrantLedger();
+    private final PriorityQueue<Delivery> network =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Delivery::at).thenComparingLong(Delivery::number));
+    private final List<Listing> listings = new ArrayList<>();
+    private final Set<VmId> listed = new HashSet<>();
+    private final Map<Reservation, Reserved> reservations = new HashMap<>();
+    private final ArrayDeque<String> trace = new ArrayDeque<>();
+    private long deliveries;
+    private long incarnations = 1;
+    private int names;
+
+    VirtualFleet(long seed, SharePolicy policy, LimitTiming timing, TokenGrant grant) {
+        this.random = new Random(seed);
+        this.policy = policy;
+        this.timing = timing;
+        this.grant = grant;
+    }
+
+    /** Adds a VM with a new name to the platform's list and starts it. */
+    Node addVm(RegionId region) {
+        VmId id = new VmId(region + "-" + names++);
+        Node node = new Node(id, region);
+        nodes.put(id, node);
+        listed.add(id);
+        publish();
+        node.start();
+        return node;
+    }
+
+    /** The platform drops a VM that no longer runs. */
+    void drop(VmId id) {
+        if (nodes.get(id).authority == null && listed.remove(id)) {
+            publish();
+        }
+    }
+
+    /** Lets time pass. */
+    void advance(long millis) {
+        long end = now + millis;
+        while (now < end) {
+            now += STEP_MILLIS;
+            deliverDue();
+            nodes.values().forEach(Node::step);
+            checkShares();
+        }
+    }
+
+    /** Lets a VM admit a request; the tokens are settled later. */
+    void request(VmId entry, CustomerId customer, double tokens) {
+        Node node = nodes.get(entry);
+        if (node.runs()) {
+            node.request(customer, tokens);
+        }
+    }
+
+    long listedIn(RegionId region) {
+        return listed.stream().filter(id -> nodes.get(id).region.equals(region)).count();
+    }
+
+    boolean isListed(VmId id) {
+        return listed.contains(id);
+    }
+
+    void cut(VmId from, VmId to) {
+        cuts.add(new Pair(from, to));
+    }
+
+    private void publish() {
+        GatewayConfig.Builder config = GatewayConfig.builder(listings.size() + 1);
+        for (CustomerId id : CUSTOMERS) {
+            Customer.Builder customer = Customer.builder(id, grant);
+            REGIONS.forEach(region -> customer.region(region, 1));
+            config.customer(customer.build());
+        }
+        for (VmId id : listed) {
+            Endpoint unused = new Endpoint("127.0.0.1", 1);
+            RegionId region = nodes.get(id).region;
+            ZoneId zone = new ZoneId(region.value());
+            config.vm(new Vm(id, region, zone, unused, unused, unused, Lifecycle.LIVE));
+        }
+        listings.add(new Listing(now, config.build()));
+    }
+
+    private void send(VmId from, VmId to, PeerMessage message) {
+        if (random.nextDouble() < lossRate || cuts.contains(new Pair(from, to))) {
+            return;
+        }
+        int copies = random.nextDouble() < doubleRate ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            boolean sameRegion = nodes.get(from).region.equals(nodes.get(to).region);
+            long delay = (sameRegion ? 2 : 55) + random.nextInt(10);
+            if (random.nextDouble() < lateRate) {
+                delay += random.nextInt(3 * (int) timing.leaseMillis());
+            }
+            network.add(new Delivery(now + delay, deliveries++, from, to, message));
+        }
+    }
+
+    private void deliverDue() {
+        while (!network.isEmpty() && network.peek().at() <= now) {
+            Delivery delivery = network.poll();
+            Node node = nodes.get(delivery.to());
+            if (node.authority == null) {
+                continue;
+            }
+            if (!node.runs()) {
+                node.inbox.add(delivery);
+                continue;
+            }
+            node.receive(delivery.from(), delivery.message());
+        }
+    }
+
+    private void checkShares() {
+        for (RegionId region : REGIONS) {
+            for (CustomerId customer : CUSTOMERS) {
+                double sum = 0;
+                for (Node node : nodes.values()) {
+                    if (node.authority != null && node.region.equals(region)) {
+                        sum += node.authority.shareOf(node.clock(), customer);
+                    }
+                }
+                if (sum > 1 + EPSILON) {
+                    fail("shares of " + customer + " in " + region + " add up to " + sum);
+                }
+            }
+        }
+    }
+
+    private void book(CustomerId customer, double tokens) {
+        double excess = ledger.add(customer, grant, now, tokens);
+        if (excess > grant.burst() * (1 + EPSILON)) {
+            fail(customer + " got " + excess + " over its rate, the burst is " + grant.burst());
+        }
+    }
+
+    void note(String text) {
+        trace.addLast(now + " " + text);
+        if (trace.size() > 60) {
+            trace.removeFirst();
+        }
+    }
+
+    private void fail(String message) {
+        throw new AssertionError(message + "\n" + String.join("\n", trace));
+    }
+
+    /** One VM, running or not. */
+    final class Node {
+        final VmId id;
+        final RegionId region;
+        final double clockRate = 1 + (random.nextDouble() * 2 - 1) * timing.drift() * 0.99;
+        RegionAuthority authority;
+        long pausedUntil;
+        long wallOffset;
+        boolean cutFromPlatform;
+        long listAgeMillis = RANDOM_AGE;
+        private long monotonic;
+        private long lastTrue;
+        private CautiousClock clock;
+        private long readRevision;
+        private long nextRead;
+        private long nextId = 1;
+        private final ArrayDeque<Delivery> inbox = new ArrayDeque<>();
+        private final Map<Long, Pending> pending = new HashMap<>();
+        private final Set<TokenGather> finished = new HashSet<>();
+
+        private Node(VmId id, RegionId region) {
+            this.id = id;
+            this.region = region;
+        }
+
+        boolean runs() {
+            return authority != null && now >= pausedUntil;
+        }
+
+        void start() {
+            if (authority != null) {
+                return;
+            }
+            note("start " + id);
+            monotonic = random.nextInt(1_000_000) * 1_000_000L;
+            lastTrue = now;
+            clock = new CautiousClock(monotonic, now + wallOffset);
+            readRevision = 0;
+            nextRead = now;
+            inbox.clear();
+            pending.clear();
+            pausedUntil = 0;
+            nextId = incarnations * 1_000_000;
+            authority =
+                    new RegionAuthority(
+                            new AuthoritySettings(id, region, incarnations++, timing, policy),
+                            clock(),
+                            this::record,
+                            new Invariants(this::record));
+        }
+
+        void kill() {
+            if (authority != null) {
+                note("kill " + id);
+                authority = null;
+            }
+        }
+
+        /** Stops the process; its clocks go on. */
+        void pause(long millis) {
+            note("pause " + id + " " + millis);
+            pausedUntil = now + millis;
+        }
+
+        /** Stops the whole VM; its monotonic clock stands still. */
+        void suspend(long millis) {
+            clock();
+            lastTrue = now + millis;
+            pause(millis);
+        }
+
+        ClockReading clock() {
+            if (now > lastTrue) {
+                monotonic += (long) ((now - lastTrue) * 1e6 * clockRate);
+                lastTrue = now;
+            }
+            return clock.read(monotonic, now + wallOffset);
+        }
+
+        private void record(EventCode code, Object... values) {
+            if (code == EventCode.INVARIANT_BROKEN) {
+                fail("invariant " + List.of(values));
+            }
+            if (code != EventCode.LEASE_GAINED && code != EventCode.RATE_REFUSED) {
+                note(id + " " + code + " " + List.of(values));
+            }
+        }
+
+        private void step() {
+            if (!runs()) {
+                return;
+            }
+            while (!inbox.isEmpty()) {
+                Delivery delivery = inbox.poll();
+                receive(delivery.from(), delivery.message());
+            }
+            readPlatform();
+            for (Outgoing outgoing : authority.tick(clock())) {
+                if (nodes.containsKey(outgoing.to())) {
+                    send(id, outgoing.to(), outgoing.message());
+                }
+            }
+            List.copyOf(pending.entrySet()).stream()
+                    .filter(entry -> now >= entry.getValue().deadline)
+                    .forEach(entry -> noAnswer(entry.getKey()));
+        }
+
+        /** Reads a list that is up to the lag old; never an older one than before. */
+        private void readPlatform() {
+            if (platformDown || cutFromPlatform || now < nextRead) {
+                return;
+            }
+            nextRead = now + 200 + random.nextInt(400);
+            long randomAge = random.nextInt((int) timing.listLagMillis() + 1);
+            long asOf = now - (listAgeMillis == RANDOM_AGE ? randomAge : listAgeMillis);
+            for (int i = listings.size() - 1; i >= 0; i--) {
+                Listing listing = listings.get(i);
+                boolean visible = listing.at() <= asOf || i == 0;
+                if (visible && listing.config().revision() >= readRevision) {
+                    readRevision = listing.config().revision();
+                    authority.configure(clock(), listing.config(), readRevision);
+                    authority.listRead(clock());
+                    return;
+                }
+            }
+        }
+
+        private void receive(VmId from, PeerMessage message) {
+            if (message instanceof Heartbeat heartbeat) {
+                send(id, from, authority.receive(clock(), from, heartbeat));
+            } else if (message instanceof HeartbeatReply reply) {
+                authority.receive(clock(), from, reply);
+            } else if (message instanceof ReserveRequest request) {
+                ReserveOutcome outcome = reserve(from, request);
+                send(
+                        id,
+                        from,
+                        new ReserveReply(
+                                request.id(),
+                                outcome.granted(),
+                                outcome.retryAfterMillis(),
+                                outcome.share()));
+            } else if (message instanceof ReserveReply reply) {
+                Pending waiting = pending.remove(reply.id());
+                if (waiting != null) {
+                    proceed(waiting.gather, waiting.gather.answer(reply.id(), reply.granted()));
+                }
+            } else if (message instanceof Settle settle) {
+                settle(from, settle);
+            }
+        }
+
+        private ReserveOutcome reserve(VmId from, ReserveRequest request) {
+            ReserveOutcome outcome =
+                    authority.reserve(
+                            clock(),
+                            from,
+                            request.id(),
+                            request.customer(),
+                            request.tokens(),
+                            request.partial());
+            book(request.customer(), outcome.granted());
+            if (outcome.granted() > 0) {
+                reservations.put(
+                        new Reservation(id, from, request.id()),
+                        new Reserved(request.customer(), outcome.granted()));
+            }
+            return outcome;
+        }
+
+        private void settle(VmId from, Settle settle) {
+            double back = authority.settle(clock(), from, settle.id(), settle.unused());
+            Reserved reserved = reservations.remove(new Reservation(id, from, settle.id()));
+            if (reserved != null) {
+                book(reserved.customer(), -Math.min(back, reserved.tokens()));
+            }
+        }
+
+        private void request(CustomerId customer, double tokens) {
+            List<VmId> later = new ArrayList<>();
+            if (policy == SharePolicy.DELEGATED) {
+                RegionId other = REGIONS.get(1 - REGIONS.indexOf(region));
+                List<VmId> vms =
+                        listed.stream().filter(vm -> nodes.get(vm).region.equals(other)).toList();
+                Rendezvous.pick(customer.value(), vms, VmId::value).ifPresent(later::add);
+            } else if (policy == SharePolicy.NO_DELEGATION) {
+                listed.stream().filter(vm -> !vm.equals(id)).sorted().forEach(later::add);
+            }
+            TokenGather gather =
+                    new TokenGather(customer, tokens, grant.ratePerSecond(), later, () -> nextId++);
+            proceed(gather, gather.start(authority.home(customer).orElse(id)));
+        }
+
+        private void proceed(TokenGather gather, List<Ask> asks) {
+            for (Ask ask : asks) {
+                ReserveRequest request =
+                        new ReserveRequest(ask.id(), ask.customer(), ask.tokens(), true);
+                if (ask.to().equals(id)) {
+                    double taken = reserve(id, request).granted();
+                    proceed(gather, gather.answer(ask.id(), taken));
+                } else {
+                    pending.put(ask.id(), new Pending(gather, now + ASK_MILLIS));
+                    remoteAsks++;
+                    send(id, ask.to(), request);
+                }
+            }
+            gather.takeSurplus().forEach(part -> giveBack(part, part.tokens()));
+            finish(gather);
+        }
+
+        private void finish(TokenGather gather) {
+            if (gather.state() == TokenGather.State.OPEN || !finished.add(gather)) {
+                return;
+            }
+            if (gather.state() == TokenGather.State.REFUSED) {
+                refused++;
+                return;
+            }
+            granted++;
+            grantedTokens += gather.parts().stream().mapToDouble(Part::tokens).sum();
+            double used = random.nextDouble() < giveBackRate ? 0 : Double.MAX_VALUE;
+            Settlement.unused(gather.parts(), used).forEach(part -> giveBack(part, part.tokens()));
+        }
+
+        private void giveBack(Part part, double tokens) {
+            Settle settle = new Settle(part.id(), tokens);
+            if (part.source().equals(id)) {
+                settle(id, settle);
+            } else {
+                send(id, part.source(), settle);
+            }
+        }
+
+        private void noAnswer(long ask) {
+            Pending waiting = pending.remove(ask);
+            proceed(waiting.gather, waiting.gather.noAnswer(ask));
+        }
+    }
+
+    /** Names one reservation at one VM. */
+    private record Reservation(VmId home, VmId asker, long id) {}
+
+    /** What a reservation holds, kept apart from the code under test. */
+    private record Reserved(CustomerId customer, double tokens) {}
+
+    /** A direction between two VMs. */
+    record Pair(VmId from, VmId to) {}
+
+    private record Delivery(long at, long number, VmId from, VmId to, PeerMessage message) {}
+
+    private record Listing(long at, GatewayConfig config) {}
+
+    private record Pending(TokenGather gather, long deadline) {}
+}
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/WrongfulRefusalTest.java
@@ -0,0 +1,126 @@
+package io.vanillapoint.core.limit;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.vanillapoint.api.model.CustomerId;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.TokenGrant;
+import io.vanillapoint.api.model.VmId;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Traffic within the rate of the whole fleet is not refused, and the policies compared on it. */
+class WrongfulRefusalTest {
+    private static final TokenGrant GRANT = new TokenGrant(100, 300);
+    private static final long WARM_UP_MILLIS = 20_000;
+    private static final int ROUNDS = 600;
+    private static final long ROUND_MILLIS = 500;
+
+    @Test
+    void nothingWithinTheRateIsRefusedWithoutFaults() {
+        for (Spread spread : Spread.values()) {
+            Outcome outcome = run(SharePolicy.DELEGATED, spread, false);
+            report(SharePolicy.DELEGATED, spread, false, outcome);
+            assertThat(spread.name(), outcome.refused(), is(0));
+        }
+    }
+
+    @Test
+    void oneDeadVmCostsAtMostItsOwnPart() {
+        Outcome outcome = run(SharePolicy.DELEGATED, Spread.EVEN, true);
+        report(SharePolicy.DELEGATED, Spread.EVEN, true, outcome);
+        double deadVmsPart = 1.0 / 6;
+        assertThat(outcome.refusedFraction(), lessThanOrEqualTo(deadVmsPart));
+    }
+
+    @Test
+    void delegationRefusesLessThanTheBaselines() {
+        Outcome delegated = run(SharePolicy.DELEGATED, Spread.ONE_REGION, false);
+        Outcome split = run(SharePolicy.STATIC_SPLIT, Spread.ONE_REGION, false);
+        Outcome undelegated = run(SharePolicy.NO_DELEGATION, Spread.ONE_REGION, false);
+        report(SharePolicy.STATIC_SPLIT, Spread.ONE_REGION, false, split);
+        report(SharePolicy.NO_DELEGATION, Spread.ONE_REGION, false, undelegated);
+        assertThat(delegated.refusedFraction(), lessThan(split.refusedFraction()));
+        assertThat(delegated.asksPerRequest(), lessThan(undelegated.asksPerRequest()));
+        assertThat(split.refused(), greaterThan(0));
+    }
+
+    /** Requests of 40 tokens at 96 tokens a second for each customer, whose rate is 100. */
+    private static Outcome run(SharePolicy policy, Spread spread, boolean oneDies) {
+        VirtualFleet fleet = new VirtualFleet(7, policy, LimitTiming.defaults(), GRANT);
+        fleet.giveBackRate = 0;
+        for (RegionId region : VirtualFleet.REGIONS) {
+            for (int i = 0; i < 3; i++) {
+                fleet.addVm(region);
+            }
+        }
+        fleet.advance(WARM_UP_MILLIS);
+        if (oneDies) {
+            fleet.nodes.values().iterator().next().kill();
+        }
+        int requests = 0;
+        double owed = 0;
+        for (int round = 0; round < ROUNDS; round++) {
+            owed += 96 * ROUND_MILLIS / 1_000.0;
+            while (owed >= 40) {
+                owed -= 40;
+                for (CustomerId customer : VirtualFleet.CUSTOMERS) {
+                    fleet.request(spread.entry(fleet, requests++), customer, 40);
+                }
+            }
+            fleet.advance(ROUND_MILLIS);
+        }
+        fleet.advance(ROUND_MILLIS);
+        return new Outcome(fleet.granted, fleet.refused, fleet.remoteAsks);
+    }
+
+    private static void report(
+            SharePolicy policy, Spread spread, boolean oneDies, Outcome outcome) {
+        System.out.printf(
+                "%-14s %-11s one VM dead: %-5s refused %.4f of %d, remote asks a request %.2f%n",
+                policy,
+                spread,
+                oneDies,
+                outcome.refusedFraction(),
+                outcome.granted() + outcome.refused(),
+                outcome.asksPerRequest());
+    }
+
+    /** Where the callers send their requests. */
+    private enum Spread {
+        EVEN,
+        ONE_REGION,
+        ONE_VM;
+
+        private VmId entry(VirtualFleet fleet, int number) {
+            List<VmId> alive = new ArrayList<>();
+            for (VirtualFleet.Node node : fleet.nodes.values()) {
+                if (node.runs()) {
+                    alive.add(node.id);
+                }
+            }
+            int choices =
+                    switch (this) {
+                        case EVEN -> alive.size();
+                        case ONE_REGION -> 3;
+                        case ONE_VM -> 1;
+                    };
+            return alive.get(number % choices);
+        }
+    }
+
+    private record Outcome(int granted, int refused, long asks) {
+        private double refusedFraction() {
+            return refused / (double) (granted + refused);
+        }
+
+        private double asksPerRequest() {
+            return asks / (double) (granted + refused);
+        }
+    }
+}
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlIdentity.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlIdentity.java
@@ -11,5 +11,7 @@
  * @param region its region
  * @param sharePolicy how VMs share rates
  * @param peerMillis longest wait for a peer's word in milliseconds
+ * @param firstExchange number of the first exchange; differs between starts of the process
  */
-record ControlIdentity(VmId vm, RegionId region, SharePolicy sharePolicy, long peerMillis) {}
+record ControlIdentity(
+        VmId vm, RegionId region, SharePolicy sharePolicy, long peerMillis, long firstExchange) {}
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
@@ -64,6 +64,7 @@
 public final class ControlPlane {
     private static final long TICK_MILLIS = 50;
     private static final long PEER_CONFIG_MILLIS = 1_000;
+    private static final long EXCHANGES_PER_MILLI = 1_000;
     private static final Duration RETRY_SOON = Duration.ofSeconds(1);
     private static final CustomerId OPEN_ROUTE = new CustomerId("(open)");
 
@@ -106,7 +107,7 @@
         this.context = vertx.getOrCreateContext();
         this.settings = settings;
         this.events = events;
-        this.clock = new CautiousClock(monotonicMillis(), System.currentTimeMillis());
+        this.clock = new CautiousClock(System.nanoTime(), System.currentTimeMillis());
         this.store = new ConfigStore(parser, events);
         this.authority =
                 new RegionAuthority(
@@ -147,7 +148,8 @@
                                 settings.vm(),
                                 settings.region(),
                                 settings.sharePolicy(),
-                                settings.timeouts().peerMillis()),
+                                settings.timeouts().peerMillis(),
+                                hello.incarnation() * EXCHANGES_PER_MILLI),
                         authority,
                         this::now,
                         this::send,
@@ -354,7 +356,7 @@
      * @return the reading
      */
     public ClockReading now() {
-        return clock.read(monotonicMillis(), System.currentTimeMillis());
+        return clock.read(System.nanoTime(), System.currentTimeMillis());
     }
 
     private void tick() {
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/TokenReserver.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/TokenReserver.java
@@ -50,7 +50,7 @@
     private final BiConsumer<VmId, PeerMessage> send;
     private final Predicate<Vm> isReachable;
     private final Map<Long, Pending> pending = new HashMap<>();
-    private long nextId = 1;
+    private long nextId;
 
     TokenReserver(
             Vertx vertx,
@@ -64,6 +64,7 @@
         this.region = identity.region();
         this.policy = identity.sharePolicy();
         this.peerMillis = identity.peerMillis();
+        this.nextId = identity.firstExchange();
         this.authority = authority;
         this.clock = clock;
         this.send = send;
