Run requests with an idempotency key at most once

Cause: a repeat of a publish or booking ran again. Ruled out: one home VM (dies with its memory); homes by list alone (two VMs with different lists ask different VMs); trusting wall clocks of callers. Change: the system issues keys that name the two VMs which remember them; a chosen key counts only where memory and lists cover the time for repeats. A first attempt must be registered with one of the two, any other with both. Caller gone: the run goes on and its answer is kept for the repeat.

--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/idempotency/IssuedKey.java
@@ -0,0 +1,62 @@
+package io.vanillapoint.core.idempotency;
+
+import io.vanillapoint.api.model.VmId;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * An idempotency key that the system has issued. It names the VMs that remember it, so that every
+ * VM asks the same ones whatever list of VMs it has read. Immutable.
+ *
+ * @param homes VMs that remember the key, not empty
+ * @param random text that makes the key unique
+ */
+public record IssuedKey(List<VmId> homes, String random) {
+    private static final String PREFIX = "vp1.";
+    private static final int MAX_CHARACTERS = 512;
+
+    /** Copies the VMs. */
+    public IssuedKey {
+        homes = List.copyOf(homes);
+    }
+
+    /**
+     * Reads a key.
+     *
+     * @param text value of the header
+     * @return the key, or nothing if the system did not issue it
+     */
+    public static Optional<IssuedKey> parse(String text) {
+        String[] parts = text.split("\\.", -1);
+        if (!text.startsWith(PREFIX) || text.length() > MAX_CHARACTERS || parts.length != 3) {
+            return Optional.empty();
+        }
+        try {
+            byte[] names = Base64.getUrlDecoder().decode(parts[1]);
+            List<VmId> homes =
+                    Arrays.stream(new String(names, StandardCharsets.UTF_8).split(","))
+                            .map(VmId::new)
+                            .toList();
+            return Optional.of(new IssuedKey(homes, parts[2]));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    /**
+     * Text for callers.
+     *
+     * @return value of the header
+     */
+    public String text() {
+        String names = String.join(",", homes.stream().map(VmId::value).toList());
+        byte[] bytes = names.getBytes(StandardCharsets.UTF_8);
+        return PREFIX
+                + Base64.getUrlEncoder().withoutPadding().encodeToString(bytes)
+                + "."
+                + random;
+    }
+}
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/idempotency/KeyRegistry.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/idempotency/KeyRegistry.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.core.idempotency;
 
 import io.vanillapoint.core.message.CompleteKey;
+import io.vanillapoint.core.message.KeyOrigin;
 import io.vanillapoint.core.message.KeyOutcome;
 import io.vanillapoint.core.message.KeyStatus;
 import io.vanillapoint.core.message.RegisterReply;
@@ -14,60 +15,73 @@
 /**
  * What one VM remembers of idempotency keys.
  *
- * <p>Invariants: a key belongs to one attempt at a time, and only the end of that attempt with
- * {@link KeyOutcome#NOT_RUN} frees it. When an entry is forgotten, {@link
- * RegisterReply#remembersSinceMillis()} moves past its time, so that nobody takes the gap for
- * knowledge. Confined to one thread.
+ * <p>Invariants:
+ *
+ * <ul>
+ *   <li>A key belongs to one attempt at a time, and only the end of that attempt with {@link
+ *       KeyOutcome#NOT_RUN} frees it.
+ *   <li>{@link KeyStatus#NEW} is said only if it is certain that no other attempt holds the key
+ *       here: the VM remembers that it is unused, or its memory covers the time in which a repeat
+ *       may come.
+ * </ul>
+ *
+ * <p>Confined to one thread.
  */
 public final class KeyRegistry {
     private final int maxEntries;
     private final long maxAnswerBytes;
+    private final long runningMillis;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
-    private long remembersSinceMillis;
+    private long certainSinceMillis;
     private long answerBytes;
 
     /**
      * Creates an empty registry.
      *
-     * @param startMillis wall time of the process start
+     * @param nowMillis monotonic time of the process start
      * @param maxEntries largest number of keys
      * @param maxAnswerBytes largest size of all kept answers in bytes
+     * @param runningMillis time after which an attempt that has not ended counts as lost
      */
-    public KeyRegistry(long startMillis, int maxEntries, long maxAnswerBytes) {
-        this.remembersSinceMillis = startMillis;
+    public KeyRegistry(long nowMillis, int maxEntries, long maxAnswerBytes, long runningMillis) {
+        this.certainSinceMillis = nowMillis;
         this.maxEntries = maxEntries;
         this.maxAnswerBytes = maxAnswerBytes;
+        this.runningMillis = runningMillis;
     }
 
     /**
-     * Wall time since when every key has been remembered.
+     * Time since when every key has been remembered.
      *
-     * @return milliseconds since 1970
+     * @return monotonic time in milliseconds
      */
-    public long remembersSinceMillis() {
-        return remembersSinceMillis;
+    public long certainSinceMillis() {
+        return certainSinceMillis;
     }
 
     /**
-     * Registers an attempt.
+     * Registers an attempt, or a new key.
      *
-     * @param wallMillis wall time now
+     * @param nowMillis monotonic time
      * @param request the registration
-     * @return what was known of the key; {@link KeyStatus#NEW} if it now belongs to the attempt
+     * @param isCertain whether a chosen key that is not remembered was certainly never registered
+     *     here within the time in which a repeat may come
+     * @return what was known of the key
      */
-    public RegisterReply register(long wallMillis, RegisterRequest request) {
+    public RegisterReply register(long nowMillis, RegisterRequest request, boolean isCertain) {
         Entry entry = entries.get(request.key());
         if (entry == null) {
-            entry = new Entry(request.attempt(), request.fingerprint(), wallMillis);
-            entries.put(request.key(), entry);
-            forgetOldest();
-            return reply(request, KeyStatus.NEW, true, null);
+            if (request.origin() == KeyOrigin.ISSUING) {
+                add(request.key(), new Entry(nowMillis));
+                return reply(request, KeyStatus.NEW, true, null);
+            }
+            if (request.origin() == KeyOrigin.ISSUED || !isCertain) {
+                return reply(request, KeyStatus.UNKNOWN, true, null);
+            }
+            entry = new Entry(nowMillis);
+            add(request.key(), entry);
         }
-        boolean matches = entry.fingerprint.equals(request.fingerprint());
-        boolean sameAttempt = entry.attempt.equals(request.attempt());
-        KeyStatus status =
-                sameAttempt && entry.status == KeyStatus.RUNNING ? KeyStatus.NEW : entry.status;
-        return reply(request, status, matches, entry.answer);
+        return registerAttempt(nowMillis, request, entry);
     }
 
     /**
@@ -77,17 +91,33 @@
      */
     public void complete(CompleteKey message) {
         Entry entry = entries.get(message.key());
-        if (entry == null || !entry.attempt.equals(message.attempt())) {
+        if (entry == null || !message.attempt().equals(entry.attempt)) {
             return;
         }
         switch (message.outcome()) {
-            case NOT_RUN -> entries.remove(message.key());
+            case NOT_RUN -> entry.free();
             case UNKNOWN -> entry.status = KeyStatus.UNKNOWN;
             case ANSWERED -> keep(entry, message.answer());
             default -> throw new IllegalStateException("outcome " + message.outcome());
         }
     }
 
+    private RegisterReply registerAttempt(long nowMillis, RegisterRequest request, Entry entry) {
+        if (entry.attempt == null) {
+            entry.hold(request, nowMillis);
+            return reply(request, KeyStatus.NEW, true, null);
+        }
+        boolean matches = entry.fingerprint.equals(request.fingerprint());
+        boolean running = entry.status == KeyStatus.RUNNING;
+        if (running && entry.attempt.equals(request.attempt())) {
+            return reply(request, KeyStatus.NEW, matches, null);
+        }
+        if (running && nowMillis - entry.heldSinceMillis > runningMillis) {
+            return reply(request, KeyStatus.UNKNOWN, matches, null);
+        }
+        return reply(request, entry.status, matches, entry.answer);
+    }
+
     private void keep(Entry entry, Optional<StoredAnswer> answer) {
         boolean fits =
                 answer.isPresent() && answerBytes + answer.get().body().length <= maxAnswerBytes;
@@ -100,36 +130,48 @@
         answerBytes += answer.get().body().length;
     }
 
-    private RegisterReply reply(
+    private static RegisterReply reply(
             RegisterRequest request, KeyStatus status, boolean matches, StoredAnswer answer) {
-        return new RegisterReply(
-                request.id(), status, remembersSinceMillis, matches, Optional.ofNullable(answer));
+        return new RegisterReply(request.id(), status, matches, Optional.ofNullable(answer));
     }
 
-    private void forgetOldest() {
+    private void add(String key, Entry entry) {
+        entries.put(key, entry);
         Iterator<Entry> oldest = entries.values().iterator();
         while (entries.size() > maxEntries) {
-            Entry entry = oldest.next();
+            Entry forgotten = oldest.next();
             oldest.remove();
-            remembersSinceMillis = Math.max(remembersSinceMillis, entry.createdMillis + 1);
-            if (entry.answer != null) {
-                answerBytes -= entry.answer.body().length;
+            certainSinceMillis = Math.max(certainSinceMillis, forgotten.createdMillis + 1);
+            if (forgotten.answer != null) {
+                answerBytes -= forgotten.answer.body().length;
             }
         }
     }
 
     /** State of one key. */
     private static final class Entry {
-        private final String attempt;
-        private final String fingerprint;
         private final long createdMillis;
-        private KeyStatus status = KeyStatus.RUNNING;
+        private String attempt;
+        private String fingerprint;
+        private long heldSinceMillis;
+        private KeyStatus status;
         private StoredAnswer answer;
 
-        private Entry(String attempt, String fingerprint, long createdMillis) {
-            this.attempt = attempt;
-            this.fingerprint = fingerprint;
+        private Entry(long createdMillis) {
             this.createdMillis = createdMillis;
         }
+
+        private void hold(RegisterRequest request, long nowMillis) {
+            attempt = request.attempt();
+            fingerprint = request.fingerprint();
+            heldSinceMillis = nowMillis;
+            status = KeyStatus.RUNNING;
+        }
+
+        private void free() {
+            if (status == KeyStatus.RUNNING) {
+                attempt = null;
+            }
+        }
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/message/RegisterReply.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/RegisterReply.java
@@ -7,14 +7,9 @@
  *
  * @param id number of the exchange
  * @param status what the VM knows of the key
- * @param remembersSinceMillis wall time since when the VM has remembered every key
  * @param fingerprintMatches false if the key was used for another request
  * @param answer the first answer, if the request has run
  */
 public record RegisterReply(
-        long id,
-        KeyStatus status,
-        long remembersSinceMillis,
-        boolean fingerprintMatches,
-        Optional<StoredAnswer> answer)
+        long id, KeyStatus status, boolean fingerprintMatches, Optional<StoredAnswer> answer)
         implements PeerMessage {}
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/idempotency/AtMostOnceProperties.java
@@ -0,0 +1,91 @@
+package io.vanillapoint.core.idempotency;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+
+import io.vanillapoint.api.model.VmId;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/**
+ * A request with an idempotency key runs at most once, whatever happens to its first attempt, its
+ * repeats and the VMs that remember it. The fleet itself asserts it at each run.
+ */
+class AtMostOnceProperties {
+    private static final int KEYS = 60;
+    private static final int FAULTS = 40;
+    private static final long SPREAD_MILLIS = 300_000;
+
+    @Property(tries = 300, seed = "20261205")
+    void holdsForIssuedKeys(@ForAll int seed) {
+        OnceFleet fleet = run(seed, true);
+        assertThat(fleet.decidedToRun, greaterThan(0));
+    }
+
+    @Property(tries = 300, seed = "20261206")
+    void holdsForChosenKeys(@ForAll int seed) {
+        run(seed, false);
+    }
+
+    private static OnceFleet run(long seed, boolean issued) {
+        OnceFleet fleet = new OnceFleet(seed, 2 + (int) Math.floorMod(seed, 4L));
+        fleet.lossRate = 0.05;
+        Random random = fleet.random;
+        for (int i = 0; i < KEYS; i++) {
+            long start = random.nextInt((int) SPREAD_MILLIS);
+            String chosen = "key-" + i;
+            fleet.at(
+                    start,
+                    () -> {
+                        if (issued) {
+                            process(fleet, fleet.anyVm()).issue(key -> attempts(fleet, key));
+                        } else {
+                            attempts(fleet, chosen);
+                        }
+                    });
+        }
+        for (int i = 0; i < FAULTS; i++) {
+            fleet.at(random.nextInt((int) SPREAD_MILLIS), () -> fault(fleet));
+        }
+        fleet.advance(SPREAD_MILLIS + 2 * OnceFleet.REPEAT_MILLIS);
+        return fleet;
+    }
+
+    /** A first attempt, marked or not, and up to four repeats within the time for repeats. */
+    private static void attempts(OnceFleet fleet, String key) {
+        process(fleet, fleet.anyVm()).attempt(key, fleet.random.nextBoolean());
+        int repeats = fleet.random.nextInt(5);
+        for (int i = 0; i < repeats; i++) {
+            long delay =
+                    fleet.random.nextBoolean()
+                            ? fleet.random.nextInt(2_000)
+                            : fleet.random.nextInt((int) OnceFleet.REPEAT_MILLIS);
+            fleet.at(delay, () -> process(fleet, fleet.anyVm()).attempt(key, false));
+        }
+    }
+
+    private static void fault(OnceFleet fleet) {
+        VmId vm = fleet.anyVm();
+        switch (fleet.random.nextInt(5)) {
+            case 0 -> fleet.start(vm);
+            case 1 -> {
+                fleet.addVm();
+                fleet.remove(vm);
+            }
+            case 2 -> fleet.cutOff.add(vm);
+            case 3 -> fleet.cutOff.clear();
+            default -> {
+                if (fleet.processes.size() > 2) {
+                    fleet.remove(vm);
+                } else {
+                    fleet.addVm();
+                }
+            }
+        }
+    }
+
+    private static OnceFleet.Process process(OnceFleet fleet, VmId vm) {
+        return fleet.processes.get(vm);
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/idempotency/KeyDecisionTest.java
@@ -0,0 +1,69 @@
+package io.vanillapoint.core.idempotency;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.vanillapoint.core.message.KeyStatus;
+import io.vanillapoint.core.message.RegisterReply;
+import io.vanillapoint.core.message.StoredAnswer;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Decisions from the answers of the VMs that remember a key. */
+class KeyDecisionTest {
+    @Test
+    void runsWhenEveryHomeRegisteredIt() {
+        assertThat(decide(false, KeyStatus.NEW, KeyStatus.NEW), is(KeyDecision.Action.RUN));
+    }
+
+    @Test
+    void repeatDoesNotRunWhenOneHomeIsSilent() {
+        assertThat(decide(false, KeyStatus.NEW), is(KeyDecision.Action.UNKNOWN));
+    }
+
+    @Test
+    void firstAttemptRunsWhenOneHomeIsSilent() {
+        assertThat(decide(true, KeyStatus.NEW), is(KeyDecision.Action.RUN));
+    }
+
+    @Test
+    void nothingRunsBesideARunningAttempt() {
+        assertThat(
+                decide(true, KeyStatus.NEW, KeyStatus.RUNNING), is(KeyDecision.Action.IN_PROGRESS));
+    }
+
+    @Test
+    void nothingRunsWhenAHomeMayHaveForgotten() {
+        assertThat(decide(false, KeyStatus.NEW, KeyStatus.UNKNOWN), is(KeyDecision.Action.UNKNOWN));
+    }
+
+    @Test
+    void nothingRunsWhenNobodyAnswers() {
+        assertThat(decide(true), is(KeyDecision.Action.UNAVAILABLE));
+    }
+
+    @Test
+    void firstAnswerIsSentAgain() {
+        StoredAnswer answer = new StoredAnswer(200, "text/plain", new byte[] {1});
+        RegisterReply reply = new RegisterReply(1, KeyStatus.ANSWERED, true, Optional.of(answer));
+        KeyDecision decision = KeyDecision.of(2, List.of(reply), false);
+        assertThat(decision.answer(), is(Optional.of(answer)));
+    }
+
+    @Test
+    void keyOfAnotherRequestIsRefused() {
+        RegisterReply reply = new RegisterReply(1, KeyStatus.RUNNING, false, Optional.empty());
+        assertThat(
+                KeyDecision.of(2, List.of(reply), false).action(), is(KeyDecision.Action.REUSED));
+    }
+
+    private static KeyDecision.Action decide(boolean first, KeyStatus... statuses) {
+        List<RegisterReply> replies =
+                Arrays.stream(statuses)
+                        .map(status -> new RegisterReply(1, status, true, Optional.empty()))
+                        .toList();
+        return KeyDecision.of(KeyHomes.HOMES, replies, first).action();
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/idempotency/KeyHomesTest.java
@@ -0,0 +1,59 @@
+package io.vanillapoint.core.idempotency;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.vanillapoint.api.model.VmId;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** When a VM may say that it was never asked about a key. */
+class KeyHomesTest {
+    private static final long REPEAT_MILLIS = 60_000;
+    private static final long LAG_MILLIS = 5_000;
+    private static final long CERTAIN_MILLIS = REPEAT_MILLIS + 2 * LAG_MILLIS;
+    private static final VmId ONE = new VmId("one");
+    private static final VmId TWO = new VmId("two");
+    private static final VmId THREE = new VmId("three");
+
+    @Test
+    void certainAfterTheTimeForRepeats() {
+        KeyHomes homes = new KeyHomes(ONE, REPEAT_MILLIS, LAG_MILLIS);
+        homes.acceptList(0, List.of(ONE, TWO));
+        assertThat(homes.isCertain(CERTAIN_MILLIS - 1, 0, "key", vm -> true), is(false));
+        assertThat(homes.isCertain(CERTAIN_MILLIS, 0, "key", vm -> true), is(true));
+    }
+
+    @Test
+    void uncertainWhileAnotherListMayHavePlacedTheKeyElsewhere() {
+        String key = keyWithHomes(List.of(ONE, TWO), List.of(ONE, TWO, THREE));
+        KeyHomes homes = new KeyHomes(ONE, REPEAT_MILLIS, LAG_MILLIS);
+        homes.acceptList(0, List.of(ONE, TWO, THREE));
+        homes.acceptList(CERTAIN_MILLIS, List.of(ONE, TWO));
+        assertThat(homes.isCertain(2 * CERTAIN_MILLIS - 1, 0, key, vm -> true), is(false));
+        assertThat(homes.isCertain(2 * CERTAIN_MILLIS, 0, key, vm -> true), is(true));
+    }
+
+    @Test
+    void uncertainOfKeysWithOtherHomes() {
+        KeyHomes homes = new KeyHomes(ONE, REPEAT_MILLIS, LAG_MILLIS);
+        homes.acceptList(0, List.of(TWO, THREE));
+        assertThat(homes.isCertain(2 * CERTAIN_MILLIS, 0, "key", vm -> true), is(false));
+    }
+
+    @Test
+    void issuedKeyKeepsItsHomes() {
+        IssuedKey key = new IssuedKey(List.of(ONE, TWO), "random");
+        assertThat(IssuedKey.parse(key.text()).orElseThrow(), is(key));
+    }
+
+    /** A key that the first list places at its two VMs and the second list does not. */
+    private static String keyWithHomes(List<VmId> wanted, List<VmId> other) {
+        return IntStream.range(0, 1_000)
+                .mapToObj(number -> "key-" + number)
+                .filter(key -> !wanted.containsAll(KeyHomes.homes(key, other)))
+                .findFirst()
+                .orElseThrow();
+    }
+}
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
@@ -22,16 +22,21 @@
 import io.vanillapoint.core.limit.RegionAuthority;
 import io.vanillapoint.core.limit.ReserveOutcome;
 import io.vanillapoint.core.limit.TokenGather.Part;
+import io.vanillapoint.core.message.CompleteKey;
 import io.vanillapoint.core.message.ConfigReply;
 import io.vanillapoint.core.message.ConfigRequest;
 import io.vanillapoint.core.message.Heartbeat;
 import io.vanillapoint.core.message.HeartbeatReply;
+import io.vanillapoint.core.message.KeyOutcome;
 import io.vanillapoint.core.message.PeerHello;
 import io.vanillapoint.core.message.PeerMessage;
 import io.vanillapoint.core.message.PublishedValue;
+import io.vanillapoint.core.message.RegisterReply;
+import io.vanillapoint.core.message.RegisterRequest;
 import io.vanillapoint.core.message.ReserveReply;
 import io.vanillapoint.core.message.ReserveRequest;
 import io.vanillapoint.core.message.Settle;
+import io.vanillapoint.core.message.StoredAnswer;
 import io.vanillapoint.core.routing.Dispatch;
 import io.vanillapoint.core.routing.DispatchQuery;
 import io.vanillapoint.core.routing.Dispatcher;
@@ -80,6 +85,7 @@
     private final AdmissionQueue queue;
     private final ControlLinks links;
     private final TokenReserver reserver;
+    private final KeyCoordinator keys;
     private final Map<Ticket, Promise<Void>> waiting = new HashMap<>();
     private volatile GatewayConfig config = GatewayConfig.empty();
     private volatile boolean draining;
@@ -141,19 +147,28 @@
                         settings.timing().failureMillis(),
                         events,
                         this::receiveAnswer);
+        ControlIdentity identity =
+                new ControlIdentity(
+                        settings.vm(),
+                        settings.region(),
+                        settings.sharePolicy(),
+                        settings.timeouts().peerMillis(),
+                        hello.incarnation() * EXCHANGES_PER_MILLI);
         this.reserver =
                 new TokenReserver(
                         vertx,
-                        new ControlIdentity(
-                                settings.vm(),
-                                settings.region(),
-                                settings.sharePolicy(),
-                                settings.timeouts().peerMillis(),
-                                hello.incarnation() * EXCHANGES_PER_MILLI),
+                        identity,
                         authority,
                         this::now,
                         this::send,
                         vm -> links.isReachable(vm.id()));
+        this.keys =
+                new KeyCoordinator(
+                        vertx,
+                        identity,
+                        settings.timing().listLagMillis(),
+                        this::send,
+                        this::config);
     }
 
     /** Begins to send heartbeats. */
@@ -271,6 +286,41 @@
                 nothing -> upstreams.end(monotonicMillis(), upstream, tokens, succeeded));
     }
 
+    /**
+     * Issues an idempotency key.
+     *
+     * @param customer the caller's customer
+     * @return the key, or a refusal if no VM could be asked to remember it
+     */
+    public Future<String> issueKey(Customer customer) {
+        return Threads.call(context, () -> keys.issue(customer, entriesHere(customer)));
+    }
+
+    /**
+     * Registers an attempt of a request that may run only once.
+     *
+     * @param customer the caller's customer
+     * @param key the key that it sent
+     * @param attempt name of the attempt, unique
+     * @param fingerprint digest of the request
+     * @return what to do
+     */
+    public Future<RegisteredKey> registerKey(
+            Customer customer, PresentedKey key, String attempt, String fingerprint) {
+        return Threads.call(context, () -> keys.register(customer, key, attempt, fingerprint));
+    }
+
+    /**
+     * Ends an attempt of a request that may run only once.
+     *
+     * @param key its registration
+     * @param outcome how it ended
+     * @param answer the answer to keep, if there is one
+     */
+    public void completeKey(RegisteredKey key, KeyOutcome outcome, Optional<StoredAnswer> answer) {
+        context.runOnContext(nothing -> keys.complete(key.registration(), outcome, answer));
+    }
+
     /**
      * VMs for a caller to use, the best first.
      *
@@ -303,6 +353,7 @@
         if (store.accept(values, completeTo, source)) {
             config = store.current();
             dispatcher.configure(config);
+            keys.acceptList(config);
         }
         authority.configure(now(), config, store.vmListRevision());
     }
@@ -437,6 +488,13 @@
             authority.settle(now(), from, settle.id(), settle.unused());
             return Optional.empty();
         }
+        if (message instanceof RegisterRequest request) {
+            return Optional.of(keys.answer(request));
+        }
+        if (message instanceof CompleteKey complete) {
+            keys.complete(complete);
+            return Optional.empty();
+        }
         if (message instanceof ConfigRequest request) {
             return Optional.of(
                     new ConfigReply(store.completeTo(), store.newerThan(request.newerThan())));
@@ -450,6 +508,8 @@
             authority.receive(now(), from, reply);
         } else if (message instanceof ReserveReply reply) {
             reserver.answer(reply);
+        } else if (message instanceof RegisterReply reply) {
+            keys.receive(from, reply);
         } else if (message instanceof ConfigReply reply) {
             acceptValues(reply.values(), reply.completeTo(), "peer " + from);
         }
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/KeyCoordinator.java
@@ -0,0 +1,240 @@
+package io.vanillapoint.server.control;
+
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.api.model.Customer;
+import io.vanillapoint.api.model.CustomerId;
+import io.vanillapoint.api.model.GatewayConfig;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.Vm;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.core.idempotency.IssuedKey;
+import io.vanillapoint.core.idempotency.KeyDecision;
+import io.vanillapoint.core.idempotency.KeyHomes;
+import io.vanillapoint.core.idempotency.KeyRegistration;
+import io.vanillapoint.core.idempotency.KeyRegistry;
+import io.vanillapoint.core.message.CompleteKey;
+import io.vanillapoint.core.message.KeyOrigin;
+import io.vanillapoint.core.message.KeyOutcome;
+import io.vanillapoint.core.message.PeerMessage;
+import io.vanillapoint.core.message.RegisterReply;
+import io.vanillapoint.core.message.RegisterRequest;
+import io.vanillapoint.core.message.StoredAnswer;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+
+/**
+ * Keeps requests that may run only once from running twice: this VM's memory of idempotency keys,
+ * and the questions to the VMs that remember the keys of its own requests. Confined to the control
+ * thread.
+ */
+final class KeyCoordinator {
+    private static final int MAX_KEYS = 50_000;
+    private static final long MAX_ANSWER_BYTES = 8L * 1024 * 1024;
+    private static final long RUNNING_MILLIS = TimeUnit.MINUTES.toMillis(2);
+    private static final long REPEAT_MILLIS = TimeUnit.MINUTES.toMillis(1);
+    private static final int RANDOM_BYTES = 16;
+    private static final Duration RETRY_SOON = Duration.ofSeconds(1);
+
+    private final Vertx vertx;
+    private final ControlIdentity identity;
+    private final BiConsumer<VmId, PeerMessage> send;
+    private final Supplier<GatewayConfig> config;
+    private final KeyRegistry registry;
+    private final KeyHomes homes;
+    private final SecureRandom random = new SecureRandom();
+    private final Map<Long, Question> open = new HashMap<>();
+    private long nextId;
+
+    KeyCoordinator(
+            Vertx vertx,
+            ControlIdentity identity,
+            long listLagMillis,
+            BiConsumer<VmId, PeerMessage> send,
+            Supplier<GatewayConfig> config) {
+        this.vertx = vertx;
+        this.identity = identity;
+        this.send = send;
+        this.config = config;
+        this.nextId = identity.firstExchange();
+        this.registry = new KeyRegistry(now(), MAX_KEYS, MAX_ANSWER_BYTES, RUNNING_MILLIS);
+        this.homes = new KeyHomes(identity.vm(), REPEAT_MILLIS, listLagMillis);
+    }
+
+    /** Takes over the platform's list of VMs. */
+    void acceptList(GatewayConfig newConfig) {
+        homes.acceptList(now(), newConfig.vms().keySet());
+    }
+
+    /** Issues a key: two VMs remember it as unused before the caller gets it. */
+    Future<String> issue(Customer customer, List<Vm> live) {
+        List<VmId> chosen = new ArrayList<>(List.of(identity.vm()));
+        live.stream()
+                .map(Vm::id)
+                .filter(vm -> !vm.equals(identity.vm()))
+                .limit(KeyHomes.HOMES - 1L)
+                .forEach(chosen::add);
+        byte[] bytes = new byte[RANDOM_BYTES];
+        random.nextBytes(bytes);
+        IssuedKey key = new IssuedKey(chosen, HexFormat.of().formatHex(bytes));
+        KeyRegistration registration =
+                new KeyRegistration(
+                        scoped(customer, key.text()), "", "", KeyOrigin.ISSUING, chosen, true);
+        return ask(registration)
+                .compose(
+                        decision ->
+                                decision.action() == KeyDecision.Action.RUN
+                                        ? Future.succeededFuture(key.text())
+                                        : Future.failedFuture(unavailable()));
+    }
+
+    /** Registers an attempt with the VMs that remember its key. */
+    Future<RegisteredKey> register(
+            Customer customer, PresentedKey key, String attempt, String fingerprint) {
+        Optional<IssuedKey> issued = IssuedKey.parse(key.text());
+        String scoped = scoped(customer, key.text());
+        List<VmId> remembering =
+                issued.map(IssuedKey::homes).orElseGet(() -> chosenHomes(customer, scoped));
+        KeyRegistration registration =
+                new KeyRegistration(
+                        scoped,
+                        attempt,
+                        fingerprint,
+                        issued.isPresent() ? KeyOrigin.ISSUED : KeyOrigin.CHOSEN,
+                        remembering,
+                        key.firstAttempt());
+        return ask(registration).map(decision -> new RegisteredKey(registration, decision));
+    }
+
+    /** Tells the VMs that remember a key how an attempt ended. */
+    void complete(KeyRegistration registration, KeyOutcome outcome, Optional<StoredAnswer> answer) {
+        CompleteKey message = registration.completion(outcome, answer);
+        for (VmId home : registration.homes()) {
+            if (home.equals(identity.vm())) {
+                registry.complete(message);
+            } else {
+                send.accept(home, message);
+            }
+        }
+    }
+
+    /** Answers another VM. */
+    RegisterReply answer(RegisterRequest request) {
+        return registry.register(now(), request, isCertain(request));
+    }
+
+    /** Takes the end of another VM's attempt. */
+    void complete(CompleteKey message) {
+        registry.complete(message);
+    }
+
+    /** Takes the answer of another VM. */
+    void receive(VmId from, RegisterReply reply) {
+        Question question = open.remove(reply.id());
+        if (question != null) {
+            question.registration.answer(from, reply);
+            decide(question);
+        }
+    }
+
+    private Future<KeyDecision> ask(KeyRegistration registration) {
+        Promise<KeyDecision> promise = Promise.promise();
+        for (VmId home : registration.homes()) {
+            long id = nextId++;
+            Question question = new Question(registration, promise);
+            if (home.equals(identity.vm())) {
+                registration.answer(home, answer(registration.request(id)));
+                decide(question);
+                continue;
+            }
+            open.put(id, question);
+            send.accept(home, registration.request(id));
+            vertx.setTimer(identity.peerMillis(), timer -> giveUp(id, home));
+        }
+        return promise.future();
+    }
+
+    private void giveUp(long id, VmId home) {
+        Question question = open.remove(id);
+        if (question != null) {
+            question.registration.noAnswer(home);
+            decide(question);
+        }
+    }
+
+    private static void decide(Question question) {
+        question.registration.decision().ifPresent(question.promise::tryComplete);
+    }
+
+    private boolean isCertain(RegisterRequest request) {
+        Optional<Customer> customer = customerOf(request.key());
+        return customer.isPresent()
+                && homes.isCertain(
+                        now(),
+                        registry.certainSinceMillis(),
+                        request.key(),
+                        vm -> isInHomeRegion(customer.get(), vm));
+    }
+
+    private List<VmId> chosenHomes(Customer customer, String scoped) {
+        List<VmId> eligible =
+                config.get().vms().keySet().stream()
+                        .filter(vm -> isInHomeRegion(customer, vm))
+                        .toList();
+        return KeyHomes.homes(scoped, eligible);
+    }
+
+    private boolean isInHomeRegion(Customer customer, VmId vm) {
+        Vm listed = config.get().vms().get(vm);
+        return listed != null && listed.region().equals(homeRegion(customer));
+    }
+
+    /** The permitted region with the largest weight, the first by name among equals. */
+    private static RegionId homeRegion(Customer customer) {
+        Comparator<Map.Entry<RegionId, Double>> byWeight =
+                Comparator.comparingDouble(Map.Entry::getValue);
+        return customer.regionWeights().entrySet().stream()
+                .max(byWeight.thenComparing(Map.Entry::getKey, Comparator.reverseOrder()))
+                .orElseThrow()
+                .getKey();
+    }
+
+    private static String scoped(Customer customer, String key) {
+        return customer.id() + "\n" + key;
+    }
+
+    private Optional<Customer> customerOf(String scoped) {
+        String name = scoped.substring(0, Math.max(0, scoped.indexOf('\n')));
+        if (name.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.ofNullable(config.get().customers().get(new CustomerId(name)));
+    }
+
+    private static VanillapointException unavailable() {
+        return VanillapointException.refusal(
+                ErrorCode.REGISTRY_UNAVAILABLE,
+                "too few VMs could be asked to remember the key",
+                RETRY_SOON);
+    }
+
+    private static long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /** A registration that waits for answers. */
+    private record Question(KeyRegistration registration, Promise<KeyDecision> promise) {}
+}
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerHandler.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerHandler.java
@@ -17,6 +17,7 @@
 import io.vanillapoint.core.message.Hop;
 import io.vanillapoint.core.message.VisitedPath;
 import io.vanillapoint.core.routing.RouteGuard;
+import io.vanillapoint.server.control.PresentedKey;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -34,6 +35,9 @@
 final class CallerHandler {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final long ENTRIES_LIFETIME_SECONDS = 10;
+    private static final String KEY_HEADER = "idempotency-key";
+    private static final String ATTEMPT_HEADER = "idempotency-attempt";
+    private static final int MAX_KEY_CHARACTERS = 512;
     private static final long CLOSE_DELAY_MILLIS = 200;
     private static final Duration RETRY_SOON = Duration.ofSeconds(1);
     private static final Set<String> METHODS =
@@ -75,6 +79,10 @@
             entries(request, caller(request, config));
             return;
         }
+        if (path.equals("/idempotency-keys")) {
+            issueKey(request, caller(request, config));
+            return;
+        }
         if (path.equals("/v1/models")) {
             models(request, caller(request, config));
             return;
@@ -151,13 +159,30 @@
                             plan,
                             request.method().name(),
                             HeaderRules.toUpstream(request.headers(), caller.key),
-                            VisitedPath.empty().with(here()));
+                            VisitedPath.empty().with(here()),
+                            onceKey(request, caller, plan));
             new RequestExecution(context, run, protocol.meter(plan), sink).start();
         } catch (VanillapointException e) {
             fail(request, e);
         }
     }
 
+    /** Idempotency key of a request that may run only once, or null. */
+    private static PresentedKey onceKey(
+            HttpServerRequest request, Caller caller, RequestPlan plan) {
+        String text = request.getHeader(KEY_HEADER);
+        if (text == null || plan.repeatable() || caller.customer == null) {
+            return null;
+        }
+        if (text.isBlank() || text.length() > MAX_KEY_CHARACTERS) {
+            throw new VanillapointException(
+                    ErrorCode.BAD_REQUEST,
+                    KEY_HEADER,
+                    "expected 1 to " + MAX_KEY_CHARACTERS + " characters");
+        }
+        return new PresentedKey(text, "1".equals(request.getHeader(ATTEMPT_HEADER)));
+    }
+
     private Hop here() {
         return new Hop(context.settings().vm(), context.settings().region());
     }
@@ -213,6 +238,15 @@
                 .onFailure(error -> fail(request, VanillapointErrors.of(error)));
     }
 
+    private void issueKey(HttpServerRequest request, Caller caller) {
+        checkRegion(request, caller, context.control().config());
+        context.control()
+                .issueKey(caller.customer)
+                .onSuccess(
+                        key -> json(request, MAPPER.createObjectNode().put("idempotency_key", key)))
+                .onFailure(error -> fail(request, VanillapointErrors.of(error)));
+    }
+
     private static void models(HttpServerRequest request, Caller caller) {
         ObjectNode body = MAPPER.createObjectNode();
         body.put("object", "list");
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerSink.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerSink.java
@@ -15,6 +15,7 @@
 
     private final HttpServerRequest request;
     private final HttpServerResponse response;
+    private Runnable drain = () -> {};
 
     CallerSink(HttpServerRequest request) {
         this.request = request;
@@ -39,11 +40,12 @@
 
     @Override
     public boolean isFull() {
-        return response.writeQueueFull();
+        return !response.closed() && response.writeQueueFull();
     }
 
     @Override
     public void onDrain(Runnable handler) {
+        drain = handler;
         response.drainHandler(nothing -> handler.run());
     }
 
@@ -70,8 +72,8 @@
 
     @Override
     public void onClose(Runnable handler) {
-        response.closeHandler(nothing -> handler.run());
-        response.exceptionHandler(error -> handler.run());
+        response.closeHandler(nothing -> gone(handler));
+        response.exceptionHandler(error -> gone(handler));
     }
 
     /** Sends an error with a body of its own. */
@@ -87,6 +89,12 @@
         response.end(body.toString());
     }
 
+    /** A source that is paused must not wait for a caller that is gone. */
+    private void gone(Runnable handler) {
+        handler.run();
+        drain.run();
+    }
+
     /** Cuts the answer so that the caller sees that it is not whole. */
     private void cut() {
         if (request.version() == HttpVersion.HTTP_2) {
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/PeerConnection.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/PeerConnection.java
@@ -82,7 +82,8 @@
                         plan(message, customer),
                         message.method(),
                         message.headers(),
-                        message.path().with(here));
+                        message.path().with(here),
+                        null);
         sinks.put(message.stream(), sink);
         new RequestExecution(context, request, new PassThroughMeter(), sink)
                 .start()
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestExecution.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestExecution.java
@@ -10,15 +10,20 @@
 import io.vanillapoint.api.model.VmId;
 import io.vanillapoint.api.plugin.UsageMeter;
 import io.vanillapoint.core.message.HeaderField;
+import io.vanillapoint.core.message.KeyOutcome;
+import io.vanillapoint.core.message.StoredAnswer;
 import io.vanillapoint.core.routing.Dispatch;
 import io.vanillapoint.core.routing.DispatchQuery;
 import io.vanillapoint.server.control.Admission;
 import io.vanillapoint.server.control.ControlPlane;
+import io.vanillapoint.server.control.RegisteredKey;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -29,6 +34,9 @@
  * admission is ended once. Confined to one event loop.
  */
 final class RequestExecution {
+    private static final int MAX_KEPT_BYTES = 64 * 1024;
+    private static final Duration RETRY_SOON = Duration.ofSeconds(1);
+
     private final TrafficContext context;
     private final RunRequest request;
     private final MeteredSink sink;
@@ -39,13 +47,15 @@
     private Admission admission;
     private int attempts;
     private boolean cancelled;
+    private boolean cutting;
     private boolean mayHaveRun;
+    private RegisteredKey registered;
 
     RequestExecution(
             TrafficContext context, RunRequest request, UsageMeter meter, AnswerSink target) {
         this.context = context;
         this.request = request;
-        this.sink = new MeteredSink(target, meter);
+        this.sink = new MeteredSink(target, meter, request.onceKey() != null);
     }
 
     /** Starts. The future completes when nothing of the request is left, whatever came of it. */
@@ -62,6 +72,7 @@
     /** Ends the request without an answer, at the limit of a shutdown. */
     void cut() {
         events().record(EventCode.CUT_AT_SHUTDOWN, request.id());
+        cutting = true;
         cancel();
     }
 
@@ -76,7 +87,62 @@
             finish(0);
             return;
         }
-        nextAttempt();
+        if (request.onceKey() == null) {
+            nextAttempt();
+            return;
+        }
+        control()
+                .registerKey(
+                        request.customer(),
+                        request.onceKey(),
+                        request.id(),
+                        RequestFingerprint.of(request))
+                .onSuccess(this::decided)
+                .onFailure(error -> refuse(VanillapointErrors.of(error)));
+    }
+
+    private void decided(RegisteredKey key) {
+        registered = key;
+        switch (key.decision().action()) {
+            case RUN -> nextAttempt();
+            case REPLAY -> replay(key.decision().answer().orElseThrow());
+            case IN_PROGRESS -> refuseRepeat(ErrorCode.IN_PROGRESS, "another attempt is running");
+            case UNKNOWN ->
+                    refuseRepeat(
+                            ErrorCode.RUN_UNKNOWN,
+                            "an earlier attempt with this key may have run; this one was not");
+            case REUSED -> refuseRepeat(ErrorCode.KEY_REUSED, "the key belongs to another request");
+            case UNAVAILABLE ->
+                    refuse(
+                            VanillapointException.refusal(
+                                    ErrorCode.REGISTRY_UNAVAILABLE,
+                                    "no VM that remembers the key could be asked",
+                                    RETRY_SOON));
+            default -> throw new IllegalStateException("action " + key.decision().action());
+        }
+    }
+
+    private void refuseRepeat(ErrorCode code, String message) {
+        refuse(new VanillapointException(code, "idempotency-key", message));
+    }
+
+    private void replay(StoredAnswer answer) {
+        complete(KeyOutcome.NOT_RUN, Optional.empty());
+        List<HeaderField> headers =
+                List.of(
+                        new HeaderField("content-type", answer.contentType()),
+                        new HeaderField("idempotent-replayed", "true"));
+        sink.target.head(answer.status(), headers);
+        sink.target.data(Buffer.buffer(answer.body()));
+        sink.target.end();
+        finish(0);
+    }
+
+    private void complete(KeyOutcome outcome, Optional<StoredAnswer> answer) {
+        if (registered != null) {
+            control().completeKey(registered, outcome, answer);
+            registered = null;
+        }
     }
 
     private void nextAttempt() {
@@ -112,6 +178,7 @@
         triedUpstreams.add(upstream.id());
         if (cancelled) {
             control().upstreamEnded(upstream.id(), request.plan().tokens(), true);
+            complete(mayHaveRun ? KeyOutcome.UNKNOWN : KeyOutcome.NOT_RUN, Optional.empty());
             finish(0);
             return;
         }
@@ -147,16 +214,19 @@
                             "the answer ended without its end marker",
                             RunState.RAN,
                             null);
+            complete(KeyOutcome.UNKNOWN, Optional.empty());
             sink.target.fail(error);
             finish(request.plan().tokens());
             return;
         }
+        complete(KeyOutcome.ANSWERED, sink.stored());
         sink.target.end();
         finish(sink.meter.usedTokens(request.plan().tokens()));
     }
 
     private void attemptFailed(String target, VanillapointException error) {
         if (cancelled) {
+            complete(KeyOutcome.UNKNOWN, Optional.empty());
             finish(request.plan().tokens());
             return;
         }
@@ -179,6 +249,8 @@
                 mayHaveRun && error.runState() == RunState.NOT_RUN
                         ? error.withRunState(RunState.UNKNOWN)
                         : error;
+        boolean ran = mayHaveRun || sink.headPassed;
+        complete(ran ? KeyOutcome.UNKNOWN : KeyOutcome.NOT_RUN, Optional.empty());
         events().record(EventCode.REQUEST_REFUSED, request.id(), told.code().code());
         sink.target.fail(told);
         finish(mayHaveRun ? request.plan().tokens() : 0);
@@ -188,6 +260,9 @@
         if (cancelled || ended.future().isComplete()) {
             return;
         }
+        if (attempt != null && !request.plan().repeatable() && !cutting) {
+            return;
+        }
         cancelled = true;
         events().record(EventCode.REQUEST_CANCELLED, request.id());
         if (attempt != null) {
@@ -222,31 +297,45 @@
     private static final class MeteredSink implements AnswerSink {
         private final AnswerSink target;
         private final UsageMeter meter;
+        private final Buffer kept;
         private boolean headPassed;
         private int status;
+        private String contentType = "";
 
-        private MeteredSink(AnswerSink target, UsageMeter meter) {
+        private MeteredSink(AnswerSink target, UsageMeter meter, boolean keep) {
             this.target = target;
             this.meter = meter;
+            this.kept = keep ? Buffer.buffer() : null;
+        }
+
+        /** The answer, if it was kept and is not too large. */
+        private Optional<StoredAnswer> stored() {
+            if (kept == null || kept.length() > MAX_KEPT_BYTES) {
+                return Optional.empty();
+            }
+            return Optional.of(new StoredAnswer(status, contentType, kept.getBytes()));
         }
 
         @Override
         public void head(int newStatus, List<HeaderField> headers) {
             headPassed = true;
             status = newStatus;
-            String type =
+            contentType =
                     headers.stream()
                             .filter(header -> header.name().equalsIgnoreCase("content-type"))
                             .map(HeaderField::value)
                             .findFirst()
                             .orElse("");
-            meter.head(newStatus, type);
+            meter.head(newStatus, contentType);
             target.head(newStatus, headers);
         }
 
         @Override
         public void data(Buffer part) {
             meter.data(part.getBytes());
+            if (kept != null && kept.length() <= MAX_KEPT_BYTES) {
+                kept.appendBuffer(part);
+            }
             target.data(part);
         }
 
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestFingerprint.java
@@ -0,0 +1,15 @@
+package io.vanillapoint.server.traffic;
+
+import io.vanillapoint.api.model.KeyDigest;
+import java.nio.charset.StandardCharsets;
+
+/** Digest of what a request asks for, to notice a key that is used for another one. Stateless. */
+final class RequestFingerprint {
+    private RequestFingerprint() {}
+
+    static String of(RunRequest request) {
+        String body = new String(request.plan().body(), StandardCharsets.ISO_8859_1);
+        String text = request.method() + " " + request.target() + " " + request.plan().uri();
+        return KeyDigest.of(text + "\n" + body).hex();
+    }
+}
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RunRequest.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RunRequest.java
@@ -6,6 +6,7 @@
 import io.vanillapoint.core.message.HeaderField;
 import io.vanillapoint.core.message.RouteTarget;
 import io.vanillapoint.core.message.VisitedPath;
+import io.vanillapoint.server.control.PresentedKey;
 import java.util.List;
 
 /**
@@ -18,6 +19,7 @@
  * @param method HTTP method
  * @param headers headers for the upstream
  * @param path VMs visited, this one included
+ * @param onceKey idempotency key of a request that may run only once, or null
  */
 record RunRequest(
         String id,
@@ -26,7 +28,8 @@
         RequestPlan plan,
         String method,
         List<HeaderField> headers,
-        VisitedPath path) {
+        VisitedPath path,
+        PresentedKey onceKey) {
     /** Copies the headers. */
     RunRequest {
         headers = List.copyOf(headers);
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeReader.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeReader.java
@@ -21,6 +21,7 @@
 import io.vanillapoint.core.message.HeartbeatReply;
 import io.vanillapoint.core.message.HomeView;
 import io.vanillapoint.core.message.Hop;
+import io.vanillapoint.core.message.KeyOrigin;
 import io.vanillapoint.core.message.KeyOutcome;
 import io.vanillapoint.core.message.KeyStatus;
 import io.vanillapoint.core.message.LeaseGrant;
@@ -159,14 +160,13 @@
                 wire.getKey(),
                 wire.getAttempt(),
                 wire.getFingerprint(),
-                wire.getKeyMillis());
+                KeyOrigin.valueOf(wire.getOrigin()));
     }
 
     private static RegisterReply registerReply(TRegisterReply wire) {
         return new RegisterReply(
                 wire.getId(),
                 KeyStatus.valueOf(wire.getStatus()),
-                wire.getRemembersSinceMillis(),
                 wire.isFingerprintMatches(),
                 Optional.ofNullable(wire.getAnswer()).map(EnvelopeReader::answer));
     }
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeWriter.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeWriter.java
@@ -160,16 +160,13 @@
                 message.key(),
                 message.attempt(),
                 message.fingerprint(),
-                message.keyMillis());
+                message.origin().name());
     }
 
     private static TRegisterReply registerReply(RegisterReply message) {
         TRegisterReply reply =
                 new TRegisterReply(
-                        message.id(),
-                        message.status().name(),
-                        message.remembersSinceMillis(),
-                        message.fingerprintMatches());
+                        message.id(), message.status().name(), message.fingerprintMatches());
         message.answer().ifPresent(answer -> reply.setAnswer(answer(answer)));
         return reply;
     }
--- a/vanillapoint-wire/src/main/thrift/peer.thrift
+++ b/vanillapoint-wire/src/main/thrift/peer.thrift
@@ -15,11 +15,10 @@
 struct TReserveRequest { 1: i64 id, 2: string customer, 3: double tokens, 4: bool partial }
 struct TReserveReply { 1: i64 id, 2: double granted, 3: i64 retryAfterMillis, 4: double share }
 struct TSettle { 1: i64 id, 2: double unused }
-struct TRegisterRequest { 1: i64 id, 2: string key, 3: string attempt, 4: string fingerprint, 5: i64 keyMillis }
+struct TRegisterRequest { 1: i64 id, 2: string key, 3: string attempt, 4: string fingerprint, 5: string origin }
 struct TStoredAnswer { 1: i32 status, 2: string contentType, 3: binary body }
 struct TRegisterReply {
-  1: i64 id, 2: string status, 3: i64 remembersSinceMillis, 4: bool fingerprintMatches,
-  5: optional TStoredAnswer answer
+  1: i64 id, 2: string status, 3: bool fingerprintMatches, 4: optional TStoredAnswer answer
 }
 struct TCompleteKey { 1: string key, 2: string attempt, 3: string outcome, 4: optional TStoredAnswer answer }
 struct TConfigRequest { 1: i64 newerThan }
