--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
@@ -115,17 +115,7 @@
         this.events = events;
         this.clock = new CautiousClock(System.nanoTime(), System.currentTimeMillis());
         this.store = new ConfigStore(parser, events);
-        this.authority =
-                new RegionAuthority(
-                        new AuthoritySettings(
-                                settings.vm(),
-                                settings.region(),
-                                hello.incarnation(),
-                                settings.timing(),
-                                settings.sharePolicy()),
-                        now(),
-                        events,
-                        new Invariants(events));
+        this.authority = authority(hello);
         this.upstreams = new UpstreamTable(events);
         this.dispatcher =
                 new Dispatcher(
@@ -138,15 +128,7 @@
                         settings.limits().maxRunning(),
                         settings.limits().maxQueue(),
                         settings.timeouts().queueMillis());
-        this.links =
-                new ControlLinks(
-                        vertx,
-                        new PeerCodec(settings.limits().maxFrameBytes()),
-                        hello,
-                        settings.timeouts().connectMillis(),
-                        settings.timing().failureMillis(),
-                        events,
-                        this::receiveAnswer);
+        this.links = links(hello);
         ControlIdentity identity =
                 new ControlIdentity(
                         settings.vm(),
@@ -410,6 +392,28 @@
         return clock.read(System.nanoTime(), System.currentTimeMillis());
     }
 
+    private RegionAuthority authority(PeerHello hello) {
+        AuthoritySettings who =
+                new AuthoritySettings(
+                        settings.vm(),
+                        settings.region(),
+                        hello.incarnation(),
+                        settings.timing(),
+                        settings.sharePolicy());
+        return new RegionAuthority(who, now(), events, new Invariants(events));
+    }
+
+    private ControlLinks links(PeerHello hello) {
+        return new ControlLinks(
+                vertx,
+                new PeerCodec(settings.limits().maxFrameBytes()),
+                hello,
+                settings.timeouts().connectMillis(),
+                settings.timing().failureMillis(),
+                events,
+                this::receiveAnswer);
+    }
+
     private void tick() {
         ClockReading now = now();
         authority.tick(now).forEach(outgoing -> send(outgoing.to(), outgoing.message()));
