--- /dev/null
+++ b/bin/fleet.sh
@@ -0,0 +1,100 @@
+# Functions that start a fleet of stand-ins and VMs on this machine and stop what they started.
+# To be sourced. Everything is a child of the script that sources it.
+
+fleet_pids=()
+declare -A fleet_pid_of
+fleet_run=""
+fleet_operators=()
+operator_key=operator-key
+
+fleet_stop() {
+  for pid in "${fleet_pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; kill "$pid" 2>/dev/null || true; done
+  sleep 1
+  for pid in "${fleet_pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
+  for pid in "${fleet_pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$fleet_run"
+}
+
+# fleet_spawn NAME COMMAND... runs a command in the background with a log of its own.
+fleet_spawn() {
+  local name="$1"
+  shift
+  "$@" >>"$fleet_run/$name.log" 2>&1 &
+  fleet_pids+=("$!")
+  fleet_pid_of[$name]="$!"
+}
+
+# fleet_vm NAME starts one VM of the fleet.
+fleet_vm() {
+  local name="$1" port="${fleet_port_of[$1]}" region="${1%-*}"
+  fleet_spawn "$name" bin/vanillapointd --vm "$name" --region "$region" --zone "$region-1" \
+    --callers "127.0.0.1:$port" --peers "127.0.0.1:$((port + 1))" \
+    --operators "127.0.0.1:$((port + 2))" --platform "127.0.0.1:$fleet_base" \
+    --operator-key-sha256 "$fleet_operator_digest" --list-lag-ms 1000 ${FLEET_VM_FLAGS:-}
+}
+
+# fleet_prepare BASE DECLARATIONS VMS_PER_REGION ENGINES_PER_REGION REGION... writes the platform's values.
+fleet_prepare() {
+  fleet_base="$1"
+  local declarations="$2" vms_per_region="$3" engines_per_region="$4"
+  shift 4
+  fleet_regions=("$@")
+  fleet_run="$(mktemp -d)"
+  mkdir -p "$fleet_run/values/platform"
+  fleet_operator_digest="$(printf '%s' "$operator_key" | bin/vanillapoint digest)"
+  bin/vanillapoint check "$declarations"/*.yaml
+  bin/vanillapoint collect "$declarations"/*.yaml --out "$fleet_run/values"
+  declare -gA fleet_port_of
+  fleet_vms=()
+  fleet_engines=()
+  fleet_services=()
+  declare -gA fleet_upstream_port
+  local vms="" upstreams="" port=$((fleet_base + 10)) region n models
+  for region in "${fleet_regions[@]}"; do
+    for n in $(seq 1 "$vms_per_region"); do
+      fleet_port_of[$region-$n]=$port
+      fleet_vms+=("$region-$n")
+      fleet_operators+=("127.0.0.1:$((port + 2))")
+      vms+="{\"name\":\"$region-$n\",\"region\":\"$region\",\"zone\":\"$region-1\",\"callers\":\"127.0.0.1:$port\",\"peers\":\"127.0.0.1:$((port + 1))\",\"operators\":\"127.0.0.1:$((port + 2))\"},"
+      port=$((port + 3))
+    done
+    models="${FLEET_MODELS:-\"case-summary\"}"
+    if [ "$region" = "${FLEET_ONLY_REGION:-none}" ]; then models="$models,$FLEET_ONLY_MODEL"; fi
+    for n in $(seq 1 "$engines_per_region"); do
+      fleet_upstream_port[$region-engine-$n]=$port
+      fleet_engines+=("$region-engine-$n")
+      upstreams+="{\"name\":\"$region-engine-$n\",\"kind\":\"model\",\"region\":\"$region\",\"zone\":\"$region-1\",\"address\":\"127.0.0.1:$port\",\"serves\":[$models],\"capacity\":8},"
+      port=$((port + 1))
+    done
+    fleet_upstream_port[$region-service]=$port
+    fleet_services+=("$region-service")
+    upstreams+="{\"name\":\"$region-service\",\"kind\":\"service\",\"region\":\"$region\",\"zone\":\"$region-1\",\"address\":\"127.0.0.1:$port\",\"serves\":[\"publish\",\"notices\"],\"capacity\":8},"
+    port=$((port + 1))
+  done
+  echo "{\"vms\":[${vms%,}]}" >"$fleet_run/values/platform/vms.json"
+  echo "{\"upstreams\":[${upstreams%,}]}" >"$fleet_run/values/platform/upstreams.json"
+}
+
+# fleet_start starts everything that fleet_prepare has described.
+fleet_start() {
+  local name
+  fleet_spawn platform bin/vanillapoint-standin platform --port "$fleet_base" --folder "$fleet_run/values"
+  for name in "${fleet_engines[@]}"; do
+    fleet_spawn "$name" bin/vanillapoint-standin engine --port "${fleet_upstream_port[$name]}" \
+      --name "$name" ${FLEET_ENGINE_FLAGS:-}
+  done
+  for name in "${fleet_services[@]}"; do
+    fleet_spawn "$name" bin/vanillapoint-standin service --port "${fleet_upstream_port[$name]}" --name "$name"
+  done
+  for name in "${fleet_vms[@]}"; do fleet_vm "$name"; done
+  export VANILLAPOINT_KEY="$operator_key"
+  local shares
+  for _ in $(seq 1 120); do
+    shares="$(bin/vanillapoint status --json "${fleet_operators[@]}" 2>/dev/null | grep -c '"share_active":true' || true)"
+    if [ "$shares" = "${#fleet_vms[@]}" ]; then return 0; fi
+    sleep 0.5
+  done
+  echo "the VMs did not become ready" >&2
+  tail -n 5 "$fleet_run"/*.log >&2
+  return 1
+}
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/TokenGather.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/TokenGather.java
@@ -29,7 +29,7 @@
     private final List<Part> surplus = new ArrayList<>();
     private State state = State.OPEN;
     private boolean askedLater;
-    private boolean answered;
+    private boolean shareFound;
     private double gathered;
 
     /**
@@ -69,14 +69,15 @@
      *
      * @param id number of the ask
      * @param granted tokens that were reserved, 0 for none
+     * @param share part of the region's rate that the answering VM holds for the customer
      * @return asks to send
      */
-    public List<Ask> answer(long id, double granted) {
+    public List<Ask> answer(long id, double granted, double share) {
         Ask ask = open.remove(id);
         if (ask == null) {
             return List.of();
         }
-        answered = true;
+        shareFound |= share > 0;
         if (granted > 0) {
             takePart(new Part(ask.to(), id, granted));
         }
@@ -108,12 +109,12 @@
     }
 
     /**
-     * Tells whether at least one VM answered.
+     * Tells whether at least one VM that answered holds a part of the customer's rate.
      *
-     * @return false if nobody who knows the customer's tokens could be asked
+     * @return false if nobody who has tokens of the customer could be asked
      */
-    public boolean wasAnswered() {
-        return answered;
+    public boolean isShareFound() {
+        return shareFound;
     }
 
     /**
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/VirtualFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/VirtualFleet.java
@@ -362,7 +362,9 @@
             } else if (message instanceof ReserveReply reply) {
                 Pending waiting = pending.remove(reply.id());
                 if (waiting != null) {
-                    proceed(waiting.gather, waiting.gather.answer(reply.id(), reply.granted()));
+                    proceed(
+                            waiting.gather,
+                            waiting.gather.answer(reply.id(), reply.granted(), reply.share()));
                 }
             } else if (message instanceof Settle settle) {
                 settle(from, settle);
@@ -415,8 +417,8 @@
                 ReserveRequest request =
                         new ReserveRequest(ask.id(), ask.customer(), ask.tokens(), true);
                 if (ask.to().equals(id)) {
-                    double taken = reserve(id, request).granted();
-                    proceed(gather, gather.answer(ask.id(), taken));
+                    ReserveOutcome taken = reserve(id, request);
+                    proceed(gather, gather.answer(ask.id(), taken.granted(), taken.share()));
                 } else {
                     pending.put(ask.id(), new Pending(gather, now + ASK_MILLIS));
                     remoteAsks++;
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/Daemon.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/Daemon.java
@@ -1,8 +1,5 @@
 package io.vanillapoint.server;
 
-import com.codahale.metrics.Gauge;
-import com.codahale.metrics.MetricRegistry;
-import com.codahale.metrics.jvm.MemoryUsageGaugeSet;
 import io.vanillapoint.api.event.Event;
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.config.impl.DocumentParser;
@@ -12,6 +9,7 @@
 import io.vanillapoint.server.event.EventRecorder;
 import io.vanillapoint.server.event.HybridClock;
 import io.vanillapoint.server.kernel.Kernel;
+import io.vanillapoint.server.metric.GatewayMetrics;
 import io.vanillapoint.server.operator.OperatorListener;
 import io.vanillapoint.server.platform.PlatformWatcher;
 import io.vanillapoint.server.settings.DaemonSettings;
@@ -37,6 +35,7 @@
     private final EventRecorder recorder;
     private final Vertx controlVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final Vertx trafficVertx;
+    private final GatewayMetrics metrics = new GatewayMetrics();
     private final Kernel kernel = Kernel.load();
     private final PeerHello hello;
     private final ControlPlane control;
@@ -68,7 +67,9 @@
                         hello,
                         kernel.upstreamPolicy(settings.upstreamPolicy()),
                         DocumentParser.json(),
-                        recorder);
+                        recorder,
+                        metrics);
+        registerGauges();
     }
 
     /**
@@ -85,12 +86,13 @@
                         control);
         OperatorListener operators =
                 new OperatorListener(
-                        control, recorder, metrics(), settings.operatorKey(), this::drain);
+                        control, recorder, metrics.registry(), settings.operatorKey(), this::drain);
         List<Future<?>> parts = new ArrayList<>();
         for (int i = 0; i < settings.limits().trafficThreads(); i++) {
             String prefix = settings.vm() + "-" + Long.toString(hello.incarnation(), 36) + "-" + i;
             TrafficVerticle verticle =
-                    new TrafficVerticle(settings, kernel, control, hello, recorder, prefix + "-");
+                    new TrafficVerticle(
+                            settings, kernel, control, hello, recorder, metrics, prefix + "-");
             traffic.add(verticle);
             parts.add(trafficVertx.deployVerticle(verticle));
         }
@@ -184,12 +186,9 @@
         return traffic.stream().mapToInt(TrafficVerticle::running).sum();
     }
 
-    private MetricRegistry metrics() {
-        MetricRegistry metrics = new MetricRegistry();
-        metrics.register("requests.running", (Gauge<Integer>) this::running);
-        metrics.register("config.revision", (Gauge<Long>) () -> control.config().revision());
-        metrics.register("invariants.broken", (Gauge<Long>) recorder::violations);
-        metrics.register("memory", new MemoryUsageGaugeSet());
-        return metrics;
+    private void registerGauges() {
+        metrics.gauge("requests.running", this::running);
+        metrics.longGauge("config.revision", () -> control.config().revision());
+        metrics.longGauge("invariants.broken", recorder::violations);
     }
 }
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/Admitter.java
@@ -0,0 +1,106 @@
+package io.vanillapoint.server.control;
+
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.api.model.Customer;
+import io.vanillapoint.api.model.CustomerId;
+import io.vanillapoint.api.model.GatewayConfig;
+import io.vanillapoint.core.admission.AdmissionQueue;
+import io.vanillapoint.core.admission.AdmissionQueue.Ticket;
+import io.vanillapoint.core.limit.TokenGather.Part;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Lets requests in: a place among those that run, then the tokens. Confined to the control thread.
+ */
+final class Admitter {
+    private static final Duration RETRY_SOON = Duration.ofSeconds(1);
+    private static final CustomerId OPEN_ROUTE = new CustomerId("(open)");
+
+    private final AdmissionQueue queue;
+    private final TokenReserver reserver;
+    private final Map<Ticket, Promise<Void>> waiting = new HashMap<>();
+
+    Admitter(AdmissionQueue queue, TokenReserver reserver) {
+        this.queue = queue;
+        this.reserver = reserver;
+    }
+
+    int running() {
+        return queue.running();
+    }
+
+    int waiting() {
+        return queue.waiting();
+    }
+
+    /** Admits a request; the customer is null on a route that is open to all. */
+    Future<Admission> admit(
+            GatewayConfig config, Customer customer, long tokens, boolean interactive) {
+        CustomerId name = customer == null ? OPEN_ROUTE : customer.id();
+        Optional<Ticket> entered = queue.enter(now(), name, interactive);
+        if (entered.isEmpty()) {
+            return refuse(ErrorCode.OVERLOADED, "too many requests wait");
+        }
+        Ticket ticket = entered.get();
+        return place(ticket)
+                .compose(nothing -> reserve(config, customer, tokens))
+                .map(parts -> new Admission(ticket, parts))
+                .onFailure(error -> release(ticket));
+    }
+
+    /** Ends an admission. */
+    void finish(Admission admission, double used) {
+        reserver.settle(admission.parts(), used);
+        release(admission.ticket());
+    }
+
+    /** Refuses requests that have waited too long. */
+    void expire() {
+        for (Ticket ticket : queue.expire(now())) {
+            waiting.remove(ticket)
+                    .tryFail(
+                            VanillapointException.refusal(
+                                    ErrorCode.QUEUE_TIMEOUT,
+                                    "no place became free in time",
+                                    RETRY_SOON));
+        }
+    }
+
+    private Future<Void> place(Ticket ticket) {
+        if (ticket.isRunning()) {
+            return Future.succeededFuture();
+        }
+        Promise<Void> promise = Promise.promise();
+        waiting.put(ticket, promise);
+        return promise.future();
+    }
+
+    private Future<List<Part>> reserve(GatewayConfig config, Customer customer, long tokens) {
+        if (customer == null) {
+            return Future.succeededFuture(List.of());
+        }
+        return reserver.reserve(config, customer, tokens);
+    }
+
+    private void release(Ticket ticket) {
+        waiting.remove(ticket);
+        Optional<Ticket> next = queue.leave(now(), ticket);
+        next.ifPresent(started -> waiting.remove(started).tryComplete());
+    }
+
+    private static <T> Future<T> refuse(ErrorCode code, String message) {
+        return Future.failedFuture(VanillapointException.refusal(code, message, RETRY_SOON));
+    }
+
+    private static long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
@@ -5,7 +5,6 @@
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.event.EventSink;
 import io.vanillapoint.api.model.Customer;
-import io.vanillapoint.api.model.CustomerId;
 import io.vanillapoint.api.model.Endpoint;
 import io.vanillapoint.api.model.GatewayConfig;
 import io.vanillapoint.api.model.KeyDigest;
@@ -14,7 +13,6 @@
 import io.vanillapoint.api.model.VmId;
 import io.vanillapoint.api.plugin.UpstreamPolicy;
 import io.vanillapoint.core.admission.AdmissionQueue;
-import io.vanillapoint.core.admission.AdmissionQueue.Ticket;
 import io.vanillapoint.core.config.ConfigStore;
 import io.vanillapoint.core.config.ValueParser;
 import io.vanillapoint.core.hash.Rendezvous;
@@ -22,7 +20,6 @@
 import io.vanillapoint.core.limit.AuthoritySettings;
 import io.vanillapoint.core.limit.RegionAuthority;
 import io.vanillapoint.core.limit.ReserveOutcome;
-import io.vanillapoint.core.limit.TokenGather.Part;
 import io.vanillapoint.core.message.CompleteKey;
 import io.vanillapoint.core.message.ConfigReply;
 import io.vanillapoint.core.message.ConfigRequest;
@@ -44,19 +41,17 @@
 import io.vanillapoint.core.routing.UpstreamTable;
 import io.vanillapoint.core.time.CautiousClock;
 import io.vanillapoint.core.time.ClockReading;
+import io.vanillapoint.server.metric.GatewayMetrics;
 import io.vanillapoint.server.peer.ControlLinks;
 import io.vanillapoint.server.settings.DaemonSettings;
 import io.vanillapoint.wire.PeerCodec;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -72,7 +67,6 @@
     private static final long PEER_CONFIG_MILLIS = 1_000;
     private static final long EXCHANGES_PER_MILLI = 1_000;
     private static final Duration RETRY_SOON = Duration.ofSeconds(1);
-    private static final CustomerId OPEN_ROUTE = new CustomerId("(open)");
 
     private final DaemonSettings settings;
     private final EventSink events;
@@ -83,11 +77,10 @@
     private final RegionAuthority authority;
     private final UpstreamTable upstreams;
     private final Dispatcher dispatcher;
-    private final AdmissionQueue queue;
+    private final Admitter admitter;
     private final ControlLinks links;
     private final TokenReserver reserver;
     private final KeyCoordinator keys;
-    private final Map<Ticket, Promise<Void>> waiting = new HashMap<>();
     private volatile GatewayConfig config = GatewayConfig.empty();
     private volatile boolean draining;
     private boolean platformUp = true;
@@ -102,6 +95,7 @@
      * @param policy how upstreams are chosen
      * @param parser reads published values
      * @param events where events are recorded
+     * @param metrics counts control messages
      */
     public ControlPlane(
             Vertx vertx,
@@ -109,7 +103,8 @@
             PeerHello hello,
             UpstreamPolicy policy,
             ValueParser parser,
-            EventSink events) {
+            EventSink events,
+            GatewayMetrics metrics) {
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
         this.settings = settings;
@@ -124,12 +119,7 @@
                         upstreams,
                         policy,
                         () -> ThreadLocalRandom.current().nextLong());
-        this.queue =
-                new AdmissionQueue(
-                        settings.limits().maxRunning(),
-                        settings.limits().maxQueue(),
-                        settings.timeouts().queueMillis());
-        this.links = links(hello);
+        this.links = links(hello, metrics);
         ControlIdentity identity =
                 new ControlIdentity(
                         settings.vm(),
@@ -145,6 +135,12 @@
                         this::now,
                         this::send,
                         vm -> links.isReachable(vm.id()));
+        AdmissionQueue queue =
+                new AdmissionQueue(
+                        settings.limits().maxRunning(),
+                        settings.limits().maxQueue(),
+                        settings.timeouts().queueMillis());
+        this.admitter = new Admitter(queue, reserver);
         this.keys =
                 new KeyCoordinator(
                         vertx,
@@ -191,7 +187,7 @@
         draining = true;
         context.runOnContext(
                 nothing -> {
-                    events.record(EventCode.DRAINING, queue.running());
+                    events.record(EventCode.DRAINING, admitter.running());
                     authority.leave();
                 });
     }
@@ -214,7 +210,12 @@
      * @return the admission, or a refusal
      */
     public Future<Admission> admit(Customer customer, long tokens, boolean interactive) {
-        return Threads.call(context, () -> admitHere(customer, tokens, interactive));
+        return Threads.call(
+                context,
+                () ->
+                        draining
+                                ? Future.failedFuture(shuttingDown())
+                                : admitter.admit(config, customer, tokens, interactive));
     }
 
     /**
@@ -224,11 +225,7 @@
      * @param used tokens that it used
      */
     public void finish(Admission admission, long used) {
-        context.runOnContext(
-                nothing -> {
-                    reserver.settle(admission.parts(), used);
-                    release(admission.ticket());
-                });
+        context.runOnContext(nothing -> admitter.finish(admission, used));
     }
 
     /**
@@ -404,7 +401,7 @@
         return new RegionAuthority(who, now(), events, new Invariants(events));
     }
 
-    private ControlLinks links(PeerHello hello) {
+    private ControlLinks links(PeerHello hello, GatewayMetrics metrics) {
         return new ControlLinks(
                 vertx,
                 new PeerCodec(settings.limits().maxFrameBytes()),
@@ -412,18 +409,14 @@
                 settings.timeouts().connectMillis(),
                 settings.timing().failureMillis(),
                 events,
-                this::receiveAnswer);
+                this::receiveAnswer,
+                metrics::controlSent);
     }
 
     private void tick() {
         ClockReading now = now();
         authority.tick(now).forEach(outgoing -> send(outgoing.to(), outgoing.message()));
-        for (Ticket ticket : queue.expire(now.monotonicMillis())) {
-            Promise<Void> promise = waiting.remove(ticket);
-            promise.tryFail(
-                    VanillapointException.refusal(
-                            ErrorCode.QUEUE_TIMEOUT, "no place became free in time", RETRY_SOON));
-        }
+        admitter.expire();
         if (!platformUp && now.monotonicMillis() >= nextPeerConfigMillis) {
             nextPeerConfigMillis = now.monotonicMillis() + PEER_CONFIG_MILLIS;
             askPeerForConfig();
@@ -442,44 +435,6 @@
         }
     }
 
-    private Future<Admission> admitHere(Customer customer, long tokens, boolean interactive) {
-        if (draining) {
-            return refuse(ErrorCode.SHUTTING_DOWN, "this VM is shutting down");
-        }
-        CustomerId name = customer == null ? OPEN_ROUTE : customer.id();
-        Optional<Ticket> entered = queue.enter(monotonicMillis(), name, interactive);
-        if (entered.isEmpty()) {
-            return refuse(ErrorCode.OVERLOADED, "too many requests wait");
-        }
-        Ticket ticket = entered.get();
-        return place(ticket)
-                .compose(nothing -> reserve(customer, tokens))
-                .map(parts -> new Admission(ticket, parts))
-                .onFailure(error -> release(ticket));
-    }
-
-    private Future<Void> place(Ticket ticket) {
-        if (ticket.isRunning()) {
-            return Future.succeededFuture();
-        }
-        Promise<Void> promise = Promise.promise();
-        waiting.put(ticket, promise);
-        return promise.future();
-    }
-
-    private Future<List<Part>> reserve(Customer customer, long tokens) {
-        if (customer == null) {
-            return Future.succeededFuture(List.of());
-        }
-        return reserver.reserve(config, customer, tokens);
-    }
-
-    private void release(Ticket ticket) {
-        waiting.remove(ticket);
-        Optional<Ticket> next = queue.leave(monotonicMillis(), ticket);
-        next.ifPresent(started -> waiting.remove(started).tryComplete());
-    }
-
     private Optional<PeerMessage> answer(VmId from, PeerMessage message) {
         if (message instanceof Heartbeat heartbeat) {
             catchUp(from, heartbeat.configRevision());
@@ -579,13 +534,14 @@
                 authority.isActive(),
                 authority.baseShare(),
                 List.copyOf(authority.liveVms(now())),
-                queue.running(),
-                queue.waiting(),
+                admitter.running(),
+                admitter.waiting(),
                 draining);
     }
 
-    private static <T> Future<T> refuse(ErrorCode code, String message) {
-        return Future.failedFuture(VanillapointException.refusal(code, message, RETRY_SOON));
+    private static VanillapointException shuttingDown() {
+        return VanillapointException.refusal(
+                ErrorCode.SHUTTING_DOWN, "this VM is shutting down", RETRY_SOON);
     }
 
     private static VanillapointException withdrawn() {
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/TokenReserver.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/TokenReserver.java
@@ -105,7 +105,7 @@
         if (waiting != null) {
             run(
                     waiting.gather,
-                    waiting.gather.answer(reply.id(), reply.granted()),
+                    waiting.gather.answer(reply.id(), reply.granted(), reply.share()),
                     waiting.promise);
         }
     }
@@ -114,7 +114,7 @@
         for (Ask ask : asks) {
             if (ask.to().equals(self)) {
                 ReserveOutcome outcome = reserveHere(ask.id(), ask.customer(), ask.tokens());
-                run(gather, gather.answer(ask.id(), outcome.granted()), promise);
+                run(gather, gather.answer(ask.id(), outcome.granted(), outcome.share()), promise);
             } else {
                 pending.put(ask.id(), new Pending(gather, promise));
                 send.accept(
@@ -142,7 +142,7 @@
             promise.tryComplete(gather.parts());
         } else if (gather.state() == TokenGather.State.REFUSED) {
             ErrorCode code =
-                    gather.wasAnswered() ? ErrorCode.RATE_EXCEEDED : ErrorCode.RATE_UNAVAILABLE;
+                    gather.isShareFound() ? ErrorCode.RATE_EXCEEDED : ErrorCode.RATE_UNAVAILABLE;
             Duration wait = Duration.ofMillis(gather.retryAfterMillis());
             promise.tryFail(
                     VanillapointException.refusal(code, "rate and burst leave no room now", wait));
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/ControlLinks.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/ControlLinks.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.LongConsumer;
 
 /**
  * Outgoing connections for control messages, one for each other VM, opened when first needed.
@@ -30,6 +31,7 @@
     private final EventSink events;
     private final long silenceMillis;
     private final BiConsumer<VmId, PeerMessage> receiver;
+    private final LongConsumer sentBytes;
     private final Map<VmId, Link> links = new HashMap<>();
 
     /**
@@ -42,6 +44,7 @@
      * @param silenceMillis silence after which a connection is dead
      * @param events where events are recorded
      * @param receiver takes the answers
+     * @param sentBytes counts the size of each frame
      */
     public ControlLinks(
             Vertx vertx,
@@ -50,7 +53,8 @@
             long connectMillis,
             long silenceMillis,
             EventSink events,
-            BiConsumer<VmId, PeerMessage> receiver) {
+            BiConsumer<VmId, PeerMessage> receiver,
+            LongConsumer sentBytes) {
         this.client =
                 vertx.createNetClient(
                         new NetClientOptions()
@@ -61,6 +65,7 @@
         this.events = events;
         this.silenceMillis = silenceMillis;
         this.receiver = receiver;
+        this.sentBytes = sentBytes;
     }
 
     /**
@@ -116,6 +121,7 @@
             connecting = false;
             socket = new FrameSocket(connection, codec, events);
             oldestUnansweredMillis = 0;
+            socket.countSent(sentBytes);
             FrameSocket opened = socket;
             socket.receiver(answer -> received(to, opened, answer));
             socket.closeHandler(
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/FrameSocket.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/FrameSocket.java
@@ -10,6 +10,7 @@
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.parsetools.RecordParser;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 /**
  * Messages over one connection: each frame is its length in four bytes, then the payload. A frame
@@ -22,6 +23,7 @@
     private final PeerCodec codec;
     private final EventSink events;
     private final RecordParser parser = RecordParser.newFixed(LENGTH_BYTES);
+    private LongConsumer sentBytes = bytes -> {};
     private Consumer<PeerMessage> receiver = message -> {};
     private boolean lengthNext = true;
     private boolean closed;
@@ -50,6 +52,15 @@
         receiver = newReceiver;
     }
 
+    /**
+     * Sets who counts the bytes that are sent.
+     *
+     * @param counter called with the size of each frame
+     */
+    public void countSent(LongConsumer counter) {
+        sentBytes = counter;
+    }
+
     /**
      * Sets what to do at the end of the connection.
      *
@@ -77,6 +88,7 @@
         Buffer frame = Buffer.buffer(LENGTH_BYTES + payload.length);
         frame.appendInt(payload.length);
         frame.appendBytes(payload);
+        sentBytes.accept(frame.length());
         return socket.write(frame);
     }
 
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerHandler.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerHandler.java
@@ -262,6 +262,7 @@
     }
 
     private void fail(HttpServerRequest request, VanillapointException error) {
+        context.metrics().refused(error.code());
         context.events()
                 .record(EventCode.REQUEST_REFUSED, idPrefix + nextId++, error.code().code());
         new CallerSink(request).fail(error);
@@ -270,6 +271,7 @@
     /** Refuses a request without taking its body, then closes a connection that still holds it. */
     private void refuseUnread(
             HttpServerRequest request, VanillapointException error, ObjectNode body) {
+        context.metrics().refused(error.code());
         context.events()
                 .record(EventCode.REQUEST_REFUSED, idPrefix + nextId++, error.code().code());
         ObjectNode told = error instanceof RefusedWithBody special ? special.body : body;
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/PeerConnection.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/PeerConnection.java
@@ -52,10 +52,16 @@
         } else {
             context.control()
                     .receive(peer, message)
-                    .onSuccess(answer -> answer.ifPresent(socket::send));
+                    .onSuccess(answer -> answer.ifPresent(this::sendControl));
         }
     }
 
+    private void sendControl(PeerMessage answer) {
+        socket.countSent(context.metrics()::controlSent);
+        socket.send(answer);
+        socket.countSent(bytes -> {});
+    }
+
     private void forward(ForwardRequest message) {
         PeerSink sink = new PeerSink(socket, message.stream());
         Customer customer = null;
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestExecution.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestExecution.java
@@ -5,6 +5,7 @@
 import io.vanillapoint.api.error.VanillapointException;
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.event.EventSink;
+import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.api.model.Upstream;
 import io.vanillapoint.api.model.UpstreamId;
 import io.vanillapoint.api.model.VmId;
@@ -21,6 +22,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -34,12 +36,14 @@
  * admission is ended once. Confined to one event loop.
  */
 final class RequestExecution {
+    private static final String REGION_HEADER = "x-ran-in-region";
     private static final int MAX_KEPT_BYTES = 64 * 1024;
     private static final Duration RETRY_SOON = Duration.ofSeconds(1);
 
     private final TrafficContext context;
     private final RunRequest request;
     private final MeteredSink sink;
+    private final long startNanos = System.nanoTime();
     private final Promise<Void> ended = Promise.promise();
     private final Set<UpstreamId> triedUpstreams = new HashSet<>();
     private final Set<VmId> triedVms = new HashSet<>();
@@ -55,7 +59,9 @@
             TrafficContext context, RunRequest request, UsageMeter meter, AnswerSink target) {
         this.context = context;
         this.request = request;
-        this.sink = new MeteredSink(target, meter, request.onceKey() != null);
+        this.sink =
+                new MeteredSink(
+                        target, meter, context.settings().region(), request.onceKey() != null);
     }
 
     /** Starts. The future completes when nothing of the request is left, whatever came of it. */
@@ -167,6 +173,7 @@
         } else if (chosen instanceof Dispatch.ToVm remote) {
             triedVms.add(remote.vm().id());
             record(EventCode.REQUEST_DISPATCHED, remote.vm().id());
+            context.metrics().forwarded();
             attempt = context.forwards().run(remote.vm(), request, sink);
             follow(remote.vm().id().value());
         } else if (chosen instanceof Dispatch.Nowhere nowhere) {
@@ -220,6 +227,8 @@
             return;
         }
         complete(KeyOutcome.ANSWERED, sink.stored());
+        context.metrics().answerBegan(sink.headNanos - startNanos);
+        context.metrics().answerEnded(System.nanoTime() - startNanos);
         sink.target.end();
         finish(sink.meter.usedTokens(request.plan().tokens()));
     }
@@ -234,6 +243,7 @@
         mayHaveRun |= !notRun;
         boolean mayRetry = notRun || request.plan().repeatable();
         if (mayRetry && !sink.headPassed && attempts < context.settings().limits().maxAttempts()) {
+            context.metrics().retried();
             events().record(EventCode.REQUEST_RETRIED, request.id(), target, error.getMessage());
             nextAttempt();
             return;
@@ -251,6 +261,7 @@
                         : error;
         boolean ran = mayHaveRun || sink.headPassed;
         complete(ran ? KeyOutcome.UNKNOWN : KeyOutcome.NOT_RUN, Optional.empty());
+        context.metrics().refused(told.code());
         events().record(EventCode.REQUEST_REFUSED, request.id(), told.code().code());
         sink.target.fail(told);
         finish(mayHaveRun ? request.plan().tokens() : 0);
@@ -297,12 +308,15 @@
     private static final class MeteredSink implements AnswerSink {
         private final AnswerSink target;
         private final UsageMeter meter;
+        private final RegionId region;
         private final Buffer kept;
         private boolean headPassed;
+        private long headNanos;
         private int status;
         private String contentType = "";
 
-        private MeteredSink(AnswerSink target, UsageMeter meter, boolean keep) {
+        private MeteredSink(AnswerSink target, UsageMeter meter, RegionId region, boolean keep) {
+            this.region = region;
             this.target = target;
             this.meter = meter;
             this.kept = keep ? Buffer.buffer() : null;
@@ -319,6 +333,7 @@
         @Override
         public void head(int newStatus, List<HeaderField> headers) {
             headPassed = true;
+            headNanos = System.nanoTime();
             status = newStatus;
             contentType =
                     headers.stream()
@@ -327,7 +342,17 @@
                             .findFirst()
                             .orElse("");
             meter.head(newStatus, contentType);
-            target.head(newStatus, headers);
+            target.head(newStatus, withRegion(headers));
+        }
+
+        /** Names the region that ran the request, unless another VM has done so. */
+        private List<HeaderField> withRegion(List<HeaderField> headers) {
+            if (headers.stream().anyMatch(header -> header.name().equals(REGION_HEADER))) {
+                return headers;
+            }
+            List<HeaderField> named = new ArrayList<>(headers);
+            named.add(new HeaderField(REGION_HEADER, region.value()));
+            return named;
         }
 
         @Override
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficContext.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficContext.java
@@ -3,6 +3,7 @@
 import io.vanillapoint.api.event.EventSink;
 import io.vanillapoint.server.control.ControlPlane;
 import io.vanillapoint.server.kernel.Kernel;
+import io.vanillapoint.server.metric.GatewayMetrics;
 import io.vanillapoint.server.settings.DaemonSettings;
 import java.util.Set;
 
@@ -13,6 +14,7 @@
  * @param kernel plug-ins
  * @param control the control plane
  * @param events where events are recorded
+ * @param metrics counts and times
  * @param upstreams calls to upstreams
  * @param forwards calls to VMs of other regions
  * @param executions requests that run on this loop
@@ -22,6 +24,7 @@
         Kernel kernel,
         ControlPlane control,
         EventSink events,
+        GatewayMetrics metrics,
         UpstreamClient upstreams,
         ForwardClient forwards,
         Set<RequestExecution> executions) {}
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
@@ -4,6 +4,7 @@
 import io.vanillapoint.core.message.PeerHello;
 import io.vanillapoint.server.control.ControlPlane;
 import io.vanillapoint.server.kernel.Kernel;
+import io.vanillapoint.server.metric.GatewayMetrics;
 import io.vanillapoint.server.peer.FrameSocket;
 import io.vanillapoint.server.settings.DaemonSettings;
 import io.vanillapoint.wire.PeerCodec;
@@ -27,6 +28,7 @@
     private final ControlPlane control;
     private final PeerHello hello;
     private final EventSink events;
+    private final GatewayMetrics metrics;
     private final String idPrefix;
     private final Set<RequestExecution> executions = new HashSet<>();
     private volatile int running;
@@ -39,6 +41,7 @@
      * @param control the control plane
      * @param hello who this VM is to its peers
      * @param events where events are recorded
+     * @param metrics counts and times
      * @param idPrefix begins the names of this instance's requests
      */
     public TrafficVerticle(
@@ -47,12 +50,14 @@
             ControlPlane control,
             PeerHello hello,
             EventSink events,
+            GatewayMetrics metrics,
             String idPrefix) {
         this.settings = settings;
         this.kernel = kernel;
         this.control = control;
         this.hello = hello;
         this.events = events;
+        this.metrics = metrics;
         this.idPrefix = idPrefix;
     }
 
@@ -65,6 +70,7 @@
                         kernel,
                         control,
                         events,
+                        metrics,
                         new UpstreamClient(vertx, settings.timeouts()),
                         new ForwardClient(vertx, codec, hello, settings.timeouts(), events),
                         new CountingSet());
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/AtMostOnceTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/AtMostOnceTest.java
@@ -143,8 +143,10 @@
             gateway.startVm(vm);
         }
         gateway.awaitShare("a-1");
-        Answer repeat = publish("a-1", "idempotency-key", key);
-        assertThat(repeat.errorCode(), is("run_unknown"));
+        gateway.awaitShare("a-2");
+        Await.until(
+                "the repeat is refused for its key",
+                () -> publish("a-1", "idempotency-key", key).errorCode().equals("run_unknown"));
         assertThat(runs.get(), is(1));
     }
 
--- a/vanillapoint-standin/src/main/java/io/vanillapoint/standin/Standin.java
+++ b/vanillapoint-standin/src/main/java/io/vanillapoint/standin/Standin.java
@@ -1,5 +1,7 @@
 package io.vanillapoint.standin;
 
+import io.vanillapoint.standin.load.LoadClient;
+import io.vanillapoint.standin.load.LoadOptions;
 import java.util.Arrays;
 import java.util.Map;
 import java.util.TreeMap;
@@ -14,6 +16,7 @@
         PROGRAMS.put("platform", PlatformStandin::main);
         PROGRAMS.put("engine", EngineStandin::main);
         PROGRAMS.put("service", ServiceStandin::main);
+        PROGRAMS.put("load", args -> LoadClient.run(Flags.read(new LoadOptions(), args)));
     }
 
     private Standin() {}
--- /dev/null
+++ b/vanillapoint-standin/src/main/java/io/vanillapoint/standin/load/LoadResult.java
@@ -0,0 +1,182 @@
+package io.vanillapoint.standin.load;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/**
+ * What came of a run: the users' five measures and more. Filled by one thread, read by it after the
+ * run.
+ */
+final class LoadResult {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long LONGEST_MILLIS = 600_000;
+    private static final int DIGITS = 3;
+
+    private final Histogram firstToken = new Histogram(LONGEST_MILLIS, DIGITS);
+    private final Histogram whole = new Histogram(LONGEST_MILLIS, DIGITS);
+    private final Map<String, Tally> customers = new TreeMap<>();
+    private final Map<String, Integer> refusals = new TreeMap<>();
+    private final List<String> samples = new ArrayList<>();
+    private int sent;
+    private int answered;
+    private int cut;
+    private int sentAway;
+    private double cost;
+
+    void sent(String customer) {
+        sent++;
+        tally(customer).sent++;
+    }
+
+    void answered(Sample sample, double costOfTokens) {
+        answered++;
+        cost += costOfTokens;
+        firstToken.recordValue(Math.min(LONGEST_MILLIS, sample.firstMillis()));
+        whole.recordValue(Math.min(LONGEST_MILLIS, sample.wholeMillis()));
+        Tally tally = tally(sample.customer());
+        tally.answered++;
+        tally.tokens += sample.tokens();
+        if (!sample.ranIn().equals(sample.askedIn())) {
+            sentAway++;
+        }
+        samples.add(sample.csv());
+    }
+
+    void refused(String customer, String code, boolean withinRate) {
+        refusals.merge(code, 1, Integer::sum);
+        Tally tally = tally(customer);
+        tally.refused++;
+        if (withinRate) {
+            tally.wrongfullyRefused++;
+        }
+    }
+
+    void cut(String customer) {
+        cut++;
+        tally(customer).cut++;
+    }
+
+    List<String> samples() {
+        return Collections.unmodifiableList(samples);
+    }
+
+    double tokens(String customer) {
+        return tally(customer).tokens;
+    }
+
+    ObjectNode json(String profile) {
+        ObjectNode node = MAPPER.createObjectNode();
+        node.put("profile", profile);
+        node.put("sent", sent);
+        node.put("answered", answered);
+        node.put("cut", cut);
+        node.put("cost", cost);
+        node.put("sent_away", answered == 0 ? 0 : sentAway / (double) answered);
+        node.put("wrongfully_refused", fraction(wrongful(), sent));
+        node.put("worst_customer_served", worst());
+        quantiles(node.putObject("first_token_ms"), firstToken);
+        quantiles(node.putObject("whole_ms"), whole);
+        ObjectNode codes = node.putObject("refusals");
+        refusals.forEach(codes::put);
+        ObjectNode each = node.putObject("customers");
+        customers.forEach((name, tally) -> tally.write(each.putObject(name)));
+        return node;
+    }
+
+    String table(String profile) {
+        StringBuilder text = new StringBuilder();
+        line(text, "profile", profile);
+        line(text, "sent / answered / cut", sent + " / " + answered + " / " + cut);
+        line(text, "cost", String.format(Locale.ROOT, "%.3f", cost));
+        line(text, "first token p50/p95/p99 ms", quantiles(firstToken));
+        line(text, "whole answer p50/p95/p99 ms", quantiles(whole));
+        line(text, "share sent away", percent(fraction(sentAway, answered)));
+        line(text, "worst customer served", percent(worst()));
+        line(text, "refused within the rate", percent(fraction(wrongful(), sent)));
+        line(text, "refusals", refusals.toString());
+        customers.forEach((name, tally) -> line(text, "  " + name, tally.toString()));
+        return text.toString();
+    }
+
+    private int wrongful() {
+        return customers.values().stream().mapToInt(tally -> tally.wrongfullyRefused).sum();
+    }
+
+    /** Served fraction of the worst customer among those that stayed within their rate. */
+    private double worst() {
+        return customers.values().stream()
+                .filter(tally -> tally.sent > 0)
+                .mapToDouble(tally -> 1 - fraction(tally.wrongfullyRefused + tally.cut, tally.sent))
+                .min()
+                .orElse(1);
+    }
+
+    private Tally tally(String customer) {
+        return customers.computeIfAbsent(customer, name -> new Tally());
+    }
+
+    private static void quantiles(ObjectNode node, Histogram histogram) {
+        node.put("p50", histogram.getValueAtPercentile(50));
+        node.put("p95", histogram.getValueAtPercentile(95));
+        node.put("p99", histogram.getValueAtPercentile(99));
+    }
+
+    private static String quantiles(Histogram histogram) {
+        return histogram.getValueAtPercentile(50)
+                + " / "
+                + histogram.getValueAtPercentile(95)
+                + " / "
+                + histogram.getValueAtPercentile(99);
+    }
+
+    private static double fraction(int part, int all) {
+        return all == 0 ? 0 : part / (double) all;
+    }
+
+    private static String percent(double fraction) {
+        return String.format(Locale.ROOT, "%.2f %%", 100 * fraction);
+    }
+
+    private static void line(StringBuilder text, String name, String value) {
+        text.append(String.format(Locale.ROOT, "%-30s %s%n", name, value));
+    }
+
+    /** What one customer got. */
+    private static final class Tally {
+        private int sent;
+        private int answered;
+        private int refused;
+        private int wrongfullyRefused;
+        private int cut;
+        private double tokens;
+
+        private void write(ObjectNode node) {
+            node.put("sent", sent);
+            node.put("answered", answered);
+            node.put("refused", refused);
+            node.put("wrongfully_refused", wrongfullyRefused);
+            node.put("cut", cut);
+            node.put("tokens", tokens);
+        }
+
+        @Override
+        public String toString() {
+            return String.format(
+                    Locale.ROOT,
+                    "sent %d answered %d refused %d (within the rate %d) cut %d tokens %.0f",
+                    sent,
+                    answered,
+                    refused,
+                    wrongfullyRefused,
+                    cut,
+                    tokens);
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-standin/src/main/java/io/vanillapoint/standin/load/PublishLedger.java
@@ -0,0 +1,46 @@
+package io.vanillapoint.standin.load;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What callers were told of each request that may run only once. Written to the file that {@code
+ * VANILLAPOINT_PUBLISHES} names, to be compared with the runs that the services counted. Confined
+ * to one thread.
+ */
+final class PublishLedger {
+    private static final String FILE_VARIABLE = "VANILLAPOINT_PUBLISHES";
+
+    private final Map<String, String> told = new TreeMap<>();
+
+    void answered(String id) {
+        told.put(id, "ran");
+    }
+
+    void ended(String id, boolean mayHaveRun) {
+        told.put(id, mayHaveRun ? "unknown" : "not_run");
+    }
+
+    /** Writes the file, if one is named; false if that fails. */
+    boolean report(PrintStream out) {
+        String file = System.getenv(FILE_VARIABLE);
+        if (file == null) {
+            return true;
+        }
+        List<String> lines = new ArrayList<>();
+        told.forEach((id, state) -> lines.add(id + " " + state));
+        try {
+            Files.write(Path.of(file), lines);
+            return true;
+        } catch (IOException e) {
+            out.println("can't write " + file + ": " + e.getMessage());
+            return false;
+        }
+    }
+}
