Do not take links for dead that carry only messages without answers

The time line showed 'peer down' between regions: settlements get no answer, so that the silence check closed the link after 1.5 s and marked the VM as unreachable for good; its tokens were then asked of a VM that holds none. Ruled out: lapsed leases (no event 1305), cold buckets (warm-up fills them). Change: only messages that expect an answer count as unanswered; a VM that failed is tried again after 2 s.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/message/ConfigRequest.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/ConfigRequest.java
@@ -5,4 +5,9 @@
  *
  * @param newerThan revision that the asker has
  */
-public record ConfigRequest(long newerThan) implements PeerMessage {}
+public record ConfigRequest(long newerThan) implements PeerMessage {
+    @Override
+    public boolean expectsAnswer() {
+        return true;
+    }
+}
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/message/Heartbeat.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/Heartbeat.java
@@ -27,4 +27,9 @@
     public Heartbeat {
         members = List.copyOf(members);
     }
+
+    @Override
+    public boolean expectsAnswer() {
+        return true;
+    }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/message/PeerMessage.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/PeerMessage.java
@@ -19,4 +19,13 @@
                 ForwardFailure,
                 ForwardCancel,
                 ForwardCredit,
-                PeerHello {}
+                PeerHello {
+    /**
+     * Tells whether the receiver answers on the same connection.
+     *
+     * @return false for messages without an answer
+     */
+    default boolean expectsAnswer() {
+        return false;
+    }
+}
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/message/RegisterRequest.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/RegisterRequest.java
@@ -11,4 +11,9 @@
  */
 public record RegisterRequest(
         long id, String key, String attempt, String fingerprint, KeyOrigin origin)
-        implements PeerMessage {}
+        implements PeerMessage {
+    @Override
+    public boolean expectsAnswer() {
+        return true;
+    }
+}
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/message/ReserveRequest.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/ReserveRequest.java
@@ -11,4 +11,9 @@
  * @param partial true if fewer tokens than asked for are welcome
  */
 public record ReserveRequest(long id, CustomerId customer, double tokens, boolean partial)
-        implements PeerMessage {}
+        implements PeerMessage {
+    @Override
+    public boolean expectsAnswer() {
+        return true;
+    }
+}
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/ControlLinks.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/ControlLinks.java
@@ -25,6 +25,8 @@
  * bear loss. Confined to the control thread.
  */
 public final class ControlLinks {
+    private static final long RETRY_MILLIS = 2_000;
+
     private final NetClient client;
     private final PeerCodec codec;
     private final PeerHello hello;
@@ -91,18 +93,19 @@
         link.connecting = true;
         client.connect(address.port(), address.host())
                 .onSuccess(socket -> link.opened(to, socket, message))
-                .onFailure(error -> link.connecting = false);
+                .onFailure(error -> link.notOpened());
     }
 
     /**
-     * Tells whether a VM has answered lately or has not been asked yet.
+     * Tells whether it makes sense to ask a VM. A VM that failed is worth another try after a
+     * while, since nothing else may tell that it is back.
      *
      * @param vm the VM
      * @return false if it is thought to be unreachable
      */
     public boolean isReachable(VmId vm) {
         Link link = links.get(vm);
-        return link == null || !link.failed;
+        return link == null || !link.failedLately();
     }
 
     /** Connection to one VM. */
@@ -111,12 +114,19 @@
         private boolean connecting;
         private boolean up;
         private boolean failed;
+        private long failedAtMillis;
         private long oldestUnansweredMillis;
 
         private boolean isSilent() {
             return oldestUnansweredMillis > 0 && now() - oldestUnansweredMillis > silenceMillis;
         }
 
+        private void notOpened() {
+            connecting = false;
+            failed = true;
+            failedAtMillis = now();
+        }
+
         private void opened(VmId to, NetSocket connection, PeerMessage message) {
             connecting = false;
             socket = new FrameSocket(connection, codec, events);
@@ -135,7 +145,7 @@
         }
 
         private void write(PeerMessage message) {
-            if (oldestUnansweredMillis == 0) {
+            if (message.expectsAnswer() && oldestUnansweredMillis == 0) {
                 oldestUnansweredMillis = now();
             }
             socket.send(message);
@@ -157,12 +167,17 @@
         private void drop(VmId to) {
             socket = null;
             failed = true;
+            failedAtMillis = now();
             if (up) {
                 up = false;
                 events.record(EventCode.PEER_DOWN, to);
             }
         }
 
+        private boolean failedLately() {
+            return failed && now() - failedAtMillis < RETRY_MILLIS;
+        }
+
         private long now() {
             return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
         }
