Leave out of heartbeats what the peer knows

Cause: an idle VM among 31 of a region sent 67 KB/s of control messages; the limit is 5 KB/s. Each message carried the members and each lease its views, so that bytes per VM grew with the square of the VMs. Ruled out: fewer heartbeats alone (a factor of two at most without slower failover). Change: lists go with a digest and are left out once the peer has said that it took them over; leases name an earlier lease with the same views.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/GivenLeases.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/GivenLeases.java
@@ -35,13 +35,20 @@
     /** Gives a lease. */
     LeaseGrant give(
             long nowMillis, VmId holder, long incarnation, double share, List<HomeView> views) {
-        LeaseGrant grant = new LeaseGrant(nextSequence++, share, timing.leaseMillis(), views);
+        LeaseGrant grant = new LeaseGrant(nextSequence++, share, timing.leaseMillis(), 0, views);
         long endMillis = nowMillis + timing.giverMillis(timing.leaseMillis());
         byHolder.computeIfAbsent(holder, vm -> new ArrayList<>())
                 .add(new Given(grant, incarnation, endMillis));
         return grant;
     }
 
+    /** True if a lease of a holder is in use and has the given views. */
+    boolean hasViews(VmId holder, long sequence, List<HomeView> views) {
+        return byHolder.getOrDefault(holder, List.of()).stream()
+                .map(Given::grant)
+                .anyMatch(grant -> grant.sequence() == sequence && grant.views().equals(views));
+    }
+
     /** Takes note of what a holder says it holds. Earlier leases are out of use. */
     void confirm(VmId holder, long incarnation, long heldSequence) {
         List<Given> given = byHolder.get(holder);
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/HeldLeases.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/HeldLeases.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.core.limit;
 
 import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.core.message.HomeView;
 import io.vanillapoint.core.message.LeaseGrant;
 import io.vanillapoint.core.message.LeaseName;
 import java.util.ArrayList;
@@ -19,7 +20,7 @@
 final class HeldLeases {
     private final LimitTiming timing;
     private final Map<VmId, Held> byGiver = new HashMap<>();
-    private final Map<VmId, LeaseName> newest = new HashMap<>();
+    private final Map<VmId, Taken> newest = new HashMap<>();
 
     HeldLeases(LimitTiming timing) {
         this.timing = timing;
@@ -35,18 +36,26 @@
      * @return what changed
      */
     Change accept(VmId giver, long incarnation, LeaseGrant grant, long askedAtMillis) {
-        LeaseName last = newest(giver);
-        if (last.incarnation() == incarnation && grant.sequence() <= last.sequence()) {
+        Taken last = newest.getOrDefault(giver, Taken.NOTHING);
+        boolean sameProcess = last.name.incarnation() == incarnation;
+        if (sameProcess && grant.sequence() <= last.name.sequence()) {
             return Change.NONE;
         }
-        newest.put(giver, new LeaseName(incarnation, grant.sequence()));
+        boolean viewsKnown =
+                grant.viewsOf() == 0 || (sameProcess && grant.viewsOf() == last.name.sequence());
+        if (!viewsKnown) {
+            return Change.NONE;
+        }
+        LeaseGrant full = grant.withViews(last.views);
+        LeaseName name = new LeaseName(incarnation, grant.sequence());
+        newest.put(giver, new Taken(name, full.views()));
         long endMillis = askedAtMillis + timing.holderMillis(grant.durationMillis());
-        Held before = byGiver.put(giver, new Held(grant, endMillis));
+        Held before = byGiver.put(giver, new Held(full, endMillis));
         if (before == null) {
             return Change.GAINED;
         }
         boolean same =
-                before.grant.share() == grant.share() && before.grant.views().equals(grant.views());
+                before.grant.share() == full.share() && before.grant.views().equals(full.views());
         return same ? Change.NONE : Change.ALTERED;
     }
 
@@ -65,7 +74,7 @@
 
     /** Newest lease taken from a giver, {@link LeaseName#NONE} if none. */
     LeaseName newest(VmId giver) {
-        return newest.getOrDefault(giver, LeaseName.NONE);
+        return newest.getOrDefault(giver, Taken.NOTHING).name;
     }
 
     Collection<LeaseGrant> grants() {
@@ -82,6 +91,11 @@
         ALTERED
     }
 
+    /** The newest lease of a giver, also after its end. */
+    private record Taken(LeaseName name, List<HomeView> views) {
+        private static final Taken NOTHING = new Taken(LeaseName.NONE, List.of());
+    }
+
     /** One lease with the cautious time at which it ends. */
     private record Held(LeaseGrant grant, long endMillis) {}
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/LimitTiming.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/LimitTiming.java
@@ -19,7 +19,7 @@
         double drift) {
     private static final long DEFAULT_HEARTBEAT_MILLIS = 500;
     private static final long DEFAULT_LEASE_MILLIS = 2_000;
-    private static final long DEFAULT_FAILURE_MILLIS = 1_500;
+    private static final int HEARTBEATS_TO_FAIL = 3;
     private static final long DEFAULT_LIST_LAG_MILLIS = 5_000;
     private static final long DEFAULT_SETTLING_MILLIS = 10_000;
     private static final double DEFAULT_DRIFT = 0.001;
@@ -33,14 +33,14 @@
         return new LimitTiming(
                 DEFAULT_HEARTBEAT_MILLIS,
                 DEFAULT_LEASE_MILLIS,
-                DEFAULT_FAILURE_MILLIS,
+                HEARTBEATS_TO_FAIL * DEFAULT_HEARTBEAT_MILLIS,
                 DEFAULT_LIST_LAG_MILLIS,
                 DEFAULT_SETTLING_MILLIS,
                 DEFAULT_DRIFT);
     }
 
     /**
-     * The same times with another heartbeat interval.
+     * The same times with another heartbeat interval; a VM fails after three without an answer.
      *
      * @param millis time between two heartbeats
      * @return this if nothing changes
@@ -50,7 +50,12 @@
             return this;
         }
         return new LimitTiming(
-                millis, leaseMillis, failureMillis, listLagMillis, settlingMillis, drift);
+                millis,
+                leaseMillis,
+                HEARTBEATS_TO_FAIL * millis,
+                listLagMillis,
+                settlingMillis,
+                drift);
     }
 
     /**
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/MemberTable.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/MemberTable.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.core.limit;
 
 import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.core.hash.Rendezvous;
 import io.vanillapoint.core.message.Member;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -59,6 +60,16 @@
         return entries.values().stream().anyMatch(Entry::isDropped);
     }
 
+    /** Digest of the list, never 0. Equal lists have equal digests. */
+    long digest() {
+        long digest = 1;
+        for (Map.Entry<VmId, Entry> entry : entries.entrySet()) {
+            String stamp = String.valueOf(entry.getValue().listedAt);
+            digest = 31 * digest + Rendezvous.weight(entry.getKey().value(), stamp);
+        }
+        return digest == 0 ? 1 : digest;
+    }
+
     List<Member> members() {
         List<Member> members = new ArrayList<>(entries.size());
         entries.forEach((vm, entry) -> members.add(new Member(vm, entry.listedAt)));
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/PeerTable.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/PeerTable.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.core.limit;
 
 import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.core.message.MemberNews;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -35,6 +36,8 @@
         private boolean leaving;
         private boolean counted;
         private long countedAskedAtMillis;
+        private long takenDigest;
+        private long knownToPeer;
 
         /** Starts a heartbeat and remembers when it was asked, in cautious time. */
         long ask(long cautiousMillis) {
@@ -59,6 +62,8 @@
             if (peerIncarnation != incarnation) {
                 incarnation = peerIncarnation;
                 counted = false;
+                takenDigest = 0;
+                knownToPeer = 0;
             }
         }
 
@@ -70,8 +75,24 @@
             return leaving;
         }
 
-        long incarnation() {
-            return incarnation;
+        /** Takes note of a list of the peer; true if it is included and must be merged. */
+        boolean takeNews(MemberNews news) {
+            knownToPeer = news.knownDigest();
+            if (news.members().isEmpty()) {
+                return false;
+            }
+            takenDigest = news.digest();
+            return true;
+        }
+
+        /** Digest of the peer's list that was taken over, 0 for none. */
+        long takenDigest() {
+            return takenDigest;
+        }
+
+        /** Digest of this VM's list that the peer has taken over, 0 for none. */
+        long knownToPeer() {
+            return knownToPeer;
         }
 
         void counted(boolean value, long askedMillis) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/RegionAuthority.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/RegionAuthority.java
@@ -15,10 +15,10 @@
 import io.vanillapoint.core.message.HomeView;
 import io.vanillapoint.core.message.LeaseGrant;
 import io.vanillapoint.core.message.Member;
+import io.vanillapoint.core.message.MemberNews;
 import io.vanillapoint.core.message.Outgoing;
 import io.vanillapoint.core.time.ClockReading;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -244,7 +244,7 @@
      */
     public HeartbeatReply receive(ClockReading now, VmId from, Heartbeat message) {
         expire(now);
-        hear(now, from, message.incarnation(), message.members());
+        hear(now, from, message.incarnation(), message.news());
         peers.peer(from).leaving(message.leaving());
         if (message.listedAt() > 0) {
             members.merge(now.monotonicMillis(), List.of(new Member(from, message.listedAt())));
@@ -265,7 +265,7 @@
                 active,
                 counted,
                 configRevision,
-                members.members(),
+                news(from, message.news().knownDigest()),
                 lease);
     }
 
@@ -286,7 +286,7 @@
         if (askedAt == null) {
             return;
         }
-        hear(now, from, message.incarnation(), message.members());
+        hear(now, from, message.incarnation(), message.news());
         peer.counted(message.counted(), askedAt);
         if (message.active()) {
             activePeerAskedAtMillis = Math.max(activePeerAskedAtMillis, askedAt);
@@ -420,13 +420,23 @@
                 leaving,
                 held.newest(to),
                 configRevision,
-                members.members());
+                news(to, peers.peer(to).knownToPeer()));
     }
 
-    private void hear(ClockReading now, VmId from, long incarnation, Collection<Member> counted) {
-        peers.peer(from).heard(now.monotonicMillis(), incarnation);
+    private void hear(ClockReading now, VmId from, long incarnation, MemberNews news) {
+        Peer peer = peers.peer(from);
+        peer.heard(now.monotonicMillis(), incarnation);
         regionVms.add(from);
-        members.merge(now.monotonicMillis(), counted);
+        if (peer.takeNews(news)) {
+            members.merge(now.monotonicMillis(), news.members());
+        }
+    }
+
+    /** What this VM counts, without the list if the peer knows it. */
+    private MemberNews news(VmId to, long knownToPeer) {
+        long digest = members.digest();
+        List<Member> list = knownToPeer == digest ? List.of() : members.members();
+        return new MemberNews(digest, peers.peer(to).takenDigest(), list);
     }
 
     /** True if every share that this VM uses or has leased counts the other VM. */
@@ -442,13 +452,18 @@
         if (!active || !settings.policy().givesLeases() || !inViews) {
             return Optional.empty();
         }
-        return Optional.of(
+        long heldSequence = asked.heldLease().sequence();
+        boolean viewsKnown =
+                asked.heldLease().incarnation() == settings.incarnation()
+                        && given.hasViews(holder, heldSequence, views.named());
+        LeaseGrant grant =
                 given.give(
                         now.monotonicMillis(),
                         holder,
                         asked.incarnation(),
                         baseShare,
-                        views.named()));
+                        views.named());
+        return Optional.of(viewsKnown ? grant.withoutViews(heldSequence) : grant);
     }
 
     private void takeLease(
@@ -528,6 +543,6 @@
 
     /** This VM's own share as if it were a lease to itself. */
     private LeaseGrant ownShare() {
-        return new LeaseGrant(0, baseShare, 0, views.named());
+        return new LeaseGrant(0, baseShare, 0, 0, views.named());
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/message/Heartbeat.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/Heartbeat.java
@@ -1,7 +1,5 @@
 package io.vanillapoint.core.message;
 
-import java.util.List;
-
 /**
  * Sent by each VM to every other VM of its region. It also asks the receiver for a lease of its
  * share. Immutable.
@@ -12,7 +10,7 @@
  * @param leaving true if the sender takes no new work
  * @param heldLease newest lease of the receiver's share that the sender has taken
  * @param configRevision newest revision that the sender has in force
- * @param members VMs that the sender counts
+ * @param news VMs that the sender counts
  */
 public record Heartbeat(
         long incarnation,
@@ -21,13 +19,8 @@
         boolean leaving,
         LeaseName heldLease,
         long configRevision,
-        List<Member> members)
+        MemberNews news)
         implements PeerMessage {
-    /** Copies the members. */
-    public Heartbeat {
-        members = List.copyOf(members);
-    }
-
     @Override
     public boolean expectsAnswer() {
         return true;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/message/HeartbeatReply.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/HeartbeatReply.java
@@ -1,6 +1,5 @@
 package io.vanillapoint.core.message;
 
-import java.util.List;
 import java.util.Optional;
 
 /**
@@ -13,7 +12,7 @@
  * @param counted true if every share that the sender of the reply uses or has leased counts the
  *     asker as a member
  * @param configRevision newest revision that the sender of the reply has in force
- * @param members VMs that the sender of the reply counts
+ * @param news VMs that the sender of the reply counts
  * @param lease lease of the share of the sender of the reply, if it gives one
  */
 public record HeartbeatReply(
@@ -23,11 +22,6 @@
         boolean active,
         boolean counted,
         long configRevision,
-        List<Member> members,
+        MemberNews news,
         Optional<LeaseGrant> lease)
-        implements PeerMessage {
-    /** Copies the members. */
-    public HeartbeatReply {
-        members = List.copyOf(members);
-    }
-}
+        implements PeerMessage {}
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
@@ -62,7 +62,7 @@
  * futures and read {@link #config()}, which is an immutable snapshot.
  */
 public final class ControlPlane {
-    private static final long TICK_MILLIS = 50;
+    private static final long TICK_MILLIS = 100;
     private static final long PEER_CONFIG_MILLIS = 1_000;
     private static final long EXCHANGES_PER_MILLI = 1_000;
     private static final Duration RETRY_SOON = Duration.ofSeconds(1);
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/FuzzTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/FuzzTest.java
@@ -7,6 +7,7 @@
 import io.vanillapoint.core.message.Heartbeat;
 import io.vanillapoint.core.message.LeaseName;
 import io.vanillapoint.core.message.Member;
+import io.vanillapoint.core.message.MemberNews;
 import io.vanillapoint.core.message.PeerHello;
 import io.vanillapoint.server.testing.Await;
 import io.vanillapoint.server.testing.Gateway;
@@ -78,7 +79,7 @@
                                 false,
                                 LeaseName.NONE,
                                 1,
-                                List.of(new Member(new VmId("a-9"), 1))));
+                                new MemberNews(1, 0, List.of(new Member(new VmId("a-9"), 1)))));
         for (int i = 0; i < ROUNDS; i++) {
             byte[] bad = frame(mutate(heartbeat));
             Buffer all = Buffer.buffer(hello).appendBytes(bad);
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeReader.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeReader.java
@@ -27,6 +27,7 @@
 import io.vanillapoint.core.message.LeaseGrant;
 import io.vanillapoint.core.message.LeaseName;
 import io.vanillapoint.core.message.Member;
+import io.vanillapoint.core.message.MemberNews;
 import io.vanillapoint.core.message.PeerHello;
 import io.vanillapoint.core.message.PeerMessage;
 import io.vanillapoint.core.message.PublishedValue;
@@ -50,6 +51,7 @@
 import io.vanillapoint.wire.generated.THeartbeatReply;
 import io.vanillapoint.wire.generated.TLease;
 import io.vanillapoint.wire.generated.TMember;
+import io.vanillapoint.wire.generated.TNews;
 import io.vanillapoint.wire.generated.TRegisterReply;
 import io.vanillapoint.wire.generated.TRegisterRequest;
 import io.vanillapoint.wire.generated.TReserveReply;
@@ -113,7 +115,7 @@
                 wire.isLeaving(),
                 new LeaseName(wire.getHeldIncarnation(), wire.getHeldSequence()),
                 wire.getConfigRevision(),
-                members(wire.getMembers()));
+                news(wire.getNews()));
     }
 
     private static HeartbeatReply heartbeatReply(THeartbeatReply wire) {
@@ -124,10 +126,14 @@
                 wire.isActive(),
                 wire.isCounted(),
                 wire.getConfigRevision(),
-                members(wire.getMembers()),
+                news(wire.getNews()),
                 Optional.ofNullable(wire.getLease()).map(EnvelopeReader::lease));
     }
 
+    private static MemberNews news(TNews wire) {
+        return new MemberNews(wire.getDigest(), wire.getKnownDigest(), members(wire.getMembers()));
+    }
+
     private static List<Member> members(List<TMember> wire) {
         return wire.stream()
                 .map(member -> new Member(new VmId(member.getVm()), member.getListedAt()))
@@ -139,7 +145,12 @@
                 wire.getViews().stream()
                         .map(view -> new HomeView(view.getVms().stream().map(VmId::new).toList()))
                         .toList();
-        return new LeaseGrant(wire.getSequence(), wire.getShare(), wire.getDurationMillis(), views);
+        return new LeaseGrant(
+                wire.getSequence(),
+                wire.getShare(),
+                wire.getDurationMillis(),
+                wire.getViewsOf(),
+                views);
     }
 
     private static ReserveRequest reserveRequest(TReserveRequest wire) {
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeWriter.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeWriter.java
@@ -16,6 +16,7 @@
 import io.vanillapoint.core.message.HomeView;
 import io.vanillapoint.core.message.LeaseGrant;
 import io.vanillapoint.core.message.Member;
+import io.vanillapoint.core.message.MemberNews;
 import io.vanillapoint.core.message.PeerHello;
 import io.vanillapoint.core.message.PeerMessage;
 import io.vanillapoint.core.message.RegisterReply;
@@ -42,6 +43,7 @@
 import io.vanillapoint.wire.generated.THop;
 import io.vanillapoint.wire.generated.TLease;
 import io.vanillapoint.wire.generated.TMember;
+import io.vanillapoint.wire.generated.TNews;
 import io.vanillapoint.wire.generated.TPublishedValue;
 import io.vanillapoint.wire.generated.TRegisterReply;
 import io.vanillapoint.wire.generated.TRegisterRequest;
@@ -127,7 +129,7 @@
                 message.heldLease().incarnation(),
                 message.heldLease().sequence(),
                 message.configRevision(),
-                members(message.members()));
+                news(message.news()));
     }
 
     private static THeartbeatReply heartbeatReply(HeartbeatReply message) {
@@ -139,18 +141,23 @@
                         message.active(),
                         message.counted(),
                         message.configRevision(),
-                        members(message.members()));
+                        news(message.news()));
         message.lease().ifPresent(lease -> reply.setLease(lease(lease)));
         return reply;
     }
 
+    private static TNews news(MemberNews news) {
+        return new TNews(news.digest(), news.knownDigest(), members(news.members()));
+    }
+
     private static List<TMember> members(List<Member> members) {
         return members.stream().map(m -> new TMember(m.vm().value(), m.listedAt())).toList();
     }
 
     private static TLease lease(LeaseGrant lease) {
         List<TView> views = lease.views().stream().map(EnvelopeWriter::view).toList();
-        return new TLease(lease.sequence(), lease.share(), lease.durationMillis(), views);
+        return new TLease(
+                lease.sequence(), lease.share(), lease.durationMillis(), views, lease.viewsOf());
     }
 
     private static TView view(HomeView view) {
--- a/vanillapoint-wire/src/main/thrift/peer.thrift
+++ b/vanillapoint-wire/src/main/thrift/peer.thrift
@@ -2,15 +2,16 @@
 
 struct TMember { 1: string vm, 2: i64 listedAt }
 struct TView { 1: list<string> vms }
-struct TLease { 1: i64 sequence, 2: double share, 3: i64 durationMillis, 4: list<TView> views }
+struct TNews { 1: i64 digest, 2: i64 knownDigest, 3: list<TMember> members }
+struct TLease { 1: i64 sequence, 2: double share, 3: i64 durationMillis, 4: list<TView> views, 5: i64 viewsOf }
 struct THello { 1: string vm, 2: i64 incarnation, 3: i32 protocol }
 struct THeartbeat {
   1: i64 incarnation, 2: i64 sequence, 3: i64 listedAt, 4: bool leaving,
-  5: i64 heldIncarnation, 6: i64 heldSequence, 7: i64 configRevision, 8: list<TMember> members
+  5: i64 heldIncarnation, 6: i64 heldSequence, 7: i64 configRevision, 8: TNews news
 }
 struct THeartbeatReply {
   1: i64 incarnation, 2: i64 askerIncarnation, 3: i64 sequence, 4: bool active, 5: bool counted,
-  6: i64 configRevision, 7: list<TMember> members, 8: optional TLease lease
+  6: i64 configRevision, 7: TNews news, 8: optional TLease lease
 }
 struct TReserveRequest { 1: i64 id, 2: string customer, 3: double tokens, 4: string purpose }
 struct TReserveReply { 1: i64 id, 2: double granted, 3: i64 retryAfterMillis, 4: double share }
--- a/vanillapoint-wire/src/test/java/io/vanillapoint/wire/PeerCodecTest.java
+++ b/vanillapoint-wire/src/test/java/io/vanillapoint/wire/PeerCodecTest.java
@@ -22,6 +22,7 @@
 import io.vanillapoint.core.message.LeaseGrant;
 import io.vanillapoint.core.message.LeaseName;
 import io.vanillapoint.core.message.Member;
+import io.vanillapoint.core.message.MemberNews;
 import io.vanillapoint.core.message.PeerHello;
 import io.vanillapoint.core.message.PeerMessage;
 import io.vanillapoint.core.message.PublishedValue;
@@ -58,7 +59,13 @@
                 List.of(
                         new PeerHello(VM, 5, 1),
                         new Heartbeat(
-                                1, 2, 3, true, new LeaseName(4, 5), 6, List.of(new Member(VM, 7))),
+                                1,
+                                2,
+                                3,
+                                true,
+                                new LeaseName(4, 5),
+                                6,
+                                new MemberNews(8, 9, List.of(new Member(VM, 7)))),
                         new HeartbeatReply(
                                 1,
                                 2,
@@ -66,8 +73,8 @@
                                 true,
                                 false,
                                 4,
-                                List.of(),
-                                Optional.of(new LeaseGrant(1, 0.25, 2_000, List.of(view)))),
+                                new MemberNews(1, 0, List.of()),
+                                Optional.of(new LeaseGrant(1, 0.25, 2_000, 3, List.of(view)))),
                         new ReserveRequest(1, new CustomerId("c"), 1.5, ReservePurpose.TRANSFER),
                         new ReserveReply(1, 2.5, Long.MAX_VALUE, 0.5),
                         new Settle(1, 0.5),
