--- a/vanillapoint-standin/src/main/java/io/vanillapoint/standin/Standin.java
+++ b/vanillapoint-standin/src/main/java/io/vanillapoint/standin/Standin.java
@@ -1,5 +1,6 @@
 package io.vanillapoint.standin;
 
+import io.vanillapoint.standin.load.BenchClient;
 import io.vanillapoint.standin.load.LoadClient;
 import io.vanillapoint.standin.load.LoadOptions;
 import java.util.Arrays;
@@ -16,6 +17,7 @@
         PROGRAMS.put("platform", PlatformStandin::main);
         PROGRAMS.put("engine", EngineStandin::main);
         PROGRAMS.put("service", ServiceStandin::main);
+        PROGRAMS.put("bench", args -> BenchClient.run(Flags.read(new BenchClient.Options(), args)));
         PROGRAMS.put("load", args -> LoadClient.run(Flags.read(new LoadOptions(), args)));
     }
 
