--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/message/PeerMessage.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/PeerMessage.java
@@ -19,6 +19,8 @@
                 ForwardFailure,
                 ForwardCancel,
                 ForwardCredit,
+                LoadRequest,
+                LoadReply,
                 PeerHello {
     /**
      * Tells whether the receiver answers on the same connection.
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/routing/Dispatcher.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/routing/Dispatcher.java
@@ -11,8 +11,10 @@
 import io.vanillapoint.core.hash.Rendezvous;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -30,6 +32,8 @@
     private final UpstreamTable upstreams;
     private final UpstreamPolicy policy;
     private final LongSupplier random;
+    private final SpillRule spill;
+    private final RegionLoads loads = new RegionLoads();
     private GatewayConfig config = GatewayConfig.empty();
     private long choices;
 
@@ -40,13 +44,19 @@
      * @param upstreams what is known of the upstreams
      * @param policy how to choose among the upstreams of this region
      * @param random source of 64 random bits
+     * @param spill when work leaves the region although its upstreams take it
      */
     public Dispatcher(
-            RegionId region, UpstreamTable upstreams, UpstreamPolicy policy, LongSupplier random) {
+            RegionId region,
+            UpstreamTable upstreams,
+            UpstreamPolicy policy,
+            LongSupplier random,
+            SpillRule spill) {
         this.region = region;
         this.upstreams = upstreams;
         this.policy = policy;
         this.random = random;
+        this.spill = spill;
     }
 
     /**
@@ -71,6 +81,10 @@
         if (RouteGuard.processing(query.customer(), region).isEmpty()) {
             List<UpstreamCandidate> local =
                     upstreams.candidates(nowMillis, query.target(), region, query.triedUpstreams());
+            Optional<Vm> spilled = spill(nowMillis, query, local, isReachable);
+            if (spilled.isPresent()) {
+                return new Dispatch.ToVm(spilled.get());
+            }
             if (!local.isEmpty()) {
                 return new Dispatch.ToUpstream(chooseUpstream(query, local).upstream());
             }
@@ -80,6 +94,58 @@
                 .orElseGet(() -> new Dispatch.Nowhere(nowhere(query)));
     }
 
+    /**
+     * Loads of other regions.
+     *
+     * @return what this VM has heard of them
+     */
+    public RegionLoads loads() {
+        return loads;
+    }
+
+    /**
+     * Regions whose load is worth asking for, since the upstreams of this region are busy.
+     *
+     * @param nowMillis monotonic time
+     * @param query a request
+     * @return regions that may run the request and were not asked a moment ago
+     */
+    public List<RegionId> regionsToAsk(long nowMillis, DispatchQuery query) {
+        double local = upstreams.lowestLoad(nowMillis, query.target(), region);
+        if (!spill.isBusy(local) || query.path().isFull()) {
+            return List.of();
+        }
+        return regions(remoteVms(query)).stream()
+                .filter(other -> loads.takeTurnToAsk(nowMillis, query.target(), other))
+                .toList();
+    }
+
+    /** A VM of a less loaded region, if this request is among those that should leave. */
+    private Optional<Vm> spill(
+            long nowMillis,
+            DispatchQuery query,
+            List<UpstreamCandidate> local,
+            Predicate<Vm> isReachable) {
+        double here = local.stream().mapToDouble(UpstreamCandidate::load).min().orElse(0);
+        if (!spill.isBusy(here)) {
+            return Optional.empty();
+        }
+        List<Vm> vms = remoteVms(query).stream().filter(isReachable).toList();
+        Optional<RegionId> least =
+                regions(vms).stream()
+                        .min(
+                                Comparator.comparingDouble(
+                                        other -> loads.load(nowMillis, query.target(), other)));
+        if (least.isEmpty()) {
+            return Optional.empty();
+        }
+        double there = loads.load(nowMillis, query.target(), least.get());
+        if (draw() >= spill.partToSend(here, there)) {
+            return Optional.empty();
+        }
+        return pick(vms.stream().filter(vm -> vm.region().equals(least.get())).toList());
+    }
+
     private UpstreamCandidate chooseUpstream(
             DispatchQuery query, List<UpstreamCandidate> candidates) {
         return policy.choose(
@@ -87,13 +153,7 @@
     }
 
     private Optional<Vm> remoteVm(DispatchQuery query, Predicate<Vm> isReachable) {
-        List<Vm> suitable = new ArrayList<>();
-        for (Vm vm : config.vms().values()) {
-            boolean open = vm.state().takesNewWork() && !query.triedVms().contains(vm.id());
-            if (open && !vm.region().equals(region) && mayForward(query, vm)) {
-                suitable.add(vm);
-            }
-        }
+        List<Vm> suitable = remoteVms(query);
         List<Vm> reachable = suitable.stream().filter(isReachable).toList();
         List<Vm> choices = reachable.isEmpty() ? suitable : reachable;
         return pickRegion(query, choices)
@@ -105,6 +165,28 @@
                                                 .toList()));
     }
 
+    private List<Vm> remoteVms(DispatchQuery query) {
+        List<Vm> suitable = new ArrayList<>();
+        for (Vm vm : config.vms().values()) {
+            boolean open = vm.state().takesNewWork() && !query.triedVms().contains(vm.id());
+            if (open && !vm.region().equals(region) && mayForward(query, vm)) {
+                suitable.add(vm);
+            }
+        }
+        return suitable;
+    }
+
+    private static Set<RegionId> regions(List<Vm> vms) {
+        Set<RegionId> regions = new TreeSet<>();
+        vms.forEach(vm -> regions.add(vm.region()));
+        return regions;
+    }
+
+    /** A random number from 0 to 1. */
+    private double draw() {
+        return (random.getAsLong() >>> 11) * 0x1.0p-53;
+    }
+
     private boolean mayForward(DispatchQuery query, Vm vm) {
         return upstreams.isServedIn(query.target(), vm.region())
                 && RouteGuard.forwarding(query.customer(), query.path(), vm.id(), vm.region())
@@ -112,9 +194,7 @@
     }
 
     private static Optional<RegionId> pickRegion(DispatchQuery query, List<Vm> vms) {
-        TreeSet<RegionId> regions = new TreeSet<>();
-        vms.forEach(vm -> regions.add(vm.region()));
-        return Rendezvous.pick(query.affinityKey(), regions, RegionId::value);
+        return Rendezvous.pick(query.affinityKey(), regions(vms), RegionId::value);
     }
 
     private Optional<Vm> pick(List<Vm> vms) {
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/routing/RegionLoads.java
@@ -0,0 +1,68 @@
+package io.vanillapoint.core.routing;
+
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.core.message.RouteTarget;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What one VM has heard of the loads of other regions. A report counts for a short time only.
+ * Confined to one thread; times are monotonic.
+ */
+public final class RegionLoads {
+    private static final long REPORT_LIFE_MILLIS = 3_000;
+    private static final long ASK_EVERY_MILLIS = 1_000;
+
+    private final Map<Key, Report> reports = new HashMap<>();
+    private final Map<Key, Long> askedAtMillis = new HashMap<>();
+
+    /**
+     * Takes a report.
+     *
+     * @param nowMillis time
+     * @param target model or service
+     * @param region region that reports
+     * @param load its load
+     */
+    public void report(long nowMillis, RouteTarget target, RegionId region, double load) {
+        reports.put(new Key(target, region), new Report(nowMillis, load));
+    }
+
+    /**
+     * Load of a region.
+     *
+     * @param nowMillis time
+     * @param target model or service
+     * @param region the region
+     * @return its load, infinite if it is not known
+     */
+    public double load(long nowMillis, RouteTarget target, RegionId region) {
+        Report report = reports.get(new Key(target, region));
+        if (report == null || nowMillis - report.atMillis() > REPORT_LIFE_MILLIS) {
+            return Double.POSITIVE_INFINITY;
+        }
+        return report.load();
+    }
+
+    /**
+     * Tells whether to ask a region now, and takes note that it is asked.
+     *
+     * @param nowMillis time
+     * @param target model or service
+     * @param region the region
+     * @return false if it was asked a moment ago
+     */
+    public boolean takeTurnToAsk(long nowMillis, RouteTarget target, RegionId region) {
+        Key key = new Key(target, region);
+        Long last = askedAtMillis.get(key);
+        if (last != null && nowMillis - last < ASK_EVERY_MILLIS) {
+            return false;
+        }
+        askedAtMillis.put(key, nowMillis);
+        return true;
+    }
+
+    private record Key(RouteTarget target, RegionId region) {}
+
+    private record Report(long atMillis, double load) {}
+}
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/routing/UpstreamTable.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/routing/UpstreamTable.java
@@ -71,6 +71,21 @@
         return candidates;
     }
 
+    /**
+     * Load of the least loaded upstream of a region.
+     *
+     * @param nowMillis time
+     * @param target model or service
+     * @param region region to look in
+     * @return requests for each unit of capacity, infinite if no upstream takes new work
+     */
+    public double lowestLoad(long nowMillis, RouteTarget target, RegionId region) {
+        return candidates(nowMillis, target, region, Set.of()).stream()
+                .mapToDouble(UpstreamCandidate::load)
+                .min()
+                .orElse(Double.POSITIVE_INFINITY);
+    }
+
     /**
      * Tells whether a region has an upstream that takes new work.
      *
@@ -119,7 +134,8 @@
     }
 
     /**
-     * Takes an upstream's own report of its load.
+     * Takes an upstream's own report of its load. What this VM itself runs there is taken out of
+     * it, since that is known without a lag.
      *
      * @param nowMillis time
      * @param upstream who reports
@@ -127,7 +143,7 @@
      */
     public void report(long nowMillis, UpstreamId upstream, double requests) {
         State state = state(upstream);
-        state.reported = requests;
+        state.others = Math.max(0, requests - state.running);
         state.reportedAtMillis = nowMillis;
     }
 
@@ -135,7 +151,8 @@
         State state = state(upstream.id());
         double age = nowMillis - state.reportedAtMillis;
         double trust = Math.max(0, 1 - age / REPORT_LIFE_MILLIS);
-        return new UpstreamCandidate(upstream, state.running, state.tokens, state.reported * trust);
+        return new UpstreamCandidate(
+                upstream, state.running, state.tokens, state.running + state.others * trust);
     }
 
     private void eject(long nowMillis, UpstreamId upstream, State state) {
@@ -168,7 +185,7 @@
         private int failures;
         private int ejections;
         private long ejectedUntilMillis = Long.MIN_VALUE;
-        private double reported;
+        private double others;
         private long reportedAtMillis;
     }
 }
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/admission/AdmissionQueueTest.java
@@ -0,0 +1,64 @@
+package io.vanillapoint.core.admission;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import io.vanillapoint.api.model.CustomerId;
+import io.vanillapoint.core.admission.AdmissionQueue.Ticket;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Who gets the next free place. */
+class AdmissionQueueTest {
+    private static final CustomerId LARGE = new CustomerId("large");
+    private static final CustomerId SMALL = new CustomerId("small");
+    private static final long LONGEST_MILLIS = 1_000;
+
+    @Test
+    void customerWithFewerRunningRequestsGoesFirst() {
+        AdmissionQueue queue = new AdmissionQueue(2, 10, LONGEST_MILLIS);
+        Ticket first = queue.enter(0, LARGE, true).orElseThrow();
+        queue.enter(0, LARGE, true);
+        queue.enter(1, LARGE, true);
+        Ticket small = queue.enter(2, SMALL, true).orElseThrow();
+        assertThat(queue.leave(3, first), is(Optional.of(small)));
+    }
+
+    @Test
+    void shortWorkGoesBeforeLongWork() {
+        AdmissionQueue queue = new AdmissionQueue(1, 10, LONGEST_MILLIS);
+        Ticket first = queue.enter(0, LARGE, true).orElseThrow();
+        queue.enter(1, LARGE, false);
+        Ticket shortWork = queue.enter(2, LARGE, true).orElseThrow();
+        assertThat(queue.leave(3, first), is(Optional.of(shortWork)));
+    }
+
+    @Test
+    void longWorkIsNotStarved() {
+        AdmissionQueue queue = new AdmissionQueue(1, 10, LONGEST_MILLIS);
+        Ticket first = queue.enter(0, LARGE, true).orElseThrow();
+        Ticket longWork = queue.enter(0, LARGE, false).orElseThrow();
+        queue.enter(LONGEST_MILLIS / 2, SMALL, true);
+        assertThat(queue.leave(LONGEST_MILLIS / 2, first), is(Optional.of(longWork)));
+    }
+
+    @Test
+    void waitEndsAtItsLimit() {
+        AdmissionQueue queue = new AdmissionQueue(1, 1, LONGEST_MILLIS);
+        queue.enter(0, LARGE, true);
+        Ticket waiting = queue.enter(0, LARGE, true).orElseThrow();
+        assertThat(queue.enter(0, SMALL, true), is(Optional.empty()));
+        assertThat(queue.expire(LONGEST_MILLIS), contains(waiting));
+        assertThat(queue.waiting(), is(0));
+    }
+
+    @Test
+    void waitingRequestThatGivesUpFreesNoPlace() {
+        AdmissionQueue queue = new AdmissionQueue(1, 2, LONGEST_MILLIS);
+        queue.enter(0, LARGE, true);
+        Ticket waiting = queue.enter(0, LARGE, true).orElseThrow();
+        assertThat(queue.leave(1, waiting), is(Optional.empty()));
+        assertThat(queue.running(), is(1));
+    }
+}
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/DecisionCost.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/DecisionCost.java
@@ -18,6 +18,7 @@
 import io.vanillapoint.core.message.VisitedPath;
 import io.vanillapoint.core.routing.DispatchQuery;
 import io.vanillapoint.core.routing.Dispatcher;
+import io.vanillapoint.core.routing.SpillRule;
 import io.vanillapoint.core.routing.UpstreamPolicies;
 import io.vanillapoint.core.routing.UpstreamTable;
 import io.vanillapoint.core.time.ClockReading;
@@ -132,7 +133,12 @@
         UpstreamTable table = new UpstreamTable((code, values) -> {});
         Random random = new Random(1);
         Dispatcher dispatcher =
-                new Dispatcher(REGION, table, UpstreamPolicies.PREFIX_AFFINITY, random::nextLong);
+                new Dispatcher(
+                        REGION,
+                        table,
+                        UpstreamPolicies.PREFIX_AFFINITY,
+                        random::nextLong,
+                        SpillRule.defaults());
         dispatcher.configure(config(5, replicas, 31));
         return dispatcher;
     }
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/routing/RoutingLab.java
@@ -0,0 +1,246 @@
+package io.vanillapoint.core.routing;
+
+import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.api.model.GatewayConfig;
+import io.vanillapoint.api.model.Lifecycle;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.Upstream;
+import io.vanillapoint.api.model.UpstreamId;
+import io.vanillapoint.api.model.UpstreamKind;
+import io.vanillapoint.api.model.Vm;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.api.plugin.UpstreamPolicy;
+import io.vanillapoint.core.message.Hop;
+import io.vanillapoint.core.message.RouteTarget;
+import io.vanillapoint.core.message.VisitedPath;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Three regions with two VMs and three engines each, in virtual time. Drives {@link Dispatcher} as
+ * it is. An engine shares its speed among its requests beyond its capacity, keeps the prefixes that
+ * it has seen last, and reports its load with a lag.
+ */
+final class RoutingLab {
+    static final RouteTarget TARGET = new RouteTarget(UpstreamKind.MODEL, "m");
+    static final List<RegionId> REGIONS =
+            List.of(new RegionId("a"), new RegionId("b"), new RegionId("c"));
+
+    private static final int ENGINES = 3;
+    private static final int CAPACITY = 8;
+    private static final int CACHED_PREFIXES = 12;
+    private static final long PREFILL_MILLIS = 400;
+    private static final long CACHED_PREFILL_MILLIS = 40;
+    private static final long DECODE_MILLIS = 1_000;
+    private static final long ONE_WAY_MILLIS = 55;
+
+    private final Random random;
+    private final long reportLagMillis;
+    private final Map<UpstreamId, Engine> engines = new TreeMap<>();
+    private final Map<VmId, Entry> entries = new TreeMap<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
+    private final List<Long> wholeMillis = new ArrayList<>();
+    private long now;
+    private long numbers;
+    private int away;
+    private int cached;
+
+    RoutingLab(long seed, UpstreamPolicy policy, SpillRule spill, long reportLagMillis) {
+        this.random = new Random(seed);
+        this.reportLagMillis = reportLagMillis;
+        GatewayConfig config = config();
+        for (Upstream upstream : config.upstreams()) {
+            engines.put(upstream.id(), new Engine());
+        }
+        for (Vm vm : config.vms().values()) {
+            entries.put(vm.id(), new Entry(vm, policy, spill, config));
+        }
+    }
+
+    /** Sends requests at random times; the first region gets more than the others. */
+    Result run(long millis, double perSecondFirst, double perSecondOther, int prefixes) {
+        for (RegionId region : REGIONS) {
+            double perSecond = region.equals(REGIONS.get(0)) ? perSecondFirst : perSecondOther;
+            arrivals(region, perSecond, millis, prefixes);
+        }
+        for (long at = 0; at < millis; at += 1_000) {
+            at(at, this::reportLoads);
+        }
+        while (!events.isEmpty()) {
+            Event event = events.poll();
+            now = event.at();
+            event.action().run();
+        }
+        wholeMillis.sort(null);
+        return new Result(
+                quantile(0.5),
+                quantile(0.95),
+                quantile(0.99),
+                away / (double) wholeMillis.size(),
+                cached / (double) wholeMillis.size());
+    }
+
+    private void arrivals(RegionId region, double perSecond, long millis, int prefixes) {
+        double at = 0;
+        while (at < millis) {
+            at += -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
+            VmId vm = new VmId(region + "-" + random.nextInt(2));
+            String prefix = "prefix " + (int) (prefixes * Math.pow(random.nextDouble(), 2));
+            at((long) at, () -> entries.get(vm).admit(prefix, now, VisitedPath.empty()));
+        }
+    }
+
+    private void at(long when, Runnable action) {
+        events.add(new Event(when, numbers++, action));
+    }
+
+    private void reportLoads() {
+        engines.forEach(
+                (id, engine) -> {
+                    int running = engine.running;
+                    at(
+                            now + reportLagMillis,
+                            () ->
+                                    entries.values()
+                                            .forEach(
+                                                    entry -> entry.table.report(now, id, running)));
+                });
+    }
+
+    private long quantile(double part) {
+        return wholeMillis.get((int) (part * (wholeMillis.size() - 1)));
+    }
+
+    private static GatewayConfig config() {
+        GatewayConfig.Builder config = GatewayConfig.builder(1);
+        Endpoint address = new Endpoint("127.0.0.1", 1);
+        for (RegionId region : REGIONS) {
+            ZoneId zone = new ZoneId(region.value());
+            for (int i = 0; i < 2; i++) {
+                VmId id = new VmId(region + "-" + i);
+                config.vm(new Vm(id, region, zone, address, address, address, Lifecycle.LIVE));
+            }
+            for (int i = 0; i < ENGINES; i++) {
+                config.upstream(
+                        new Upstream(
+                                new UpstreamId(region + "-engine-" + i),
+                                UpstreamKind.MODEL,
+                                region,
+                                zone,
+                                address,
+                                Set.of("m"),
+                                CAPACITY,
+                                1,
+                                Lifecycle.LIVE));
+            }
+        }
+        return config.build();
+    }
+
+    /** One VM. */
+    private final class Entry {
+        private final Vm vm;
+        private final UpstreamTable table = new UpstreamTable((code, values) -> {});
+        private final Dispatcher dispatcher;
+
+        private Entry(Vm vm, UpstreamPolicy policy, SpillRule spill, GatewayConfig config) {
+            this.vm = vm;
+            this.dispatcher = new Dispatcher(vm.region(), table, policy, random::nextLong, spill);
+            dispatcher.configure(config);
+        }
+
+        private void admit(String prefix, long sentAt, VisitedPath before) {
+            VisitedPath path = before.with(new Hop(vm.id(), vm.region()));
+            DispatchQuery query = new DispatchQuery(null, TARGET, prefix, path, Set.of(), Set.of());
+            Dispatch chosen = dispatcher.choose(now, query, other -> true);
+            askForLoads(query);
+            if (chosen instanceof Dispatch.ToVm remote) {
+                away++;
+                Entry next = entries.get(remote.vm().id());
+                at(now + ONE_WAY_MILLIS, () -> next.admit(prefix, sentAt - ONE_WAY_MILLIS, path));
+            } else if (chosen instanceof Dispatch.ToUpstream local) {
+                run(local.upstream().id(), prefix, sentAt);
+            }
+        }
+
+        private void run(UpstreamId upstream, String prefix, long sentAt) {
+            Engine engine = engines.get(upstream);
+            table.begin(upstream, 1);
+            engine.running++;
+            boolean hit = engine.use(prefix);
+            cached += hit ? 1 : 0;
+            double slow = Math.max(1, engine.running / (double) CAPACITY);
+            long prefill = hit ? CACHED_PREFILL_MILLIS : PREFILL_MILLIS;
+            long end = now + (long) ((prefill + DECODE_MILLIS) * slow);
+            at(
+                    end,
+                    () -> {
+                        engine.running--;
+                        table.end(now, upstream, 1, true);
+                        wholeMillis.add(now - sentAt);
+                    });
+        }
+
+        private void askForLoads(DispatchQuery query) {
+            for (RegionId region : dispatcher.regionsToAsk(now, query)) {
+                Entry asked = entries.get(new VmId(region + "-" + random.nextInt(2)));
+                at(
+                        now + ONE_WAY_MILLIS,
+                        () -> {
+                            double load = asked.table.lowestLoad(now, TARGET, region);
+                            at(
+                                    now + ONE_WAY_MILLIS,
+                                    () -> dispatcher.loads().report(now, TARGET, region, load));
+                        });
+            }
+        }
+    }
+
+    /** One engine with the prefixes that it used last. */
+    private static final class Engine {
+        private int running;
+        private final Map<String, Boolean> prefixes =
+                new LinkedHashMap<>(16, 0.75f, true) {
+                    private static final long serialVersionUID = 1L;
+
+                    @Override
+                    protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+                        return size() > CACHED_PREFIXES;
+                    }
+                };
+
+        private boolean use(String prefix) {
+            return prefixes.put(prefix, true) != null;
+        }
+    }
+
+    private record Event(long at, long number, Runnable action) {}
+
+    /**
+     * What came of a run.
+     *
+     * @param p50 median time of a whole answer in milliseconds
+     * @param p95 time that 95 in 100 stay under
+     * @param p99 time that 99 in 100 stay under
+     * @param away part that another region ran
+     * @param cached part whose prefix the engine had
+     */
+    record Result(long p50, long p95, long p99, double away, double cached) {
+        @Override
+        public String toString() {
+            return String.format(
+                    "whole p50/p95/p99 %d/%d/%d ms, away %.3f, cached %.3f",
+                    p50, p95, p99, away, cached);
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/routing/RoutingLabTest.java
@@ -0,0 +1,78 @@
+package io.vanillapoint.core.routing;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import io.vanillapoint.core.routing.RoutingLab.Result;
+import org.junit.jupiter.api.Test;
+
+/** The choice of upstream and region under load, measured against the plain ways in one run. */
+class RoutingLabTest {
+    private static final long RUN_MILLIS = 300_000;
+    private static final int SEEDS = 3;
+    private static final int PREFIXES = 60;
+    private static final double QUIET_PER_SECOND = 8;
+    private static final double BUSY_PER_SECOND = 36;
+
+    @Test
+    void affinityKeepsCachesWarm() {
+        for (long lag : new long[] {100, 1_000, 5_000}) {
+            double affinity = 0;
+            double turns = 0;
+            for (UpstreamPolicies policy : UpstreamPolicies.values()) {
+                double cached = 0;
+                for (int seed = 1; seed <= SEEDS; seed++) {
+                    Result result =
+                            new RoutingLab(seed, policy, SpillRule.never(), lag)
+                                    .run(RUN_MILLIS, 14, 14, PREFIXES);
+                    cached += result.cached() / SEEDS;
+                    print(policy.policyName() + ", reports " + lag + " ms late", seed, result);
+                }
+                affinity = policy == UpstreamPolicies.PREFIX_AFFINITY ? cached : affinity;
+                turns = policy == UpstreamPolicies.ROUND_ROBIN ? cached : turns;
+            }
+            assertThat(affinity, greaterThan(turns));
+        }
+    }
+
+    @Test
+    void busyRegionSendsWorkAwayAndQuietOnesDoNot() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            Result stays = run(seed, SpillRule.never(), BUSY_PER_SECOND);
+            Result spills = run(seed, SpillRule.defaults(), BUSY_PER_SECOND);
+            Result quiet = run(seed, SpillRule.defaults(), QUIET_PER_SECOND);
+            print("never away, one region busy", seed, stays);
+            print("spill, one region busy", seed, spills);
+            print("spill, all quiet", seed, quiet);
+            assertThat(spills.p95(), lessThan(stays.p95()));
+            assertThat(quiet.away(), is(0.0));
+        }
+    }
+
+    /** The two users weigh the measures differently: the penalty moves them the right way. */
+    @Test
+    void largerPenaltySendsLessAway() {
+        double eager = 0;
+        double reluctant = 0;
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            Result low = run(seed, new SpillRule(1.25, 0), BUSY_PER_SECOND);
+            Result high = run(seed, new SpillRule(2.0, 1.0), BUSY_PER_SECOND);
+            print("spill at 1.25, penalty 0", seed, low);
+            print("spill at 2.0, penalty 1", seed, high);
+            eager += low.away();
+            reluctant += high.away();
+        }
+        assertThat(reluctant, lessThan(eager));
+    }
+
+    private static Result run(int seed, SpillRule spill, double perSecond) {
+        return new RoutingLab(seed, UpstreamPolicies.PREFIX_AFFINITY, spill, 1_000)
+                .run(RUN_MILLIS, perSecond, QUIET_PER_SECOND, PREFIXES);
+    }
+
+    private static void print(String what, int seed, Result result) {
+        System.out.printf("%-42s seed %d: %s%n", what, seed, result);
+    }
+}
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/Daemon.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/Daemon.java
@@ -11,6 +11,7 @@
 import io.vanillapoint.server.kernel.Kernel;
 import io.vanillapoint.server.metric.GatewayMetrics;
 import io.vanillapoint.server.operator.OperatorListener;
+import io.vanillapoint.server.platform.LoadPoller;
 import io.vanillapoint.server.platform.PlatformWatcher;
 import io.vanillapoint.server.settings.DaemonSettings;
 import io.vanillapoint.server.traffic.TrafficVerticle;
@@ -98,6 +99,8 @@
         }
         parts.add(operators.listen(trafficVertx, settings.operators()));
         control.start();
+        new LoadPoller(controlVertx, settings.region(), control)
+                .start(settings.timeouts().loadPollMillis());
         watcher.start();
         return Future.all(parts)
                 .onSuccess(
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
@@ -8,6 +8,7 @@
 import io.vanillapoint.api.model.Endpoint;
 import io.vanillapoint.api.model.GatewayConfig;
 import io.vanillapoint.api.model.KeyDigest;
+import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.api.model.UpstreamId;
 import io.vanillapoint.api.model.Vm;
 import io.vanillapoint.api.model.VmId;
@@ -25,6 +26,8 @@
 import io.vanillapoint.core.message.Heartbeat;
 import io.vanillapoint.core.message.HeartbeatReply;
 import io.vanillapoint.core.message.KeyOutcome;
+import io.vanillapoint.core.message.LoadReply;
+import io.vanillapoint.core.message.LoadRequest;
 import io.vanillapoint.core.message.PeerHello;
 import io.vanillapoint.core.message.PeerMessage;
 import io.vanillapoint.core.message.PublishedValue;
@@ -117,7 +120,8 @@
                         settings.region(),
                         upstreams,
                         policy,
-                        () -> ThreadLocalRandom.current().nextLong());
+                        () -> ThreadLocalRandom.current().nextLong(),
+                        settings.spill());
         this.links = links(hello, metrics);
         ControlIdentity identity =
                 new ControlIdentity(
@@ -249,6 +253,7 @@
                     Dispatch chosen =
                             dispatcher.choose(
                                     monotonicMillis(), query, vm -> links.isReachable(vm.id()));
+                    askForLoads(query);
                     if (chosen instanceof Dispatch.ToUpstream local) {
                         upstreams.begin(local.upstream().id(), tokens);
                     }
@@ -256,6 +261,16 @@
                 });
     }
 
+    /**
+     * Takes an upstream's own report of its load. Runs on the control thread.
+     *
+     * @param upstream who reports
+     * @param running requests that it runs for all VMs
+     */
+    public void upstreamReported(UpstreamId upstream, double running) {
+        upstreams.report(monotonicMillis(), upstream, running);
+    }
+
     /**
      * Takes note that an upstream has ended a request.
      *
@@ -415,6 +430,21 @@
                 metrics::controlSent);
     }
 
+    /** Asks one VM of each region that could take work while this region is busy. */
+    private void askForLoads(DispatchQuery query) {
+        for (RegionId region : dispatcher.regionsToAsk(monotonicMillis(), query)) {
+            List<Vm> vms =
+                    config.vms().values().stream()
+                            .filter(vm -> vm.region().equals(region))
+                            .filter(vm -> links.isReachable(vm.id()))
+                            .toList();
+            if (!vms.isEmpty()) {
+                Vm asked = vms.get(ThreadLocalRandom.current().nextInt(vms.size()));
+                send(asked.id(), new LoadRequest(query.target()));
+            }
+        }
+    }
+
     private void tick() {
         ClockReading now = now();
         authority.tick(now).forEach(outgoing -> send(outgoing.to(), outgoing.message()));
@@ -456,6 +486,11 @@
             keys.complete(complete);
             return Optional.empty();
         }
+        if (message instanceof LoadRequest request) {
+            double load =
+                    upstreams.lowestLoad(monotonicMillis(), request.target(), settings.region());
+            return Optional.of(new LoadReply(request.target(), settings.region(), load));
+        }
         if (message instanceof ConfigRequest request) {
             return Optional.of(
                     new ConfigReply(store.completeTo(), store.newerThan(request.newerThan())));
@@ -469,6 +504,10 @@
             authority.receive(now(), from, reply);
         } else if (message instanceof ReserveReply reply) {
             reserver.answer(reply);
+        } else if (message instanceof LoadReply reply) {
+            dispatcher
+                    .loads()
+                    .report(monotonicMillis(), reply.target(), reply.region(), reply.load());
         } else if (message instanceof RegisterReply reply) {
             keys.receive(from, reply);
         } else if (message instanceof ConfigReply reply) {
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/platform/LoadPoller.java
@@ -0,0 +1,87 @@
+package io.vanillapoint.server.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.Upstream;
+import io.vanillapoint.api.model.UpstreamKind;
+import io.vanillapoint.server.control.ControlPlane;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Reads the loads that the model engines of this region report. An engine that does not answer
+ * simply has no report. Confined to the control thread.
+ */
+public final class LoadPoller {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long ANSWER_MILLIS = 500;
+
+    private final Vertx vertx;
+    private final HttpClient client;
+    private final RegionId region;
+    private final ControlPlane control;
+
+    /**
+     * Creates a poller.
+     *
+     * @param vertx instance of the control thread
+     * @param region region of this VM
+     * @param control takes the reports
+     */
+    public LoadPoller(Vertx vertx, RegionId region, ControlPlane control) {
+        this.vertx = vertx;
+        this.client = vertx.createHttpClient();
+        this.region = region;
+        this.control = control;
+    }
+
+    /**
+     * Begins to read.
+     *
+     * @param everyMillis time between two reads of an engine, 0 for none
+     */
+    public void start(long everyMillis) {
+        if (everyMillis > 0) {
+            control.context()
+                    .runOnContext(nothing -> vertx.setPeriodic(everyMillis, timer -> readAll()));
+        }
+    }
+
+    private void readAll() {
+        for (Upstream upstream : control.config().upstreams()) {
+            if (upstream.kind() == UpstreamKind.MODEL && upstream.region().equals(region)) {
+                read(upstream);
+            }
+        }
+    }
+
+    private void read(Upstream upstream) {
+        client.request(
+                        HttpMethod.GET,
+                        upstream.address().port(),
+                        upstream.address().host(),
+                        "/load")
+                .compose(request -> request.send())
+                .compose(HttpClientResponse::body)
+                .timeout(ANSWER_MILLIS, TimeUnit.MILLISECONDS)
+                .onSuccess(body -> report(upstream, body));
+    }
+
+    private void report(Upstream upstream, Buffer body) {
+        try {
+            JsonNode running = MAPPER.readTree(body.getBytes()).path("running");
+            if (running.isNumber()) {
+                control.upstreamReported(upstream.id(), running.asDouble());
+            }
+        } catch (IOException e) {
+            // A malformed report is no report; the next one may be better.
+            return;
+        }
+    }
+}
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/settings/DaemonOptions.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/settings/DaemonOptions.java
@@ -57,6 +57,24 @@
             usage = "how upstreams are chosen: name that a plug-in registers")
     String upstreamPolicy = "prefix-affinity";
 
+    @Option(
+            name = "--spill-load",
+            metaVar = "X",
+            usage = "requests for each unit of an upstream's capacity up to which work stays here")
+    String spillLoad = "1.5";
+
+    @Option(
+            name = "--away-penalty",
+            metaVar = "X",
+            usage = "load that is added to another region before it is compared with this one")
+    String awayPenalty = "0.5";
+
+    @Option(
+            name = "--load-poll-ms",
+            metaVar = "N",
+            usage = "time between two reads of an engine's load in milliseconds, 0 for none")
+    String loadPollMs = "1000";
+
     @Option(name = "--traffic-threads", metaVar = "N", usage = "event loops for traffic, 1 to 64")
     String trafficThreads = "2";
 
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/settings/DaemonSettings.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/settings/DaemonSettings.java
@@ -7,6 +7,7 @@
 import io.vanillapoint.api.model.ZoneId;
 import io.vanillapoint.core.limit.LimitTiming;
 import io.vanillapoint.core.limit.SharePolicy;
+import io.vanillapoint.core.routing.SpillRule;
 import java.util.List;
 
 /**
@@ -23,6 +24,7 @@
  * @param operatorKey digest of the operators' key
  * @param sharePolicy how VMs share rates
  * @param upstreamPolicy name of the way to choose upstreams
+ * @param spill when work leaves the region although its upstreams take it
  * @param limits sizes and counts
  * @param timeouts waiting times
  * @param timing times of the limit protocol
@@ -39,6 +41,7 @@
         KeyDigest operatorKey,
         SharePolicy sharePolicy,
         String upstreamPolicy,
+        SpillRule spill,
         Limits limits,
         Timeouts timeouts,
         LimitTiming timing) {
@@ -78,6 +81,7 @@
      * @param idleMillis longest silence inside an answer
      * @param peerMillis longest wait for a peer's word
      * @param rateWaitMillis longest wait for tokens that are about to flow in
+     * @param loadPollMillis time between two reads of an engine's load, 0 for none
      * @param drainMillis longest graceful shutdown
      */
     public record Timeouts(
@@ -87,5 +91,6 @@
             long idleMillis,
             long peerMillis,
             long rateWaitMillis,
+            long loadPollMillis,
             long drainMillis) {}
 }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/settings/SettingsReader.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/settings/SettingsReader.java
@@ -10,6 +10,7 @@
 import io.vanillapoint.api.model.ZoneId;
 import io.vanillapoint.core.limit.LimitTiming;
 import io.vanillapoint.core.limit.SharePolicy;
+import io.vanillapoint.core.routing.SpillRule;
 import java.io.StringWriter;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -144,6 +145,7 @@
                 text("--operator-key-sha256", options.operatorKeySha256, KeyDigest::new),
                 text("--share-policy", options.sharePolicy, SettingsReader::sharePolicy),
                 options.upstreamPolicy,
+                spill(),
                 limits(),
                 timeouts(),
                 timing());
@@ -174,6 +176,26 @@
                 number("--timeline-events", options.timelineEvents, 1, MAX_COUNT));
     }
 
+    private SpillRule spill() {
+        return new SpillRule(
+                decimal("--spill-load", options.spillLoad),
+                decimal("--away-penalty", options.awayPenalty));
+    }
+
+    private double decimal(String flag, String value) {
+        try {
+            double number = Double.parseDouble(value);
+            if (number >= 0) {
+                return number;
+            }
+        } catch (NumberFormatException e) {
+            fault(flag, "expected a number from 0, got '" + value + "'");
+            return 0;
+        }
+        fault(flag, "expected a number from 0, got " + value);
+        return 0;
+    }
+
     private DaemonSettings.Timeouts timeouts() {
         return new DaemonSettings.Timeouts(
                 number("--queue-timeout-ms", options.queueTimeoutMs, 1, MAX_MILLIS),
@@ -182,6 +204,7 @@
                 number("--idle-timeout-ms", options.idleTimeoutMs, 1, MAX_MILLIS),
                 number("--peer-timeout-ms", options.peerTimeoutMs, 1, MAX_MILLIS),
                 number("--rate-wait-ms", options.rateWaitMs, 0, MAX_MILLIS),
+                number("--load-poll-ms", options.loadPollMs, 0, MAX_MILLIS),
                 (long) MILLIS_PER_SECOND
                         * number("--drain-timeout-s", options.drainTimeoutS, 1, MAX_MILLIS));
     }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestExecution.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestExecution.java
@@ -27,6 +27,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Runs one request to its end: admission, attempts, answer, settlement.
@@ -68,6 +69,7 @@
     Future<Void> start() {
         sink.target.onClose(this::cancel);
         context.executions().add(this);
+        context.retries().request();
         control()
                 .admit(request.customer(), request.plan().tokens(), request.plan().interactive())
                 .onSuccess(this::admitted)
@@ -242,7 +244,8 @@
         boolean notRun = error.runState() == RunState.NOT_RUN;
         mayHaveRun |= !notRun;
         boolean mayRetry = notRun || request.plan().repeatable();
-        if (mayRetry && !sink.headPassed && attempts < context.settings().limits().maxAttempts()) {
+        boolean attemptLeft = attempts < context.settings().limits().maxAttempts();
+        if (mayRetry && !sink.headPassed && attemptLeft && takeRetry()) {
             context.metrics().retried();
             events().record(EventCode.REQUEST_RETRIED, request.id(), target, error.getMessage());
             nextAttempt();
@@ -254,6 +257,10 @@
         refuse(error);
     }
 
+    private boolean takeRetry() {
+        return context.retries().takeRetry(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    }
+
     private void refuse(VanillapointException error) {
         VanillapointException told =
                 mayHaveRun && error.runState() == RunState.NOT_RUN
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficContext.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficContext.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.server.traffic;
 
 import io.vanillapoint.api.event.EventSink;
+import io.vanillapoint.core.retry.RetryBudget;
 import io.vanillapoint.server.control.ControlPlane;
 import io.vanillapoint.server.kernel.Kernel;
 import io.vanillapoint.server.metric.GatewayMetrics;
@@ -17,6 +18,7 @@
  * @param metrics counts and times
  * @param upstreams calls to upstreams
  * @param forwards calls to VMs of other regions
+ * @param retries limits retries
  * @param executions requests that run on this loop
  */
 record TrafficContext(
@@ -27,4 +29,5 @@
         GatewayMetrics metrics,
         UpstreamClient upstreams,
         ForwardClient forwards,
+        RetryBudget retries,
         Set<RequestExecution> executions) {}
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
@@ -2,6 +2,7 @@
 
 import io.vanillapoint.api.event.EventSink;
 import io.vanillapoint.core.message.PeerHello;
+import io.vanillapoint.core.retry.RetryBudget;
 import io.vanillapoint.server.control.ControlPlane;
 import io.vanillapoint.server.kernel.Kernel;
 import io.vanillapoint.server.metric.GatewayMetrics;
@@ -17,12 +18,17 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * One event loop of traffic: callers, forwarded requests and calls to upstreams. All instances
  * share the listening ports. Confined to its event loop, but for {@link #running()}.
  */
 public final class TrafficVerticle extends VerticleBase {
+    private static final double RETRIES_PER_REQUEST = 0.2;
+    private static final double RETRIES_PER_SECOND = 5;
+    private static final double MOST_RETRIES = 50;
+
     private final DaemonSettings settings;
     private final Kernel kernel;
     private final ControlPlane control;
@@ -73,6 +79,11 @@
                         metrics,
                         new UpstreamClient(vertx, settings.timeouts()),
                         new ForwardClient(vertx, codec, hello, settings.timeouts(), events),
+                        new RetryBudget(
+                                RETRIES_PER_REQUEST,
+                                RETRIES_PER_SECOND,
+                                MOST_RETRIES,
+                                TimeUnit.NANOSECONDS.toMillis(System.nanoTime())),
                         new CountingSet());
         CallerHandler callers = new CallerHandler(vertx, traffic, idPrefix);
         Future<?> http =
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeReader.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeReader.java
@@ -26,6 +26,8 @@
 import io.vanillapoint.core.message.KeyStatus;
 import io.vanillapoint.core.message.LeaseGrant;
 import io.vanillapoint.core.message.LeaseName;
+import io.vanillapoint.core.message.LoadReply;
+import io.vanillapoint.core.message.LoadRequest;
 import io.vanillapoint.core.message.Member;
 import io.vanillapoint.core.message.MemberNews;
 import io.vanillapoint.core.message.PeerHello;
@@ -81,6 +83,18 @@
             case COMPLETE_KEY -> completeKey(envelope.getCompleteKey());
             case CONFIG_REQUEST -> new ConfigRequest(envelope.getConfigRequest().getNewerThan());
             case CONFIG_REPLY -> configReply(envelope.getConfigReply());
+            case LOAD_REQUEST ->
+                    new LoadRequest(
+                            target(
+                                    envelope.getLoadRequest().getKind(),
+                                    envelope.getLoadRequest().getTarget()));
+            case LOAD_REPLY ->
+                    new LoadReply(
+                            target(
+                                    envelope.getLoadReply().getKind(),
+                                    envelope.getLoadReply().getTarget()),
+                            new RegionId(envelope.getLoadReply().getRegion()),
+                            envelope.getLoadReply().getLoad());
             case FORWARD_REQUEST -> forwardRequest(envelope.getForwardRequest());
             case FORWARD_HEAD -> forwardHead(envelope.getForwardHead());
             case FORWARD_DATA ->
@@ -213,7 +227,7 @@
         return new ForwardRequest(
                 wire.getStream(),
                 customer,
-                new RouteTarget(UpstreamKind.valueOf(wire.getKind()), wire.getTarget()),
+                target(wire.getKind(), wire.getTarget()),
                 wire.getMethod(),
                 wire.getUri(),
                 headers(wire.getHeaders()),
@@ -223,6 +237,10 @@
                 wire.getTokens());
     }
 
+    private static RouteTarget target(String kind, String name) {
+        return new RouteTarget(UpstreamKind.valueOf(kind), name);
+    }
+
     private static ForwardHead forwardHead(TForwardHead wire) {
         return new ForwardHead(wire.getStream(), wire.getStatus(), headers(wire.getHeaders()));
     }
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeWriter.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeWriter.java
@@ -15,6 +15,8 @@
 import io.vanillapoint.core.message.HeartbeatReply;
 import io.vanillapoint.core.message.HomeView;
 import io.vanillapoint.core.message.LeaseGrant;
+import io.vanillapoint.core.message.LoadReply;
+import io.vanillapoint.core.message.LoadRequest;
 import io.vanillapoint.core.message.Member;
 import io.vanillapoint.core.message.MemberNews;
 import io.vanillapoint.core.message.PeerHello;
@@ -23,6 +25,7 @@
 import io.vanillapoint.core.message.RegisterRequest;
 import io.vanillapoint.core.message.ReserveReply;
 import io.vanillapoint.core.message.ReserveRequest;
+import io.vanillapoint.core.message.RouteTarget;
 import io.vanillapoint.core.message.Settle;
 import io.vanillapoint.core.message.StoredAnswer;
 import io.vanillapoint.wire.generated.TCompleteKey;
@@ -42,6 +45,8 @@
 import io.vanillapoint.wire.generated.THello;
 import io.vanillapoint.wire.generated.THop;
 import io.vanillapoint.wire.generated.TLease;
+import io.vanillapoint.wire.generated.TLoadReply;
+import io.vanillapoint.wire.generated.TLoadRequest;
 import io.vanillapoint.wire.generated.TMember;
 import io.vanillapoint.wire.generated.TNews;
 import io.vanillapoint.wire.generated.TPublishedValue;
@@ -87,6 +92,8 @@
         on(CompleteKey.class, m -> TEnvelope.completeKey(completeKey(m)));
         on(ConfigRequest.class, m -> TEnvelope.configRequest(new TConfigRequest(m.newerThan())));
         on(ConfigReply.class, m -> TEnvelope.configReply(configReply(m)));
+        on(LoadRequest.class, m -> TEnvelope.loadRequest(loadRequest(m.target())));
+        on(LoadReply.class, m -> TEnvelope.loadReply(loadReply(m)));
         on(ForwardRequest.class, m -> TEnvelope.forwardRequest(forwardRequest(m)));
         on(
                 ForwardHead.class,
@@ -201,6 +208,18 @@
         return new TConfigReply(message.completeTo(), values);
     }
 
+    private static TLoadRequest loadRequest(RouteTarget target) {
+        return new TLoadRequest(target.kind().name(), target.name());
+    }
+
+    private static TLoadReply loadReply(LoadReply message) {
+        return new TLoadReply(
+                message.target().kind().name(),
+                message.target().name(),
+                message.region().value(),
+                message.load());
+    }
+
     private static TForwardRequest forwardRequest(ForwardRequest message) {
         TForwardRequest request = new TForwardRequest();
         request.setStream(message.stream());
--- a/vanillapoint-wire/src/main/thrift/peer.thrift
+++ b/vanillapoint-wire/src/main/thrift/peer.thrift
@@ -39,6 +39,9 @@
 struct TForwardCancel { 1: i64 stream }
 struct TForwardCredit { 1: i64 stream, 2: i64 bytes }
 
+struct TLoadRequest { 1: string kind, 2: string target }
+struct TLoadReply { 1: string kind, 2: string target, 3: string region, 4: double load }
+
 /** One frame between two VMs. */
 union TEnvelope {
   1: THello hello
@@ -59,4 +62,6 @@
   16: TForwardFailure forwardFailure
   17: TForwardCancel forwardCancel
   18: TForwardCredit forwardCredit
+  19: TLoadRequest loadRequest
+  20: TLoadReply loadReply
 }
