Stamp frames between VMs so that the time line keeps cause and effect

Cause: the hybrid clock never heard other processes, so that the merged time line followed wall clocks, which differ between VMs. Ruled out: stamps in single messages (twenty kinds); one stamp in each frame does. Change: eight bytes before the payload; stamps over a minute ahead are not taken over.

--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/Daemon.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/Daemon.java
@@ -33,6 +33,7 @@
     private static final long CUT_MILLIS = 500;
 
     private final DaemonSettings settings;
+    private final HybridClock clock = new HybridClock(System::currentTimeMillis);
     private final EventRecorder recorder;
     private final Vertx controlVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final Vertx trafficVertx;
@@ -53,7 +54,6 @@
      */
     public Daemon(DaemonSettings settings) {
         this.settings = settings;
-        HybridClock clock = new HybridClock(System::currentTimeMillis);
         this.recorder =
                 new EventRecorder(settings.vm().value(), clock, settings.limits().timelineEvents());
         this.hello = new PeerHello(settings.vm(), System.currentTimeMillis(), PeerHello.PROTOCOL);
@@ -69,6 +69,7 @@
                         kernel.upstreamPolicy(settings.upstreamPolicy()),
                         DocumentParser.json(),
                         recorder,
+                        clock,
                         metrics);
         registerGauges();
     }
@@ -93,7 +94,14 @@
             String prefix = settings.vm() + "-" + Long.toString(hello.incarnation(), 36) + "-" + i;
             TrafficVerticle verticle =
                     new TrafficVerticle(
-                            settings, kernel, control, hello, recorder, metrics, prefix + "-");
+                            settings,
+                            kernel,
+                            control,
+                            hello,
+                            recorder,
+                            clock,
+                            metrics,
+                            prefix + "-");
             traffic.add(verticle);
             parts.add(trafficVertx.deployVerticle(verticle));
         }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
@@ -43,6 +43,7 @@
 import io.vanillapoint.core.routing.UpstreamTable;
 import io.vanillapoint.core.time.CautiousClock;
 import io.vanillapoint.core.time.ClockReading;
+import io.vanillapoint.server.event.HybridClock;
 import io.vanillapoint.server.metric.GatewayMetrics;
 import io.vanillapoint.server.peer.ControlLinks;
 import io.vanillapoint.server.settings.DaemonSettings;
@@ -97,6 +98,7 @@
      * @param policy how upstreams are chosen
      * @param parser reads published values
      * @param events where events are recorded
+     * @param stamps stamps the messages to other VMs
      * @param metrics counts control messages
      */
     public ControlPlane(
@@ -106,6 +108,7 @@
             UpstreamPolicy policy,
             ValueParser parser,
             EventSink events,
+            HybridClock stamps,
             GatewayMetrics metrics) {
         this.vertx = vertx;
         this.context = vertx.getOrCreateContext();
@@ -122,7 +125,7 @@
                         policy,
                         () -> ThreadLocalRandom.current().nextLong(),
                         settings.spill());
-        this.links = links(hello, metrics);
+        this.links = links(hello, stamps, metrics);
         ControlIdentity identity =
                 new ControlIdentity(
                         settings.vm(),
@@ -418,7 +421,7 @@
         return new RegionAuthority(who, now(), events, new Invariants(events));
     }
 
-    private ControlLinks links(PeerHello hello, GatewayMetrics metrics) {
+    private ControlLinks links(PeerHello hello, HybridClock stamps, GatewayMetrics metrics) {
         return new ControlLinks(
                 vertx,
                 new PeerCodec(settings.limits().maxFrameBytes()),
@@ -426,6 +429,7 @@
                 settings.timeouts().connectMillis(),
                 settings.timing().failureMillis(),
                 events,
+                stamps,
                 this::receiveAnswer,
                 metrics::controlSent);
     }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/event/HybridClock.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/event/HybridClock.java
@@ -6,10 +6,14 @@
 /**
  * Hybrid logical clock of one process.
  *
- * <p>Invariant: each stamp is later than every stamp given or heard before. Safe for use by several
- * threads.
+ * <p>Invariant: each stamp is later than every stamp given or heard before, except heard ones that
+ * lie too far in the future to be true. Safe for use by several threads.
  */
 public final class HybridClock {
+    private static final long FARTHEST_AHEAD_MILLIS = 60_000;
+    private static final int COUNTER_BITS = 16;
+    private static final long COUNTER_MASK = (1 << COUNTER_BITS) - 1;
+
     private final LongSupplier wallMillis;
     private HybridTimestamp last = new HybridTimestamp(0, 0);
 
@@ -43,8 +47,28 @@
      * @param heard the stamp
      */
     public synchronized void hear(HybridTimestamp heard) {
-        if (heard.compareTo(last) > 0) {
+        boolean credible = heard.wallMillis() - wallMillis.getAsLong() <= FARTHEST_AHEAD_MILLIS;
+        if (credible && heard.compareTo(last) > 0) {
             last = heard;
         }
     }
+
+    /**
+     * Stamps a message.
+     *
+     * @return 48 bits of wall time, then 16 bits of counter
+     */
+    public long nextPacked() {
+        HybridTimestamp stamp = next();
+        return (stamp.wallMillis() << COUNTER_BITS) | Math.min(stamp.counter(), COUNTER_MASK);
+    }
+
+    /**
+     * Takes note of the stamp on a message.
+     *
+     * @param packed 48 bits of wall time, then 16 bits of counter
+     */
+    public void hearPacked(long packed) {
+        hear(new HybridTimestamp(packed >>> COUNTER_BITS, (int) (packed & COUNTER_MASK)));
+    }
 }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/ControlLinks.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/ControlLinks.java
@@ -6,6 +6,7 @@
 import io.vanillapoint.api.model.VmId;
 import io.vanillapoint.core.message.PeerHello;
 import io.vanillapoint.core.message.PeerMessage;
+import io.vanillapoint.server.event.HybridClock;
 import io.vanillapoint.wire.PeerCodec;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
@@ -31,6 +32,7 @@
     private final PeerCodec codec;
     private final PeerHello hello;
     private final EventSink events;
+    private final HybridClock clock;
     private final long silenceMillis;
     private final BiConsumer<VmId, PeerMessage> receiver;
     private final LongConsumer sentBytes;
@@ -45,6 +47,7 @@
      * @param connectMillis longest wait for a connection
      * @param silenceMillis silence after which a connection is dead
      * @param events where events are recorded
+     * @param clock stamps the messages
      * @param receiver takes the answers
      * @param sentBytes counts the size of each frame
      */
@@ -55,6 +58,7 @@
             long connectMillis,
             long silenceMillis,
             EventSink events,
+            HybridClock clock,
             BiConsumer<VmId, PeerMessage> receiver,
             LongConsumer sentBytes) {
         this.client =
@@ -65,6 +69,7 @@
         this.codec = codec;
         this.hello = hello;
         this.events = events;
+        this.clock = clock;
         this.silenceMillis = silenceMillis;
         this.receiver = receiver;
         this.sentBytes = sentBytes;
@@ -129,7 +134,7 @@
 
         private void opened(VmId to, NetSocket connection, PeerMessage message) {
             connecting = false;
-            socket = new FrameSocket(connection, codec, events);
+            socket = new FrameSocket(connection, codec, events, clock);
             oldestUnansweredMillis = 0;
             socket.countSent(sentBytes);
             FrameSocket opened = socket;
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/FrameSocket.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/FrameSocket.java
@@ -4,6 +4,7 @@
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.event.EventSink;
 import io.vanillapoint.core.message.PeerMessage;
+import io.vanillapoint.server.event.HybridClock;
 import io.vanillapoint.wire.PeerCodec;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
@@ -13,15 +14,18 @@
 import java.util.function.LongConsumer;
 
 /**
- * Messages over one connection: each frame is its length in four bytes, then the payload. A frame
- * that can't be read closes the connection. Confined to the connection's event loop.
+ * Messages over one connection: each frame is the length of what follows in four bytes, the
+ * sender's time stamp in eight, then the payload. A frame that can't be read closes the connection.
+ * Confined to the connection's event loop.
  */
 public final class FrameSocket {
     private static final int LENGTH_BYTES = 4;
+    private static final int STAMP_BYTES = Long.BYTES;
 
     private final NetSocket socket;
     private final PeerCodec codec;
     private final EventSink events;
+    private final HybridClock clock;
     private final RecordParser parser = RecordParser.newFixed(LENGTH_BYTES);
     private LongConsumer sentBytes = bytes -> {};
     private Consumer<PeerMessage> receiver = message -> {};
@@ -34,11 +38,13 @@
      * @param socket the connection
      * @param codec reads and writes payloads
      * @param events where events are recorded
+     * @param clock stamps what is sent and hears the stamps of what is received
      */
-    public FrameSocket(NetSocket socket, PeerCodec codec, EventSink events) {
+    public FrameSocket(NetSocket socket, PeerCodec codec, EventSink events, HybridClock clock) {
         this.socket = socket;
         this.codec = codec;
         this.events = events;
+        this.clock = clock;
         parser.handler(this::receive);
         socket.handler(parser);
     }
@@ -85,8 +91,9 @@
             return Future.failedFuture("connection is closed");
         }
         byte[] payload = codec.encode(message);
-        Buffer frame = Buffer.buffer(LENGTH_BYTES + payload.length);
-        frame.appendInt(payload.length);
+        Buffer frame = Buffer.buffer(LENGTH_BYTES + STAMP_BYTES + payload.length);
+        frame.appendInt(STAMP_BYTES + payload.length);
+        frame.appendLong(clock.nextPacked());
         frame.appendBytes(payload);
         sentBytes.accept(frame.length());
         return socket.write(frame);
@@ -108,7 +115,8 @@
             } else {
                 lengthNext = true;
                 parser.fixedSizeMode(LENGTH_BYTES);
-                codec.decode(buffer.getBytes()).ifPresent(receiver);
+                clock.hearPacked(buffer.getLong(0));
+                codec.decode(buffer.getBytes(STAMP_BYTES, buffer.length())).ifPresent(receiver);
             }
         } catch (VanillapointException e) {
             events.record(EventCode.PEER_BAD_FRAME, socket.remoteAddress(), e.getMessage());
@@ -117,8 +125,9 @@
     }
 
     private void expectPayload(int length) {
-        if (length <= 0 || length > codec.maxFrameBytes()) {
-            String text = "expected 1 to " + codec.maxFrameBytes() + " bytes, got " + length;
+        int most = STAMP_BYTES + codec.maxFrameBytes();
+        if (length <= STAMP_BYTES || length > most) {
+            String text = "expected " + (STAMP_BYTES + 1) + " to " + most + " bytes, got " + length;
             events.record(EventCode.PEER_BAD_FRAME, socket.remoteAddress(), text);
             close();
             return;
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/ForwardClient.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/ForwardClient.java
@@ -15,6 +15,7 @@
 import io.vanillapoint.core.message.ForwardRequest;
 import io.vanillapoint.core.message.PeerHello;
 import io.vanillapoint.core.message.PeerMessage;
+import io.vanillapoint.server.event.HybridClock;
 import io.vanillapoint.server.peer.FrameSocket;
 import io.vanillapoint.server.settings.DaemonSettings.Timeouts;
 import io.vanillapoint.wire.PeerCodec;
@@ -45,15 +46,22 @@
     private final PeerHello hello;
     private final Timeouts timeouts;
     private final EventSink events;
+    private final HybridClock clock;
     private final Map<VmId, Link> links = new HashMap<>();
 
     ForwardClient(
-            Vertx vertx, PeerCodec codec, PeerHello hello, Timeouts timeouts, EventSink events) {
+            Vertx vertx,
+            PeerCodec codec,
+            PeerHello hello,
+            Timeouts timeouts,
+            EventSink events,
+            HybridClock clock) {
         this.vertx = vertx;
         this.codec = codec;
         this.hello = hello;
         this.timeouts = timeouts;
         this.events = events;
+        this.clock = clock;
         this.client =
                 vertx.createNetClient(
                         new NetClientOptions()
@@ -96,7 +104,7 @@
 
         private Link(VmId vm, NetSocket connection) {
             this.vm = vm;
-            this.socket = new FrameSocket(connection, codec, events);
+            this.socket = new FrameSocket(connection, codec, events, clock);
             socket.receiver(this::received);
             socket.closeHandler(this::closed);
             socket.send(hello);
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
@@ -4,6 +4,7 @@
 import io.vanillapoint.core.message.PeerHello;
 import io.vanillapoint.core.retry.RetryBudget;
 import io.vanillapoint.server.control.ControlPlane;
+import io.vanillapoint.server.event.HybridClock;
 import io.vanillapoint.server.kernel.Kernel;
 import io.vanillapoint.server.metric.GatewayMetrics;
 import io.vanillapoint.server.peer.FrameSocket;
@@ -34,6 +35,7 @@
     private final ControlPlane control;
     private final PeerHello hello;
     private final EventSink events;
+    private final HybridClock clock;
     private final GatewayMetrics metrics;
     private final String idPrefix;
     private final Set<RequestExecution> executions = new HashSet<>();
@@ -47,6 +49,7 @@
      * @param control the control plane
      * @param hello who this VM is to its peers
      * @param events where events are recorded
+     * @param clock stamps the messages to other VMs
      * @param metrics counts and times
      * @param idPrefix begins the names of this instance's requests
      */
@@ -56,6 +59,7 @@
             ControlPlane control,
             PeerHello hello,
             EventSink events,
+            HybridClock clock,
             GatewayMetrics metrics,
             String idPrefix) {
         this.settings = settings;
@@ -63,6 +67,7 @@
         this.control = control;
         this.hello = hello;
         this.events = events;
+        this.clock = clock;
         this.metrics = metrics;
         this.idPrefix = idPrefix;
     }
@@ -78,7 +83,7 @@
                         events,
                         metrics,
                         new UpstreamClient(vertx, settings.timeouts()),
-                        new ForwardClient(vertx, codec, hello, settings.timeouts(), events),
+                        new ForwardClient(vertx, codec, hello, settings.timeouts(), events, clock),
                         new RetryBudget(
                                 RETRIES_PER_REQUEST,
                                 RETRIES_PER_SECOND,
@@ -98,7 +103,8 @@
                         .connectHandler(
                                 socket ->
                                         new PeerConnection(
-                                                traffic, new FrameSocket(socket, codec, events)))
+                                                traffic,
+                                                new FrameSocket(socket, codec, events, clock)))
                         .listen(settings.peers().port(), settings.peers().host());
         return Future.all(http, peers);
     }
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/FuzzTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/FuzzTest.java
@@ -107,7 +107,11 @@
     }
 
     private static byte[] frame(byte[] payload) {
-        return Buffer.buffer().appendInt(payload.length).appendBytes(payload).getBytes();
+        return Buffer.buffer()
+                .appendInt(Long.BYTES + payload.length)
+                .appendLong(1)
+                .appendBytes(payload)
+                .getBytes();
     }
 
     private static void send(int port, byte[] bytes) throws IOException {
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/peer/ControlLinksTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/peer/ControlLinksTest.java
@@ -11,6 +11,7 @@
 import io.vanillapoint.core.message.ReservePurpose;
 import io.vanillapoint.core.message.ReserveRequest;
 import io.vanillapoint.core.message.Settle;
+import io.vanillapoint.server.event.HybridClock;
 import io.vanillapoint.server.testing.Await;
 import io.vanillapoint.wire.PeerCodec;
 import io.vertx.core.Vertx;
@@ -28,6 +29,7 @@
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicInteger received = new AtomicInteger();
     private final Endpoint address = new Endpoint(Await.HOST, Await.freePort());
+    private final HybridClock clock = new HybridClock(System::currentTimeMillis);
     private ControlLinks links;
 
     @BeforeEach
@@ -39,7 +41,8 @@
                                 socket -> {
                                     connections.incrementAndGet();
                                     FrameSocket frames =
-                                            new FrameSocket(socket, codec, (code, values) -> {});
+                                            new FrameSocket(
+                                                    socket, codec, (code, values) -> {}, clock);
                                     frames.receiver(message -> received.incrementAndGet());
                                 })
                         .listen(address.port(), address.host()));
@@ -51,6 +54,7 @@
                         1_000,
                         SILENCE_MILLIS,
                         (code, values) -> {},
+                        clock,
                         (vm, message) -> {},
                         bytes -> {});
     }
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/ForwardingTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/ForwardingTest.java
@@ -17,6 +17,7 @@
 import io.vanillapoint.core.message.PeerMessage;
 import io.vanillapoint.core.message.RouteTarget;
 import io.vanillapoint.core.message.VisitedPath;
+import io.vanillapoint.server.event.HybridClock;
 import io.vanillapoint.server.peer.FrameSocket;
 import io.vanillapoint.server.testing.Answer;
 import io.vanillapoint.server.testing.Await;
@@ -163,7 +164,10 @@
                         connection -> {
                             FrameSocket socket =
                                     new FrameSocket(
-                                            connection, new PeerCodec(LARGE), (code, values) -> {});
+                                            connection,
+                                            new PeerCodec(LARGE),
+                                            (code, values) -> {},
+                                            new HybridClock(System::currentTimeMillis));
                             socket.receiver(answer::tryComplete);
                             socket.send(new PeerHello(new VmId("b-1"), 1, PeerHello.PROTOCOL));
                             socket.send(request);
