--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/RandomTrafficTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/RandomTrafficTest.java
@@ -2,6 +2,8 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.vanillapoint.api.model.CustomerId;
@@ -26,6 +28,8 @@
     private static final double SMALL = 75;
     private static final double LARGE = 1_125;
 
+    private long restartMillis;
+
     @Test
     void shortWaitAndTransfersSpareWrongfulRefusals() {
         for (double load : new double[] {0.84, 0.95}) {
@@ -38,7 +42,18 @@
         }
     }
 
-    private static Outcome run(double load, long waitMillis, boolean transfers) {
+    /** A VM dies every 30 s and comes back 2 s later, as in a roll-out without any grace. */
+    @Test
+    void restartsCostLittle() {
+        Outcome steady = run(0.84, WAIT_MILLIS, true);
+        restartMillis = 30_000;
+        Outcome restarting = run(0.84, WAIT_MILLIS, true);
+        assertThat(restarting.wrongful(), greaterThanOrEqualTo(steady.wrongful()));
+        double partOfOneVm = 1.0 / 4;
+        assertThat(restarting.wrongful(), lessThan(partOfOneVm));
+    }
+
+    private Outcome run(double load, long waitMillis, boolean transfers) {
         int sent = 0;
         int wrongful = 0;
         int granted = 0;
@@ -52,13 +67,19 @@
         }
         Outcome outcome = new Outcome(wrongful / (double) sent, local / (double) granted);
         System.out.printf(
-                "load %.2f, wait %3d ms, transfers %-5s: wrongfully refused %.5f of %d, "
+                "load %.2f, wait %3d ms, transfers %-5s, restart every %d ms: wrongfully refused %.5f of %d, "
                         + "granted without another region %.3f%n",
-                load, waitMillis, transfers, outcome.wrongful(), sent, outcome.local());
+                load,
+                waitMillis,
+                transfers,
+                restartMillis,
+                outcome.wrongful(),
+                sent,
+                outcome.local());
         return outcome;
     }
 
-    private static VirtualFleet runOnce(int seed, double load, long waitMillis, boolean transfers) {
+    private VirtualFleet runOnce(int seed, double load, long waitMillis, boolean transfers) {
         VirtualFleet fleet =
                 new VirtualFleet(seed, SharePolicy.DELEGATED, LimitTiming.defaults(), GRANT);
         fleet.giveBackRate = 0;
@@ -77,14 +98,32 @@
             for (CustomerId customer : VirtualFleet.CUSTOMERS) {
                 if (random.nextDouble() < perStep) {
                     double tokens = random.nextInt(3) == 0 ? LARGE : SMALL;
-                    fleet.request(vms.get(random.nextInt(vms.size())), customer, tokens);
+                    VmId entry = vms.get(random.nextInt(vms.size()));
+                    if (!fleet.nodes.get(entry).runs()) {
+                        entry = vms.get((vms.indexOf(entry) + 1) % vms.size());
+                    }
+                    fleet.request(entry, customer, tokens);
                 }
             }
             fleet.advance(STEP_MILLIS);
+            restart(fleet, vms, at);
         }
         return fleet;
     }
 
+    private void restart(VirtualFleet fleet, List<VmId> vms, long at) {
+        if (restartMillis == 0) {
+            return;
+        }
+        VmId vm = vms.get((int) (at / restartMillis % vms.size()));
+        long phase = at % restartMillis;
+        if (phase == 0) {
+            fleet.nodes.get(vm).kill();
+        } else if (phase == 2_000) {
+            fleet.nodes.get(vm).start();
+        }
+    }
+
     /** Fractions of what came of a run. */
     private record Outcome(double wrongful, double local) {}
 }
