--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/Admitter.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/Admitter.java
@@ -7,6 +7,7 @@
 import io.vanillapoint.core.admission.AdmissionQueue;
 import io.vanillapoint.core.admission.AdmissionQueue.Ticket;
 import io.vanillapoint.core.limit.TokenGather.Part;
+import io.vanillapoint.server.MonotonicTime;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.time.Duration;
@@ -14,7 +15,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Lets requests in: a place among those that run, then the tokens. Confined to the control thread.
@@ -43,7 +43,7 @@
     /** Admits a request; the customer is null on a route that is open to all. */
     Future<Admission> admit(Customer customer, long tokens, boolean interactive) {
         CustomerId name = customer == null ? OPEN_ROUTE : customer.id();
-        Optional<Ticket> entered = queue.enter(now(), name, interactive);
+        Optional<Ticket> entered = queue.enter(MonotonicTime.millis(), name, interactive);
         if (entered.isEmpty()) {
             return refuse(ErrorCode.OVERLOADED, "too many requests wait");
         }
@@ -62,7 +62,7 @@
 
     /** Refuses requests that have waited too long. */
     void expire() {
-        for (Ticket ticket : queue.expire(now())) {
+        for (Ticket ticket : queue.expire(MonotonicTime.millis())) {
             waiting.remove(ticket)
                     .tryFail(
                             VanillapointException.refusal(
@@ -90,15 +90,11 @@
 
     private void release(Ticket ticket) {
         waiting.remove(ticket);
-        Optional<Ticket> next = queue.leave(now(), ticket);
+        Optional<Ticket> next = queue.leave(MonotonicTime.millis(), ticket);
         next.ifPresent(started -> waiting.remove(started).tryComplete());
     }
 
     private static <T> Future<T> refuse(ErrorCode code, String message) {
         return Future.failedFuture(VanillapointException.refusal(code, message, RETRY_SOON));
     }
-
-    private static long now() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    }
 }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
@@ -5,7 +5,6 @@
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.event.EventSink;
 import io.vanillapoint.api.model.Customer;
-import io.vanillapoint.api.model.Endpoint;
 import io.vanillapoint.api.model.GatewayConfig;
 import io.vanillapoint.api.model.KeyDigest;
 import io.vanillapoint.api.model.RegionId;
@@ -16,7 +15,6 @@
 import io.vanillapoint.core.admission.AdmissionQueue;
 import io.vanillapoint.core.config.ConfigStore;
 import io.vanillapoint.core.config.ValueParser;
-import io.vanillapoint.core.hash.Rendezvous;
 import io.vanillapoint.core.invariant.Invariants;
 import io.vanillapoint.core.limit.AuthoritySettings;
 import io.vanillapoint.core.limit.RegionAuthority;
@@ -43,6 +41,7 @@
 import io.vanillapoint.core.routing.UpstreamTable;
 import io.vanillapoint.core.time.CautiousClock;
 import io.vanillapoint.core.time.ClockReading;
+import io.vanillapoint.server.MonotonicTime;
 import io.vanillapoint.server.event.HybridClock;
 import io.vanillapoint.server.metric.GatewayMetrics;
 import io.vanillapoint.server.peer.ControlLinks;
@@ -52,13 +51,10 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Owns all state of this VM that changes: configuration, shares of rates, loads of upstreams,
@@ -81,7 +77,7 @@
     private final UpstreamTable upstreams;
     private final Dispatcher dispatcher;
     private final Admitter admitter;
-    private final ControlLinks links;
+    private final PeerDirectory peers;
     private final TokenReserver reserver;
     private final KeyCoordinator keys;
     private volatile GatewayConfig config = GatewayConfig.empty();
@@ -125,7 +121,12 @@
                         policy,
                         () -> ThreadLocalRandom.current().nextLong(),
                         settings.spill());
-        this.links = links(hello, stamps, metrics);
+        this.peers =
+                new PeerDirectory(
+                        settings.vm(),
+                        settings.region(),
+                        links(hello, stamps, metrics),
+                        this::config);
         ControlIdentity identity =
                 new ControlIdentity(
                         settings.vm(),
@@ -140,8 +141,8 @@
                         identity,
                         authority,
                         this::now,
-                        this::send,
-                        vm -> links.isReachable(vm.id()),
+                        peers::send,
+                        peers::isReachable,
                         this::config,
                         events);
         AdmissionQueue queue =
@@ -155,7 +156,7 @@
                         vertx,
                         identity,
                         settings.timing().listLagMillis(),
-                        this::send,
+                        peers::send,
                         this::config);
     }
 
@@ -254,8 +255,7 @@
                         return Future.succeededFuture(new Dispatch.Nowhere(withdrawn()));
                     }
                     Dispatch chosen =
-                            dispatcher.choose(
-                                    monotonicMillis(), query, vm -> links.isReachable(vm.id()));
+                            dispatcher.choose(MonotonicTime.millis(), query, peers::isReachable);
                     askForLoads(query);
                     if (chosen instanceof Dispatch.ToUpstream local) {
                         upstreams.begin(local.upstream().id(), tokens);
@@ -271,7 +271,7 @@
      * @param running requests that it runs for all VMs
      */
     public void upstreamReported(UpstreamId upstream, double running) {
-        upstreams.report(monotonicMillis(), upstream, running);
+        upstreams.report(MonotonicTime.millis(), upstream, running);
     }
 
     /**
@@ -283,7 +283,7 @@
      */
     public void upstreamEnded(UpstreamId upstream, long tokens, boolean succeeded) {
         context.runOnContext(
-                nothing -> upstreams.end(monotonicMillis(), upstream, tokens, succeeded));
+                nothing -> upstreams.end(MonotonicTime.millis(), upstream, tokens, succeeded));
     }
 
     /**
@@ -293,7 +293,9 @@
      * @return the key, or a refusal if no VM could be asked to remember it
      */
     public Future<String> issueKey(Customer customer) {
-        return Threads.call(context, () -> keys.issue(customer, entriesHere(customer)));
+        return Threads.call(
+                context,
+                () -> keys.issue(customer, peers.entries(customer, authority.liveVms(now()))));
     }
 
     /**
@@ -328,7 +330,9 @@
      * @return VMs in the customer's permitted regions that take new work; this region's first
      */
     public Future<List<Vm>> entries(Customer customer) {
-        return Threads.call(context, () -> Future.succeededFuture(entriesHere(customer)));
+        return Threads.call(
+                context,
+                () -> Future.succeededFuture(peers.entries(customer, authority.liveVms(now()))));
     }
 
     /**
@@ -436,38 +440,18 @@
 
     /** Asks one VM of each region that could take work while this region is busy. */
     private void askForLoads(DispatchQuery query) {
-        for (RegionId region : dispatcher.regionsToAsk(monotonicMillis(), query)) {
-            List<Vm> vms =
-                    config.vms().values().stream()
-                            .filter(vm -> vm.region().equals(region))
-                            .filter(vm -> links.isReachable(vm.id()))
-                            .toList();
-            if (!vms.isEmpty()) {
-                Vm asked = vms.get(ThreadLocalRandom.current().nextInt(vms.size()));
-                send(asked.id(), new LoadRequest(query.target()));
-            }
+        for (RegionId region : dispatcher.regionsToAsk(MonotonicTime.millis(), query)) {
+            peers.anyIn(region).ifPresent(vm -> peers.send(vm, new LoadRequest(query.target())));
         }
     }
 
     private void tick() {
         ClockReading now = now();
-        authority.tick(now).forEach(outgoing -> send(outgoing.to(), outgoing.message()));
+        authority.tick(now).forEach(outgoing -> peers.send(outgoing.to(), outgoing.message()));
         admitter.expire();
         if (!platformUp && now.monotonicMillis() >= nextPeerConfigMillis) {
             nextPeerConfigMillis = now.monotonicMillis() + PEER_CONFIG_MILLIS;
-            askPeerForConfig();
-        }
-    }
-
-    private void askPeerForConfig() {
-        ConfigRequest request = new ConfigRequest(store.completeTo());
-        Optional<VmId> known = anyOtherVm();
-        if (known.isPresent()) {
-            send(known.get(), request);
-            return;
-        }
-        for (Endpoint seed : settings.seedPeers()) {
-            links.send(new VmId("seed " + seed), seed, request);
+            peers.sendToAny(new ConfigRequest(store.completeTo()), settings.seedPeers());
         }
     }
 
@@ -492,7 +476,8 @@
         }
         if (message instanceof LoadRequest request) {
             double load =
-                    upstreams.lowestLoad(monotonicMillis(), request.target(), settings.region());
+                    upstreams.lowestLoad(
+                            MonotonicTime.millis(), request.target(), settings.region());
             return Optional.of(new LoadReply(request.target(), settings.region(), load));
         }
         if (message instanceof ConfigRequest request) {
@@ -511,7 +496,7 @@
         } else if (message instanceof LoadReply reply) {
             dispatcher
                     .loads()
-                    .report(monotonicMillis(), reply.target(), reply.region(), reply.load());
+                    .report(MonotonicTime.millis(), reply.target(), reply.region(), reply.load());
         } else if (message instanceof RegisterReply reply) {
             keys.receive(from, reply);
         } else if (message instanceof ConfigReply reply) {
@@ -521,43 +506,10 @@
 
     private void catchUp(VmId from, long revision) {
         if (revision > config.revision()) {
-            send(from, new ConfigRequest(store.completeTo()));
+            peers.send(from, new ConfigRequest(store.completeTo()));
         }
     }
 
-    private void send(VmId to, PeerMessage message) {
-        Vm vm = config.vms().get(to);
-        if (vm != null) {
-            links.send(to, vm.peers(), message);
-        }
-    }
-
-    private Optional<VmId> anyOtherVm() {
-        List<VmId> others = new ArrayList<>(config.vms().keySet());
-        others.remove(settings.vm());
-        if (others.isEmpty()) {
-            return Optional.empty();
-        }
-        return Optional.of(others.get(ThreadLocalRandom.current().nextInt(others.size())));
-    }
-
-    private List<Vm> entriesHere(Customer customer) {
-        Set<VmId> live = authority.liveVms(now());
-        List<Vm> open = new ArrayList<>();
-        for (Vm vm : config.vms().values()) {
-            boolean here = vm.region().equals(settings.region());
-            boolean alive = here ? live.contains(vm.id()) : links.isReachable(vm.id());
-            if (alive && vm.state().takesNewWork() && customer.permits(vm.region())) {
-                open.add(vm);
-            }
-        }
-        List<Vm> ranked = Rendezvous.rank(customer.id().value(), open, vm -> vm.id().value());
-        List<Vm> ordered = new ArrayList<>();
-        ranked.stream().filter(vm -> vm.region().equals(settings.region())).forEach(ordered::add);
-        ranked.stream().filter(vm -> !ordered.contains(vm)).forEach(ordered::add);
-        return ordered;
-    }
-
     private ControlStatus statusNow() {
         return new ControlStatus(
                 settings.vm(),
@@ -580,8 +532,4 @@
         return new VanillapointException(
                 ErrorCode.UNKNOWN_KEY, "key", "the key was withdrawn while the request waited");
     }
-
-    private static long monotonicMillis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    }
 }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/KeyCoordinator.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/KeyCoordinator.java
@@ -20,6 +20,7 @@
 import io.vanillapoint.core.message.RegisterReply;
 import io.vanillapoint.core.message.RegisterRequest;
 import io.vanillapoint.core.message.StoredAnswer;
+import io.vanillapoint.server.MonotonicTime;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -70,13 +71,14 @@
         this.send = send;
         this.config = config;
         this.nextId = identity.firstExchange();
-        this.registry = new KeyRegistry(now(), MAX_KEYS, MAX_ANSWER_BYTES, RUNNING_MILLIS);
+        this.registry =
+                new KeyRegistry(MonotonicTime.millis(), MAX_KEYS, MAX_ANSWER_BYTES, RUNNING_MILLIS);
         this.homes = new KeyHomes(identity.vm(), REPEAT_MILLIS, listLagMillis);
     }
 
     /** Takes over the platform's list of VMs. */
     void acceptList(GatewayConfig newConfig) {
-        homes.acceptList(now(), newConfig.vms().keySet());
+        homes.acceptList(MonotonicTime.millis(), newConfig.vms().keySet());
     }
 
     /** Issues a key: two VMs remember it as unused before the caller gets it. */
@@ -133,7 +135,7 @@
 
     /** Answers another VM. */
     RegisterReply answer(RegisterRequest request) {
-        return registry.register(now(), request, isCertain(request));
+        return registry.register(MonotonicTime.millis(), request, isCertain(request));
     }
 
     /** Takes the end of another VM's attempt. */
@@ -183,7 +185,7 @@
         Optional<Customer> customer = customerOf(request.key());
         return customer.isPresent()
                 && homes.isCertain(
-                        now(),
+                        MonotonicTime.millis(),
                         registry.certainSinceMillis(),
                         request.key(),
                         vm -> isInHomeRegion(customer.get(), vm));
@@ -231,10 +233,6 @@
                 RETRY_SOON);
     }
 
-    private static long now() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-    }
-
     /** A registration that waits for answers. */
     private record Question(KeyRegistration registration, Promise<KeyDecision> promise) {}
 }
--- /dev/null
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/PeerDirectory.java
@@ -0,0 +1,102 @@
+package io.vanillapoint.server.control;
+
+import io.vanillapoint.api.model.Customer;
+import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.api.model.GatewayConfig;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.Vm;
+import io.vanillapoint.api.model.VmId;
+import io.vanillapoint.core.hash.Rendezvous;
+import io.vanillapoint.core.message.PeerMessage;
+import io.vanillapoint.server.peer.ControlLinks;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
+
+/** Finds and reaches the other VMs that the platform lists. Confined to the control thread. */
+final class PeerDirectory {
+    private final VmId self;
+    private final RegionId region;
+    private final ControlLinks links;
+    private final Supplier<GatewayConfig> config;
+
+    PeerDirectory(VmId self, RegionId region, ControlLinks links, Supplier<GatewayConfig> config) {
+        this.self = self;
+        this.region = region;
+        this.links = links;
+        this.config = config;
+    }
+
+    /** Sends a message; nothing happens if the VM is not listed. */
+    void send(VmId to, PeerMessage message) {
+        Vm vm = config.get().vms().get(to);
+        if (vm != null) {
+            links.send(to, vm.peers(), message);
+        }
+    }
+
+    /** Sends a message to any other VM, or to the seeds if none is listed. */
+    void sendToAny(PeerMessage message, List<Endpoint> seeds) {
+        List<VmId> others = new ArrayList<>(config.get().vms().keySet());
+        others.remove(self);
+        if (!others.isEmpty()) {
+            send(others.get(ThreadLocalRandom.current().nextInt(others.size())), message);
+            return;
+        }
+        for (Endpoint seed : seeds) {
+            links.send(new VmId("seed " + seed), seed, message);
+        }
+    }
+
+    boolean isReachable(Vm vm) {
+        return links.isReachable(vm.id());
+    }
+
+    /** Any VM of a region that is thought to answer. */
+    Optional<VmId> anyIn(RegionId wanted) {
+        List<VmId> found =
+                config.get().vms().values().stream()
+                        .filter(vm -> vm.region().equals(wanted) && isReachable(vm))
+                        .map(Vm::id)
+                        .toList();
+        if (found.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(found.get(ThreadLocalRandom.current().nextInt(found.size())));
+    }
+
+    /**
+     * VMs for a caller to use.
+     *
+     * @param customer the caller's customer
+     * @param live VMs of this region that are alive
+     * @return VMs that take new work in permitted regions: this region's first, the customer's home
+     *     at their head
+     */
+    List<Vm> entries(Customer customer, Set<VmId> live) {
+        List<Vm> here = new ArrayList<>();
+        List<Vm> elsewhere = new ArrayList<>();
+        for (Vm vm : config.get().vms().values()) {
+            if (!vm.state().takesNewWork() || !customer.permits(vm.region())) {
+                continue;
+            }
+            if (vm.region().equals(region)) {
+                if (live.contains(vm.id())) {
+                    here.add(vm);
+                }
+            } else if (isReachable(vm)) {
+                elsewhere.add(vm);
+            }
+        }
+        List<Vm> ordered = ranked(customer, here);
+        ordered.addAll(ranked(customer, elsewhere));
+        return ordered;
+    }
+
+    private static List<Vm> ranked(Customer customer, List<Vm> vms) {
+        return Rendezvous.rank(customer.id().value(), vms, vm -> vm.id().value());
+    }
+}
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/ControlLinks.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/ControlLinks.java
@@ -6,6 +6,7 @@
 import io.vanillapoint.api.model.VmId;
 import io.vanillapoint.core.message.PeerHello;
 import io.vanillapoint.core.message.PeerMessage;
+import io.vanillapoint.server.MonotonicTime;
 import io.vanillapoint.server.event.HybridClock;
 import io.vanillapoint.wire.PeerCodec;
 import io.vertx.core.Vertx;
@@ -14,7 +15,6 @@
 import io.vertx.core.net.NetSocket;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.LongConsumer;
 
@@ -123,13 +123,14 @@
         private long oldestUnansweredMillis;
 
         private boolean isSilent() {
-            return oldestUnansweredMillis > 0 && now() - oldestUnansweredMillis > silenceMillis;
+            return oldestUnansweredMillis > 0
+                    && MonotonicTime.millis() - oldestUnansweredMillis > silenceMillis;
         }
 
         private void notOpened() {
             connecting = false;
             failed = true;
-            failedAtMillis = now();
+            failedAtMillis = MonotonicTime.millis();
         }
 
         private void opened(VmId to, NetSocket connection, PeerMessage message) {
@@ -151,7 +152,7 @@
 
         private void write(PeerMessage message) {
             if (message.expectsAnswer() && oldestUnansweredMillis == 0) {
-                oldestUnansweredMillis = now();
+                oldestUnansweredMillis = MonotonicTime.millis();
             }
             socket.send(message);
         }
@@ -172,7 +173,7 @@
         private void drop(VmId to) {
             socket = null;
             failed = true;
-            failedAtMillis = now();
+            failedAtMillis = MonotonicTime.millis();
             if (up) {
                 up = false;
                 events.record(EventCode.PEER_DOWN, to);
@@ -180,11 +181,7 @@
         }
 
         private boolean failedLately() {
-            return failed && now() - failedAtMillis < RETRY_MILLIS;
-        }
-
-        private long now() {
-            return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+            return failed && MonotonicTime.millis() - failedAtMillis < RETRY_MILLIS;
         }
     }
 }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/protocol/ServiceProtocol.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/protocol/ServiceProtocol.java
@@ -62,23 +62,4 @@
         int end = path.indexOf('/', PREFIX.length());
         return end < 0 ? path.substring(PREFIX.length()) : path.substring(PREFIX.length(), end);
     }
-
-    /** A call costs what was reserved. Stateless. */
-    private static final class FixedMeter implements UsageMeter {
-        @Override
-        public void head(int status, String contentType) {}
-
-        @Override
-        public void data(byte[] bytes) {}
-
-        @Override
-        public boolean isWhole() {
-            return true;
-        }
-
-        @Override
-        public long usedTokens(long reserved) {
-            return reserved;
-        }
-    }
 }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/PeerConnection.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/PeerConnection.java
@@ -6,7 +6,6 @@
 import io.vanillapoint.api.model.UpstreamKind;
 import io.vanillapoint.api.model.VmId;
 import io.vanillapoint.api.plugin.RequestPlan;
-import io.vanillapoint.api.plugin.UsageMeter;
 import io.vanillapoint.core.message.ForwardCancel;
 import io.vanillapoint.core.message.ForwardCredit;
 import io.vanillapoint.core.message.ForwardRequest;
@@ -15,6 +14,7 @@
 import io.vanillapoint.core.message.PeerMessage;
 import io.vanillapoint.core.routing.RouteGuard;
 import io.vanillapoint.server.peer.FrameSocket;
+import io.vanillapoint.server.protocol.FixedMeter;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Map;
@@ -91,12 +91,15 @@
                         message.path().with(here),
                         null);
         sinks.put(message.stream(), sink);
-        new RequestExecution(context, request, new PassThroughMeter(), sink)
+        new RequestExecution(context, request, new FixedMeter(), sink)
                 .start()
                 .onComplete(done -> sinks.remove(message.stream()));
     }
 
-    /** Tokens are reserved by the VM that the caller asked, so that none are reserved here. */
+    /**
+     * Tokens are reserved and metered by the VM that the caller asked, so that none are reserved
+     * here.
+     */
     private static RequestPlan plan(ForwardRequest message, Customer customer) {
         return new RequestPlan(
                 message.target().kind(),
@@ -113,23 +116,4 @@
     private void closed() {
         new ArrayList<>(sinks.values()).forEach(PeerSink::closed);
     }
-
-    /** The VM that the caller asked meters the answer. Stateless. */
-    private static final class PassThroughMeter implements UsageMeter {
-        @Override
-        public void head(int status, String contentType) {}
-
-        @Override
-        public void data(byte[] bytes) {}
-
-        @Override
-        public boolean isWhole() {
-            return true;
-        }
-
-        @Override
-        public long usedTokens(long reserved) {
-            return reserved;
-        }
-    }
 }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestExecution.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestExecution.java
@@ -15,6 +15,7 @@
 import io.vanillapoint.core.message.StoredAnswer;
 import io.vanillapoint.core.routing.Dispatch;
 import io.vanillapoint.core.routing.DispatchQuery;
+import io.vanillapoint.server.MonotonicTime;
 import io.vanillapoint.server.control.Admission;
 import io.vanillapoint.server.control.ControlPlane;
 import io.vanillapoint.server.control.RegisteredKey;
@@ -27,7 +28,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Runs one request to its end: admission, attempts, answer, settlement.
@@ -258,7 +258,7 @@
     }
 
     private boolean takeRetry() {
-        return context.retries().takeRetry(TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+        return context.retries().takeRetry(MonotonicTime.millis());
     }
 
     private void refuse(VanillapointException error) {
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
@@ -3,6 +3,7 @@
 import io.vanillapoint.api.event.EventSink;
 import io.vanillapoint.core.message.PeerHello;
 import io.vanillapoint.core.retry.RetryBudget;
+import io.vanillapoint.server.MonotonicTime;
 import io.vanillapoint.server.control.ControlPlane;
 import io.vanillapoint.server.event.HybridClock;
 import io.vanillapoint.server.kernel.Kernel;
@@ -19,7 +20,6 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /**
  * One event loop of traffic: callers, forwarded requests and calls to upstreams. All instances
@@ -88,7 +88,7 @@
                                 RETRIES_PER_REQUEST,
                                 RETRIES_PER_SECOND,
                                 MOST_RETRIES,
-                                TimeUnit.NANOSECONDS.toMillis(System.nanoTime())),
+                                MonotonicTime.millis()),
                         new CountingSet());
         CallerHandler callers = new CallerHandler(vertx, traffic, idPrefix);
         Future<?> http =
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/UpstreamClient.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/UpstreamClient.java
@@ -5,6 +5,7 @@
 import io.vanillapoint.api.error.VanillapointException;
 import io.vanillapoint.api.model.Upstream;
 import io.vanillapoint.core.message.HeaderField;
+import io.vanillapoint.server.MonotonicTime;
 import io.vanillapoint.server.settings.DaemonSettings.Timeouts;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -131,7 +132,7 @@
                 return;
             }
             headPassed = true;
-            lastByteMillis = now();
+            lastByteMillis = MonotonicTime.millis();
             watchSilence();
             sink.head(response.statusCode(), HeaderRules.toCaller(response.headers()));
             response.handler(part -> received(response, part));
@@ -141,7 +142,7 @@
         }
 
         private void received(HttpClientResponse response, Buffer part) {
-            lastByteMillis = now();
+            lastByteMillis = MonotonicTime.millis();
             sink.data(part);
             if (sink.isFull()) {
                 paused = true;
@@ -149,7 +150,7 @@
                 sink.onDrain(
                         () -> {
                             paused = false;
-                            lastByteMillis = now();
+                            lastByteMillis = MonotonicTime.millis();
                             response.resume();
                         });
             }
@@ -182,7 +183,9 @@
                     vertx.setTimer(
                             timeouts.idleMillis(),
                             id -> {
-                                if (!paused && now() - lastByteMillis >= timeouts.idleMillis()) {
+                                if (!paused
+                                        && MonotonicTime.millis() - lastByteMillis
+                                                >= timeouts.idleMillis()) {
                                     timedOut();
                                 } else {
                                     watchSilence();
@@ -203,10 +206,6 @@
                 sent.reset();
             }
         }
-
-        private long now() {
-            return System.nanoTime() / 1_000_000;
-        }
     }
 
     private static String text(Throwable error) {
