Refuse large heads and long waits with codes of their own

Cause: a head over the limit got the library's bare 431, and neither it nor the limit on waiting had a test. Change: headers_too_large as JSON; tests for it, for queue_timeout, and for a peer that could not be reached being tried again.

--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/error/ErrorCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/error/ErrorCode.java
@@ -16,6 +16,8 @@
     NOT_FOUND("not_found", 404, RunState.NOT_RUN),
     /** The request is malformed. */
     BAD_REQUEST("bad_request", 400, RunState.NOT_RUN),
+    /** The head of the request is larger than the limit. */
+    HEADERS_TOO_LARGE("headers_too_large", 431, RunState.NOT_RUN),
     /** The body is larger than the limit. */
     BODY_TOO_LARGE("body_too_large", 413, RunState.NOT_RUN),
     /** The customer's rate and burst leave no room now. */
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerHandler.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerHandler.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.vanillapoint.api.error.ErrorCode;
 import io.vanillapoint.api.error.VanillapointException;
 import io.vanillapoint.api.event.EventCode;
@@ -64,6 +65,24 @@
         }
     }
 
+    /** Refuses a request whose head could not be read. */
+    void refuseMalformed(HttpServerRequest request) {
+        boolean tooLarge = request.decoderResult().cause() instanceof TooLongHttpHeaderException;
+        int limit = context.settings().limits().maxHeaderBytes();
+        VanillapointException error =
+                tooLarge
+                        ? new VanillapointException(
+                                ErrorCode.HEADERS_TOO_LARGE,
+                                "headers",
+                                "expected at most " + limit + " bytes")
+                        : new VanillapointException(
+                                ErrorCode.BAD_REQUEST, "headers", "expected an HTTP request");
+        context.metrics().refused(error.code());
+        request.response().putHeader("connection", "close");
+        new CallerSink(request).sendError(error, ErrorBody.of(error));
+        vertx.setTimer(CLOSE_DELAY_MILLIS, timer -> request.connection().close());
+    }
+
     private void route(HttpServerRequest request) {
         GatewayConfig config = context.control().config();
         String path = request.path() == null ? "" : request.path();
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
@@ -97,6 +97,7 @@
                                         .setMaxHeaderSize(settings.limits().maxHeaderBytes())
                                         .setTcpNoDelay(true))
                         .requestHandler(callers::handle)
+                        .invalidRequestHandler(callers::refuseMalformed)
                         .listen(settings.callers().port(), settings.callers().host());
         Future<?> peers =
                 vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true))
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/peer/ControlLinksTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/peer/ControlLinksTest.java
@@ -81,6 +81,16 @@
         assertThat(connections.get(), is(2));
     }
 
+    /** Nothing else may tell that a VM is back, so that it is worth another try after a while. */
+    @Test
+    void vmThatCouldNotBeReachedIsTriedAgain() {
+        VmId dead = new VmId("b-2");
+        Endpoint nowhere = new Endpoint(Await.HOST, Await.freePort());
+        vertx.runOnContext(nothing -> links.send(dead, nowhere, new Settle(1, 1)));
+        Await.until("the failure is noticed", () -> !links.isReachable(dead));
+        Await.until("it is worth another try", () -> links.isReachable(dead));
+    }
+
     /** Sends, waits for the arrival and then for longer than the silence. */
     private void sendAndWait(PeerMessage message) {
         int before = received.get();
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/RefusalTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/RefusalTest.java
@@ -10,6 +10,7 @@
 import io.vanillapoint.server.testing.Await;
 import io.vanillapoint.server.testing.Gateway;
 import io.vertx.core.Future;
+import io.vertx.core.http.HttpServerRequest;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -39,13 +40,17 @@
                 "m",
                 request -> {
                     runs.incrementAndGet();
-                    gateway.vertx().setTimer(300, timer -> request.response().end("{}"));
+                    request.body().onSuccess(body -> answer(request, body.toString()));
                 });
         gateway.customers(
                         Gateway.customer("c", Gateway.KEY, "\"a\":1", 10_000, 100_000),
                         Gateway.customer("o", OUTSIDER, "\"b\":1", 10_000, 100_000),
                         Gateway.customer("s", SMALL, "\"a\":1", 1, 120))
-                .flags("--max-body-bytes=5000", "--max-running=2", "--max-queue=1")
+                .flags(
+                        "--max-body-bytes=5000",
+                        "--max-running=2",
+                        "--max-queue=1",
+                        "--queue-timeout-ms=3000")
                 .vm("a-1", "a")
                 .start();
     }
@@ -107,6 +112,22 @@
         assertThat(answer.json().path("error").path("place").asText(), containsString("body:2:"));
     }
 
+    @Test
+    void largeHead() {
+        Answer answer = gateway.call("a-1", "POST", CHAT, "", "x-large", "x".repeat(20_000));
+        assertRefused(answer, 431, "headers_too_large");
+    }
+
+    @Test
+    void waitInTheQueueEnds() {
+        Future<Answer> first = slowLater();
+        Future<Answer> second = slowLater();
+        Await.until("two run", () -> Await.result(gateway.daemon("a-1").status()).running() == 2);
+        assertRefused(Await.result(chatLater()), 503, "queue_timeout");
+        assertThat(Await.result(first).status(), is(200));
+        assertThat(Await.result(second).status(), is(200));
+    }
+
     @Test
     void largeBody() {
         Answer answer = gateway.call("a-1", "POST", CHAT, "x".repeat(5_001));
@@ -149,10 +170,20 @@
         assertRefused(gateway.call("a-1", "POST", CHAT, body), 400, "bad_request");
     }
 
+    /** A request that runs for longer than the longest wait in the queue. */
+    private Future<Answer> slowLater() {
+        return gateway.callLater("a-1", "POST", CHAT, Gateway.chatBody("slow", 10, false));
+    }
+
     private Future<Answer> chatLater() {
         return gateway.callLater("a-1", "POST", CHAT, Gateway.chatBody("hello", 10, false));
     }
 
+    private void answer(HttpServerRequest request, String body) {
+        long millis = body.contains("slow") ? 7_000 : 300;
+        gateway.vertx().setTimer(millis, timer -> request.response().end("{}"));
+    }
+
     private void assertRefused(Answer answer, int status, String code) {
         assertThat(answer.body(), answer.status(), is(status));
         assertThat(answer.errorCode(), is(code));
