Look for other regions' VMs only when a request lacks tokens

Cause: read over again, the reserver listed all VMs of all permitted regions and ranked them for each request, although most are served by the first home; a lookup of reservations had lost its last caller; one state was checked twice; the list of entry VMs was put together in two places.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/RegionAuthority.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/RegionAuthority.java
@@ -401,17 +401,6 @@
         return back;
     }
 
-    /**
-     * Finds whose tokens a reservation holds.
-     *
-     * @param asker VM that reserved
-     * @param id number of the reservation
-     * @return the customer, or nothing if the reservation is settled or forgotten
-     */
-    public Optional<CustomerId> reservedFor(VmId asker, long id) {
-        return reservations.find(asker, id).map(Reservation::customer);
-    }
-
     private Heartbeat heartbeat(ClockReading now, VmId to) {
         return new Heartbeat(
                 settings.incarnation(),
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/ReservationTable.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/ReservationTable.java
@@ -35,10 +35,6 @@
         return Optional.ofNullable(entries.remove(new Key(asker, id)));
     }
 
-    Optional<Reservation> find(VmId asker, long id) {
-        return Optional.ofNullable(entries.get(new Key(asker, id)));
-    }
-
     boolean contains(VmId asker, long id) {
         return entries.containsKey(new Key(asker, id));
     }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/TokenGather.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/TokenGather.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Collects the tokens of one request: first from the customer's home in this region, then, for what
@@ -23,7 +24,7 @@
     private final CustomerId customer;
     private final double tokens;
     private final double ratePerSecond;
-    private final List<VmId> laterSources;
+    private final Supplier<List<VmId>> laterSources;
     private final LongSupplier ids;
     private final boolean isSecond;
     private final Map<Long, Ask> open = new LinkedHashMap<>();
@@ -41,14 +42,14 @@
      * @param customer whose tokens
      * @param tokens how many
      * @param ratePerSecond the customer's rate, to work out when to come back
-     * @param laterSources VMs to ask for what the first one lacks
+     * @param laterSources finds the VMs to ask for what the first one lacks; called only if it does
      * @param ids source of numbers for exchanges
      */
     public TokenGather(
             CustomerId customer,
             double tokens,
             double ratePerSecond,
-            List<VmId> laterSources,
+            Supplier<List<VmId>> laterSources,
             LongSupplier ids) {
         this(customer, tokens, ratePerSecond, laterSources, ids, false);
     }
@@ -57,14 +58,14 @@
             CustomerId customer,
             double tokens,
             double ratePerSecond,
-            List<VmId> laterSources,
+            Supplier<List<VmId>> laterSources,
             LongSupplier ids,
             boolean isSecond) {
         this.isSecond = isSecond;
         this.customer = customer;
         this.tokens = tokens;
         this.ratePerSecond = ratePerSecond;
-        this.laterSources = List.copyOf(laterSources);
+        this.laterSources = laterSources;
         this.ids = ids;
     }
 
@@ -235,7 +236,8 @@
         if (!open.isEmpty()) {
             return List.of();
         }
-        if (askedLater || laterSources.isEmpty()) {
+        List<VmId> sources = askedLater ? List.of() : laterSources.get();
+        if (sources.isEmpty()) {
             state = State.REFUSED;
             surplus.addAll(parts);
             parts.clear();
@@ -243,7 +245,7 @@
         }
         askedLater = true;
         double missing = tokens - gathered;
-        return laterSources.stream().map(vm -> ask(vm, missing)).toList();
+        return sources.stream().map(vm -> ask(vm, missing)).toList();
     }
 
     private void takePart(Part part) {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/VirtualFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/VirtualFleet.java
@@ -448,7 +448,8 @@
                 listed.stream().filter(vm -> !vm.equals(id)).sorted().forEach(later::add);
             }
             TokenGather gather =
-                    new TokenGather(customer, tokens, grant.ratePerSecond(), later, () -> nextId++);
+                    new TokenGather(
+                            customer, tokens, grant.ratePerSecond(), () -> later, () -> nextId++);
             ideal.sent(customer, now, tokens);
             proceed(gather, gather.start(authority.home(customer).orElse(id)));
         }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/ControlPlane.java
@@ -293,9 +293,7 @@
      * @return the key, or a refusal if no VM could be asked to remember it
      */
     public Future<String> issueKey(Customer customer) {
-        return Threads.call(
-                context,
-                () -> keys.issue(customer, peers.entries(customer, authority.liveVms(now()))));
+        return Threads.call(context, () -> keys.issue(customer, entriesHere(customer)));
     }
 
     /**
@@ -330,9 +328,7 @@
      * @return VMs in the customer's permitted regions that take new work; this region's first
      */
     public Future<List<Vm>> entries(Customer customer) {
-        return Threads.call(
-                context,
-                () -> Future.succeededFuture(peers.entries(customer, authority.liveVms(now()))));
+        return Threads.call(context, () -> Future.succeededFuture(entriesHere(customer)));
     }
 
     /**
@@ -510,6 +506,10 @@
         }
     }
 
+    private List<Vm> entriesHere(Customer customer) {
+        return peers.entries(customer, authority.liveVms(now()));
+    }
+
     private ControlStatus statusNow() {
         return new ControlStatus(
                 settings.vm(),
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/TokenReserver.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/TokenReserver.java
@@ -101,7 +101,7 @@
                         customer.id(),
                         tokens,
                         customer.grant().ratePerSecond(),
-                        laterSources(customer),
+                        () -> laterSources(customer),
                         () -> nextId++);
         Promise<List<Part>> promise = Promise.promise();
         begin(gather, promise);
@@ -202,7 +202,7 @@
         gather.takeSurplus().forEach(this::giveBack);
         if (gather.state() == TokenGather.State.GRANTED) {
             promise.tryComplete(gather.parts());
-        } else if (gather.state() == TokenGather.State.REFUSED && gather.takeRefusal()) {
+        } else if (gather.takeRefusal()) {
             refuse(gather, promise);
         }
     }
