Let the test fleet move tokens under the policy that does so in the daemon

Cause: the test fleet moved tokens between regions under every sharing policy, the daemon only with leases. Change: the fleet asks the policy, as the daemon does. The baselines are as before the transfers; the comparison is stricter.

--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/VirtualFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/VirtualFleet.java
@@ -401,7 +401,7 @@
                     authority.reserve(
                             clock(), from, request.id(), request.customer(), request.tokens());
             book(request.customer(), outcome.granted());
-            if (transfersOn) {
+            if (transfersOn && policy.givesLeases()) {
                 transfer(request.customer());
             }
             if (outcome.granted() > 0) {
