--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -68,7 +68,7 @@
     /** An unexpected failure inside this process. */
     INTERNAL_ERROR(1902, EventLevel.ERROR, "internal error", "place", "error"),
     /** An entry VM has started. */
-    ENTRY_STARTED(2001, EventLevel.INFO, "entry started", "vm", "region", "zone", "incarnation"),
+    ENTRY_STARTED(2001, EventLevel.INFO, "entry started", "region", "zone", "incarnation"),
     /** An entry VM takes requests, or no longer takes any. */
     ENTRY_STATE(2002, EventLevel.INFO, "entry state", "state", "reason"),
     /** An entry VM ends. */
@@ -91,11 +91,11 @@
     /** The platform's store answers again. */
     STORE_REGAINED(2106, EventLevel.INFO, "store regained", "revision", "lost_ms"),
     /** Another VM knew more of the store than this one. */
-    STORE_COPIED(2107, EventLevel.INFO, "store copied", "vm", "revision", "items"),
+    STORE_COPIED(2107, EventLevel.INFO, "store copied", "from", "revision", "items"),
     /** A VM was heard of for the first time or in another state. */
-    MEMBER_CHANGED(2201, EventLevel.INFO, "member", "vm", "state", "incarnation"),
+    MEMBER_CHANGED(2201, EventLevel.INFO, "member", "member", "state", "incarnation"),
     /** A VM has fallen silent and is not named to callers. */
-    MEMBER_SUSPECTED(2202, EventLevel.WARN, "member suspected", "vm", "silent_ms"),
+    MEMBER_SUSPECTED(2202, EventLevel.WARN, "member suspected", "member", "silent_ms"),
     /** A request was admitted. */
     ADMITTED(
             2301, EventLevel.INFO, "admitted", "request", "route", "customer", "tokens", "level",
@@ -110,7 +110,7 @@
             "expected_ms", "elapsed_ms"),
     /** A request is sent to a VM of another region. */
     RELAYED(
-            2304, EventLevel.INFO, "relayed", "request", "vm", "attempt", "expected_ms",
+            2304, EventLevel.INFO, "relayed", "request", "to", "attempt", "expected_ms",
             "elapsed_ms"),
     /** An attempt ended without an answer for the caller. */
     ATTEMPT_ENDED(
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/CustomerSpend.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/CustomerSpend.java
@@ -5,5 +5,7 @@
  *
  * @param customer name of the customer
  * @param tokens tokens, negative if more were given back than admitted
+ * @param setAsideMillis how long this VM has kept the customer's whole rate for the other VM while
+ *     it was silent: the length of the silence, divided by the number of VMs
  */
-public record CustomerSpend(String customer, long tokens) {}
+public record CustomerSpend(String customer, long tokens, double setAsideMillis) {}
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetTiming.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetTiming.java
@@ -5,11 +5,20 @@
  *
  * @param regionIntervalMillis time between heartbeats to VMs of the own region
  * @param otherIntervalMillis time between heartbeats to VMs of other regions
- * @param suspectMillis silence after which a VM is not named to callers: several lost heartbeats
- * @param forgetMillis silence after which a VM no longer counts as part of the fleet
+ * @param regionSilenceMillis silence after which a VM of the own region is taken to be cut off
+ * @param otherSilenceMillis silence after which a VM of another region is taken to be cut off
+ * @param suspectMillis silence after which a VM is not named to callers
+ * @param forgetMillis silence after which a VM no longer counts as part of the fleet: longer than
+ *     cuts between regions usually last
  */
 public record FleetTiming(
-        long regionIntervalMillis, long otherIntervalMillis, long suspectMillis, long forgetMillis) {
-    /** Four reports to other regions may be lost before a VM is suspected. */
-    public static final FleetTiming DEFAULT = new FleetTiming(200, 500, 2_000, 30_000);
+        long regionIntervalMillis,
+        long otherIntervalMillis,
+        long regionSilenceMillis,
+        long otherSilenceMillis,
+        long suspectMillis,
+        long forgetMillis) {
+    /** Two lost heartbeats are no silence; three are. */
+    public static final FleetTiming DEFAULT =
+            new FleetTiming(200, 400, 700, 1_000, 2_000, 300_000);
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -19,6 +19,7 @@
  */
 public final class FleetView {
     private final FleetTiming timing;
+    private final int smallestFleet;
     private final Map<String, Member> members = new HashMap<>();
     private MemberInfo self;
     private long sequence;
@@ -28,10 +29,12 @@
      *
      * @param self this VM
      * @param timing times of the protocol
+     * @param smallestFleet VMs that the fleet has at least, as far as the settings tell
      */
-    public FleetView(MemberInfo self, FleetTiming timing) {
+    public FleetView(MemberInfo self, FleetTiming timing, int smallestFleet) {
         this.self = self;
         this.timing = timing;
+        this.smallestFleet = smallestFleet;
     }
 
     /**
@@ -88,8 +91,7 @@
      *
      * @param report what another VM sent
      * @param nowMillis steady time
-     * @return tokens that the sender admitted since its report before; nothing after a silence, for
-     *     which this VM has already set the sender's part aside
+     * @return tokens that the sender admitted since its report before
      */
     public List<CustomerSpend> receive(FleetReport report, long nowMillis) {
         if (report.self().vm().equals(self.vm())) {
@@ -107,10 +109,11 @@
             return List.of();
         }
         boolean restarted = report.self().incarnation() != member.info().incarnation();
-        boolean silent = nowMillis - member.directAtMillis() > timing.suspectMillis();
         Map<String, Long> before = restarted ? Map.of() : member.customerTokens();
+        long silentMillis = hears(member, nowMillis) ? 0 : nowMillis - member.directAtMillis();
+        double setAside = (double) silentMillis / knownVms();
         member.take(report, nowMillis);
-        return silent && !restarted ? List.of() : spends(before, report.customerTokens());
+        return spends(before, report.customerTokens(), setAside);
     }
 
     /**
@@ -172,28 +175,23 @@
     }
 
     /**
-     * Part of the fleet that this VM hears, itself included.
+     * Part of the fleet whose heartbeats reach this VM, itself included.
      *
      * <p>VMs on the other side of a cut compute the rest, so the parts of disjoint groups add up to
-     * one as long as they knew the same members before the cut.
+     * one as long as they knew the same members before the cut. A VM that has just started assumes
+     * the smallest fleet until it has heard of more.
      *
      * @param nowMillis steady time
      * @return a number in (0, 1]
      */
     public double heardShare(long nowMillis) {
-        int known = 1;
         int heard = 1;
         for (Member member : members.values()) {
-            if (member.info().state() == MemberState.GONE) {
-                continue;
-            }
-            known++;
-            if (nowMillis - member.directAtMillis() <= timing.suspectMillis()
-                    || alive(member, nowMillis)) {
+            if (member.info().state() != MemberState.GONE && hears(member, nowMillis)) {
                 heard++;
             }
         }
-        return (double) heard / known;
+        return (double) heard / Math.max(heard, knownVms());
     }
 
     /**
@@ -248,12 +246,32 @@
                                 .thenComparing(member -> member.info().vm()));
     }
 
+    /** Tells whether the VM's own heartbeats arrive, with room for two that were lost. */
+    private boolean hears(Member member, long nowMillis) {
+        boolean near = member.info().region().equals(self.region());
+        long limit = near ? timing.regionSilenceMillis() : timing.otherSilenceMillis();
+        return nowMillis - member.directAtMillis() <= limit;
+    }
+
+    private int knownVms() {
+        int known = 1;
+        for (Member member : members.values()) {
+            if (member.info().state() != MemberState.GONE) {
+                known++;
+            }
+        }
+        return Math.max(known, smallestFleet);
+    }
+
     private void hear(HeardMember heard, long nowMillis) {
         MemberInfo info = heard.info();
         if (info.vm().equals(self.vm()) || heard.ageMillis() > timing.forgetMillis()) {
             return;
         }
         Member known = members.get(info.vm());
+        if (known == null && info.state() == MemberState.GONE) {
+            return;
+        }
         if (known == null) {
             members.put(info.vm(), new Member(info, nowMillis - heard.ageMillis()));
         } else {
@@ -278,13 +296,14 @@
         return vms.stream().map(MemberInfo::host).toList();
     }
 
-    private static List<CustomerSpend> spends(Map<String, Long> before, Map<String, Long> after) {
+    private static List<CustomerSpend> spends(
+            Map<String, Long> before, Map<String, Long> after, double setAsideMillis) {
         List<CustomerSpend> spends = new ArrayList<>();
         after.forEach(
                 (customer, tokens) -> {
                     long spent = tokens - before.getOrDefault(customer, 0L);
                     if (spent != 0) {
-                        spends.add(new CustomerSpend(customer, spent));
+                        spends.add(new CustomerSpend(customer, spent, setAsideMillis));
                     }
                 });
         return spends;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/grant/GrantMeter.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/grant/GrantMeter.java
@@ -28,7 +28,7 @@
     private static final double MILLIS_PER_SECOND = 1_000;
 
     /** A process that has just started may follow one that had spent the burst. */
-    private static final double START_PART = 0.25;
+    private static final double START_PART = 0.1;
 
     /** Longest time a customer is held back for what other VMs admitted beyond its rate. */
     private static final double LONGEST_DEBT_SECONDS = 4;
@@ -58,7 +58,7 @@
         if (!customer.limited()) {
             return new GrantVerdict(true, Long.MAX_VALUE, 0);
         }
-        Account account = account(customer, nowMillis);
+        Account account = account(customer, share, nowMillis);
         account.advance(customer, tolerance, share, nowMillis);
         if (account.level <= 0) {
             double millis = (1 - account.level) / (customer.ratePerSecond() * share);
@@ -93,7 +93,7 @@
         for (CustomerSpend spend : spends) {
             Account account = accounts.get(spend.customer());
             if (account != null) {
-                account.level -= spend.tokens();
+                account.charge(spend);
             }
         }
     }
@@ -109,26 +109,37 @@
         return totals;
     }
 
-    private Account account(CustomerSpec customer, long nowMillis) {
+    private Account account(CustomerSpec customer, double share, long nowMillis) {
         return accounts.computeIfAbsent(
                 customer.name(),
-                unused -> new Account(tolerance.bucketCap(customer.burst()) * START_PART, nowMillis));
+                unused -> {
+                    double cap = tolerance.bucketCap(customer.burst()) * share;
+                    return new Account(cap * START_PART, nowMillis);
+                });
     }
 
     private static final class Account {
         private double level;
         private long atMillis;
         private long admitted;
+        private double ratePerSecond;
 
         Account(double level, long nowMillis) {
             this.level = level;
             this.atMillis = nowMillis;
         }
 
+        /** What was set aside for a VM during its silence has not flowed in and is its to spend. */
+        void charge(CustomerSpend spend) {
+            double setAside = ratePerSecond * spend.setAsideMillis() / MILLIS_PER_SECOND;
+            level -= spend.tokens() <= 0 ? spend.tokens() : Math.max(0, spend.tokens() - setAside);
+        }
+
         void advance(
                 CustomerSpec customer, GrantTolerance tolerance, double share, long nowMillis) {
             double seconds = Math.max(0, nowMillis - atMillis) / MILLIS_PER_SECOND;
             atMillis = Math.max(atMillis, nowMillis);
+            ratePerSecond = customer.ratePerSecond();
             double rate = customer.ratePerSecond() * share;
             double cap = tolerance.bucketCap(customer.burst()) * share;
             double deepest = -customer.ratePerSecond() * LONGEST_DEBT_SECONDS;
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleetTest.java
@@ -0,0 +1,105 @@
+package io.vanillapoint.core.grant;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.describedAs;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.List;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Sum over all VMs of what one customer is given, under seeded faults, against the rule. */
+class GrantFleetTest {
+    private static final double RATE = 400_000;
+    private static final double MEAN_TOKENS = 9_000;
+    private static final int[] VMS = {4, 3, 2};
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void boundHoldsUnderRandomFaults(long seed) {
+        GrantFleet fleet = new GrantFleet(seed, VMS, RATE);
+        Random random = new Random(seed * 31);
+        fleet.run(5_000, hot(random), MEAN_TOKENS);
+        for (int round = 0; round < 8; round++) {
+            disturb(fleet, random);
+            fleet.run(1_000 + random.nextInt(6_000), hot(random), MEAN_TOKENS);
+            fleet.healAll();
+            fleet.run(random.nextInt(4_000), hot(random), MEAN_TOKENS);
+        }
+        assertThat(
+                fleet.worstPart(),
+                describedAs("part of the bound, seed %0", lessThanOrEqualTo(1.0), seed));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void customerBelowItsRateIsServedAsZonesPeakInTurn(long seed) {
+        GrantFleet fleet = new GrantFleet(seed, VMS, RATE);
+        double usual = RATE / 1.8;
+        fleet.run(5_000, new double[] {usual * 0.8, usual * 0.1, usual * 0.1}, MEAN_TOKENS);
+        fleet.resetCounts();
+        fleet.run(10_000, new double[] {usual * 0.8, usual * 0.1, usual * 0.1}, MEAN_TOKENS);
+        fleet.run(10_000, new double[] {usual * 0.1, usual * 0.8, usual * 0.1}, MEAN_TOKENS);
+        fleet.run(10_000, new double[] {usual * 0.1, usual * 0.1, usual * 0.8}, MEAN_TOKENS);
+        assertThat(fleet.admittedPart(), greaterThan(0.995));
+    }
+
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, 300);
+    }
+
+    private static void disturb(GrantFleet fleet, Random random) {
+        List<GrantFleet.Vm> vms = fleet.vms;
+        switch (random.nextInt(6)) {
+            case 0 -> cut(fleet, (a, b) -> a.region != b.region);
+            case 1 -> {
+                int region = random.nextInt(3);
+                cut(fleet, (a, b) -> (a.region == region) != (b.region == region));
+            }
+            case 2 -> {
+                int alone = random.nextInt(vms.size());
+                cut(fleet, (a, b) -> a.index == alone || b.index == alone);
+            }
+            case 3 -> {
+                int alone = random.nextInt(vms.size());
+                cut(fleet, (a, b) -> a.index == alone);
+            }
+            case 4 -> vms.forEach(vm -> killSome(vm, random));
+            default -> vms.get(random.nextInt(vms.size())).freeze(500 + random.nextInt(4_000));
+        }
+    }
+
+    private static void killSome(GrantFleet.Vm vm, Random random) {
+        if (random.nextInt(10) < 6) {
+            vm.kill(200 + random.nextInt(3_000));
+        }
+    }
+
+    private static void cut(GrantFleet fleet, Between between) {
+        for (GrantFleet.Vm one : fleet.vms) {
+            for (GrantFleet.Vm other : fleet.vms) {
+                fleet.cut(one, other, between.cut(one, other));
+            }
+        }
+    }
+
+    private static double[] hot(Random random) {
+        double total = RATE * (0.5 + 4 * random.nextDouble());
+        double first = 0.3 + 0.6 * random.nextDouble();
+        int peak = random.nextInt(3);
+        double[] demand = new double[3];
+        for (int region = 0; region < demand.length; region++) {
+            demand[region] = total * (region == peak ? first : (1 - first) / 2);
+        }
+        return demand;
+    }
+
+    /** Which pairs of VMs are cut, in one direction. */
+    private interface Between {
+        boolean cut(GrantFleet.Vm one, GrantFleet.Vm other);
+    }
+}
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -107,7 +107,7 @@
                         settings.zone(),
                         incarnation,
                         MemberState.STARTING);
-        fleet = new FleetView(self, FleetTiming.DEFAULT);
+        fleet = new FleetView(self, FleetTiming.DEFAULT, settings.smallestFleet());
         pool = new UpstreamPool(settings.zones());
         grants = new GrantMeter(new GrantTolerance(settings.quotaSlackTokens()));
         retries = new RetryAllowance(settings.retries());
@@ -152,7 +152,6 @@
                     MemberInfo self = fleet.self();
                     log.record(
                             EventCode.ENTRY_STARTED,
-                            self.vm(),
                             self.region(),
                             self.zone(),
                             self.incarnation());
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/settings/EntrySettings.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/settings/EntrySettings.java
@@ -15,6 +15,8 @@
  * {@code with} methods.
  */
 public final class EntrySettings {
+    private static final int VMS_PER_ZONE = 2;
+
     private final String vm;
     private final String host;
     private final ZoneId zone;
@@ -168,6 +170,15 @@
         return seeds;
     }
 
+    /**
+     * VMs that the fleet has at least: operators run two in each zone, so that one can be replaced.
+     *
+     * @return number
+     */
+    public int smallestFleet() {
+        return zones.size() * VMS_PER_ZONE;
+    }
+
     /**
      * Address of the platform's store.
      *
