Keep sessions with their engine and plain requests in their region

The share of failures that a service has of its own counted against the local replica only; a model that held just the common part of a prompt hid that the preferred engine holds the rest. Ruled out: queues (expected times were far below the target). Change: only failures beyond the usual count; the preferred engine is taken to hold most of a session; reports to other regions name other VMs only every few seconds.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
@@ -26,4 +26,14 @@
         upstreams = Map.copyOf(upstreams);
         others = List.copyOf(others);
     }
+
+    /**
+     * The same report without what changes slowly, for links on which each byte is paid for.
+     *
+     * @return a copy that names no other VMs
+     */
+    public FleetReport withoutOthers() {
+        return new FleetReport(
+                self, sequence, publishedRevision, customerTokens, upstreams, List.of());
+    }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/EngineSpeed.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/EngineSpeed.java
@@ -18,9 +18,11 @@
     /** Time to a first event without a prompt, about ten steps of an engine. */
     private static final double BASE_MILLIS = 45;
 
+    /** First samples weigh more, so that a new process learns within some requests. */
     private static final double NEWEST_WEIGHT = 0.05;
 
     private double tokensPerMilli = START_TOKENS_PER_MILLI;
+    private int samples = 1;
 
     /**
      * Learns from a first event.
@@ -35,7 +37,8 @@
         double sample = tokens / Math.max(1, millis - BASE_MILLIS);
         double bounded =
                 Math.min(FASTEST_TOKENS_PER_MILLI, Math.max(SLOWEST_TOKENS_PER_MILLI, sample));
-        tokensPerMilli += NEWEST_WEIGHT * (bounded - tokensPerMilli);
+        double weight = Math.max(NEWEST_WEIGHT, 1.0 / ++samples);
+        tokensPerMilli += weight * (bounded - tokensPerMilli);
     }
 
     /**
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -23,8 +23,11 @@
  * again elsewhere. Confined to one thread.
  */
 public final class ReplicaChooser {
-    /** Chance that the preferred engine of a session still holds it, if this VM never sent it. */
-    private static final double PREFERRED_HOLDS = 0.7;
+    /** Chance that the preferred engine of this region holds a session that this VM never sent. */
+    private static final double PREFERRED_HOLDS = 0.8;
+
+    /** The same for another region, where callers of the session are rarer. */
+    private static final double REMOTE_PREFERRED_HOLDS = 0.1;
 
     /** Work of a plain request until one was measured, in milliseconds. */
     private static final double PLAIN_WORK_MILLIS = 45;
@@ -37,9 +40,12 @@
 
     private static final double LATE_PART = 1.15;
 
-    /** Loss of a replica that failed all its last answers, beside those that fail anyhow. */
+    /** Loss of a replica that failed all its last answers. */
     private static final double FAILURE_LOSS = 0.8;
 
+    /** Share of failures that services have of their own, wherever a request is sent. */
+    private static final double USUAL_FAILURES = 0.3;
+
     /** When a request may come back after a refusal, if nothing better is known. */
     private static final long RETRY_AFTER_MILLIS = 400;
 
@@ -164,7 +170,7 @@
         }
         double part = (scored.millis + query.elapsedMillis()) / query.route().targetMillis();
         scored.loss += weights.late() * lateness(part);
-        scored.loss += FAILURE_LOSS * tracker.failureShare();
+        scored.loss += FAILURE_LOSS * Math.max(0, tracker.failureShare() - USUAL_FAILURES);
         scored.loss += 0.02 * part;
         return scored;
     }
@@ -177,10 +183,11 @@
             Map<RegionId, String> preferred,
             long nowMillis) {
         ReplicaTracker tracker = scored.tracker;
+        long shared = prompt.sharedParts().stream().mapToLong(part -> part.tokens()).sum();
         long held = tracker.cached().cachedTokens(prompt);
-        if (held == 0 && tracker.info().id().equals(preferredOf(tracker, query, preferred, nowMillis))) {
-            long shared = prompt.sharedParts().stream().mapToLong(part -> part.tokens()).sum();
-            held = (long) (shared * PREFERRED_HOLDS);
+        if (tracker.info().id().equals(preferredOf(tracker, query, preferred, nowMillis))) {
+            double holds = scored.local ? PREFERRED_HOLDS : REMOTE_PREFERRED_HOLDS;
+            held = Math.max(held, (long) (shared * holds));
         }
         scored.uncached = Math.max(0, prompt.promptTokens() - held);
         long ahead = use.promptTokens() + scored.uncached;
@@ -190,7 +197,6 @@
         if (beyond > 0) {
             scored.millis += SLOT_WAIT_MILLIS * beyond;
         }
-        long shared = prompt.sharedParts().stream().mapToLong(part -> part.tokens()).sum();
         double reread = Math.max(0, shared - held);
         scored.loss += weights.rereadPerKiloToken() * reread / 1_000.0;
         scored.loss += 0.02 * use.requests() / Math.max(1, slots);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
@@ -30,6 +30,9 @@
  * Confined to one event loop.
  */
 final class FleetLink {
+    /** Every few seconds a report names all VMs, so that new and cut-off ones find each other. */
+    private static final int BEATS_PER_FULL_REPORT = 12;
+
     private final Vertx vertx;
     private final FleetView fleet;
     private final FleetTiming timing;
@@ -44,6 +47,7 @@
     private List<String> seeds;
     private DatagramSocket socket;
     private long otherSentAtMillis = Long.MIN_VALUE / 2;
+    private int beats;
 
     FleetLink(
             Vertx vertx,
@@ -96,16 +100,20 @@
         long now = clock.getAsLong();
         fleet.prune(now);
         logSuspects(now);
-        if (now - otherSentAtMillis >= timing.otherIntervalMillis()) {
+        boolean others = now - otherSentAtMillis >= timing.otherIntervalMillis();
+        if (++beats % BEATS_PER_FULL_REPORT == 0 || fleet.members().isEmpty()) {
             sendAll();
             return;
         }
-        Buffer datagram = datagram();
+        Buffer datagram = Buffer.buffer(codec.encode(reports.get().withoutOthers()));
         for (Member member : fleet.members()) {
-            if (member.info().region().equals(fleet.self().region())) {
+            if (others || member.info().region().equals(fleet.self().region())) {
                 send(datagram, member.info().host());
             }
         }
+        if (others) {
+            otherSentAtMillis = now;
+        }
     }
 
     private Buffer datagram() {
