Let VMs' copies of a customer's bucket meet again

A copy was advanced only when its VM took tokens, then at the new rate for all the time before; nothing brought copies together. Ruled out: cuts (all VMs heard each other, share 1.0). Change: a configuration closes the time before it at the old rates; heartbeats carry the level and copies move towards each other.

--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -98,35 +98,80 @@
     MEMBER_SUSPECTED(2202, EventLevel.WARN, "member suspected", "member", "silent_ms"),
     /** A request was admitted. */
     ADMITTED(
-            2301, EventLevel.INFO, "admitted", "request", "route", "customer", "tokens", "level",
+            2301,
+            EventLevel.INFO,
+            "admitted",
+            "request",
+            "route",
+            "customer",
+            "tokens",
+            "level",
             "share"),
     /** A request was refused since its customer's tokens are spent. */
     TOKENS_REFUSED(
-            2302, EventLevel.INFO, "tokens refused", "request", "customer", "tokens", "level",
-            "share", "retry_after_ms"),
+            2302,
+            EventLevel.INFO,
+            "tokens refused",
+            "request",
+            "customer",
+            "tokens",
+            "level",
+            "share",
+            "retry_after_ms"),
     /** A request is sent to a replica. */
     PLACED(
-            2303, EventLevel.INFO, "placed", "request", "replica", "attempt", "uncached",
-            "expected_ms", "elapsed_ms"),
+            2303,
+            EventLevel.INFO,
+            "placed",
+            "request",
+            "replica",
+            "attempt",
+            "uncached",
+            "expected_ms",
+            "elapsed_ms"),
     /** A request is sent to a VM of another region. */
     RELAYED(
-            2304, EventLevel.INFO, "relayed", "request", "to", "attempt", "expected_ms",
+            2304,
+            EventLevel.INFO,
+            "relayed",
+            "request",
+            "to",
+            "attempt",
+            "expected_ms",
             "elapsed_ms"),
     /** An attempt ended without an answer for the caller. */
     ATTEMPT_ENDED(
-            2305, EventLevel.INFO, "attempt ended", "request", "target", "end", "cause", "next",
+            2305,
+            EventLevel.INFO,
+            "attempt ended",
+            "request",
+            "target",
+            "end",
+            "cause",
+            "next",
             "elapsed_ms"),
     /** A request was answered with what its replica sent. */
     ANSWERED(
-            2306, EventLevel.INFO, "answered", "request", "status", "bytes", "first_ms",
+            2306,
+            EventLevel.INFO,
+            "answered",
+            "request",
+            "status",
+            "bytes",
+            "first_ms",
             "elapsed_ms"),
     /** A request was refused and has not run. */
     REFUSED(
-            2307, EventLevel.INFO, "refused", "request", "status", "reason", "retry_after_ms",
+            2307,
+            EventLevel.INFO,
+            "refused",
+            "request",
+            "status",
+            "reason",
+            "retry_after_ms",
             "elapsed_ms"),
     /** A request failed and may have run. */
-    REQUEST_FAILED(
-            2308, EventLevel.WARN, "failed", "request", "status", "reason", "elapsed_ms"),
+    REQUEST_FAILED(2308, EventLevel.WARN, "failed", "request", "status", "reason", "elapsed_ms"),
     /** A caller went away before its answer was complete. */
     CALLER_LEFT(2309, EventLevel.INFO, "caller left", "request", "elapsed_ms", "cancelled"),
     /** A request is not allowed or malformed. */
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
@@ -9,7 +9,7 @@
  * @param self the sender
  * @param sequence rises with each report of one incarnation
  * @param publishedRevision revision of the platform's store up to which the sender knows it
- * @param customerTokens tokens admitted for each customer since the sender started
+ * @param customers what the sender knows of each customer's tokens
  * @param upstreams what the sender has outstanding at each upstream
  * @param others VMs that the sender has heard of
  */
@@ -17,12 +17,12 @@
         MemberInfo self,
         long sequence,
         long publishedRevision,
-        Map<String, Long> customerTokens,
+        Map<String, CustomerUse> customers,
         Map<String, UpstreamUse> upstreams,
         List<HeardMember> others) {
     /** Copies the collections. */
     public FleetReport {
-        customerTokens = Map.copyOf(customerTokens);
+        customers = Map.copyOf(customers);
         upstreams = Map.copyOf(upstreams);
         others = List.copyOf(others);
     }
@@ -33,7 +33,6 @@
      * @return a copy that names no other VMs
      */
     public FleetReport withoutOthers() {
-        return new FleetReport(
-                self, sequence, publishedRevision, customerTokens, upstreams, List.of());
+        return new FleetReport(self, sequence, publishedRevision, customers, upstreams, List.of());
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetTiming.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetTiming.java
@@ -19,6 +19,5 @@
         long suspectMillis,
         long forgetMillis) {
     /** Two lost heartbeats are no silence; three are. */
-    public static final FleetTiming DEFAULT =
-            new FleetTiming(200, 400, 700, 1_000, 2_000, 300_000);
+    public static final FleetTiming DEFAULT = new FleetTiming(200, 400, 700, 1_000, 2_000, 300_000);
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -69,21 +69,20 @@
      *
      * @param nowMillis steady time
      * @param publishedRevision revision of the platform's store that this VM has reached
-     * @param customerTokens tokens admitted by customer since the start
+     * @param customers what this VM knows of each customer's tokens
      * @param upstreams what is outstanding by upstream
      * @return the report
      */
     public FleetReport report(
             long nowMillis,
             long publishedRevision,
-            Map<String, Long> customerTokens,
+            Map<String, CustomerUse> customers,
             Map<String, UpstreamUse> upstreams) {
         List<HeardMember> others = new ArrayList<>();
         for (Member member : members.values()) {
             others.add(new HeardMember(member.info(), nowMillis - member.heardAtMillis()));
         }
-        return new FleetReport(
-                self, ++sequence, publishedRevision, customerTokens, upstreams, others);
+        return new FleetReport(self, ++sequence, publishedRevision, customers, upstreams, others);
     }
 
     /**
@@ -109,11 +108,11 @@
             return List.of();
         }
         boolean restarted = report.self().incarnation() != member.info().incarnation();
-        Map<String, Long> before = restarted ? Map.of() : member.customerTokens();
+        Map<String, CustomerUse> before = restarted ? Map.of() : member.customers();
         long silentMillis = hears(member, nowMillis) ? 0 : nowMillis - member.directAtMillis();
         double setAside = (double) silentMillis / knownVms();
         member.take(report, nowMillis);
-        return spends(before, report.customerTokens(), setAside);
+        return spends(before, report.customers(), setAside);
     }
 
     /**
@@ -242,7 +241,8 @@
                 .filter(member -> nowMillis - member.directAtMillis() <= timing.suspectMillis())
                 .max(
                         Comparator.comparingLong(Member::publishedRevision)
-                                .thenComparing(member -> member.info().region().equals(self.region()))
+                                .thenComparing(
+                                        member -> member.info().region().equals(self.region()))
                                 .thenComparing(member -> member.info().vm()));
     }
 
@@ -297,14 +297,15 @@
     }
 
     private static List<CustomerSpend> spends(
-            Map<String, Long> before, Map<String, Long> after, double setAsideMillis) {
+            Map<String, CustomerUse> before,
+            Map<String, CustomerUse> after,
+            double setAsideMillis) {
         List<CustomerSpend> spends = new ArrayList<>();
         after.forEach(
-                (customer, tokens) -> {
-                    long spent = tokens - before.getOrDefault(customer, 0L);
-                    if (spent != 0) {
-                        spends.add(new CustomerSpend(customer, spent, setAsideMillis));
-                    }
+                (customer, use) -> {
+                    CustomerUse known = before.get(customer);
+                    long spent = use.tokens() - (known == null ? 0 : known.tokens());
+                    spends.add(new CustomerSpend(customer, spent, setAsideMillis, use.level()));
                 });
         return spends;
     }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
@@ -14,7 +14,7 @@
     private long directAtMillis = Long.MIN_VALUE / 2;
     private long sequence = -1;
     private long publishedRevision;
-    private Map<String, Long> customerTokens = Map.of();
+    private Map<String, CustomerUse> customers = Map.of();
     private Map<String, UpstreamUse> upstreams = Map.of();
 
     Member(MemberInfo info, long heardAtMillis) {
@@ -67,8 +67,8 @@
         return directAtMillis;
     }
 
-    Map<String, Long> customerTokens() {
-        return customerTokens;
+    Map<String, CustomerUse> customers() {
+        return customers;
     }
 
     boolean outdates(FleetReport report) {
@@ -81,7 +81,7 @@
         info = report.self();
         sequence = report.sequence();
         publishedRevision = report.publishedRevision();
-        customerTokens = report.customerTokens();
+        customers = report.customers();
         upstreams = report.upstreams();
         heardAtMillis = nowMillis;
         directAtMillis = nowMillis;
@@ -95,7 +95,7 @@
         if (heard.info().incarnation() > info.incarnation()) {
             info = heard.info();
             sequence = -1;
-            customerTokens = Map.of();
+            customers = Map.of();
             upstreams = Map.of();
             heardAtMillis = at;
         } else if (at > heardAtMillis) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/grant/GrantMeter.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/grant/GrantMeter.java
@@ -1,7 +1,9 @@
 package io.vanillapoint.core.grant;
 
 import io.vanillapoint.core.fleet.CustomerSpend;
+import io.vanillapoint.core.fleet.CustomerUse;
 import io.vanillapoint.core.published.CustomerSpec;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,9 +12,10 @@
  * Counts what every customer spends over all VMs, without a VM that is in charge.
  *
  * <p>Every VM keeps a copy of each customer's token bucket, takes its own admissions from it at
- * once and those of other VMs as their heartbeats arrive. A request is admitted while the copy is
- * above zero and may leave it in debt, so that a request larger than the burst can run; the debt is
- * paid before the next one is admitted.
+ * once and those of other VMs as their heartbeats arrive. Heartbeats also carry the level of the
+ * sender's copy, towards which the receiver's moves a little, so that copies do not drift apart. A
+ * request is admitted while the copy is above zero and may leave it in debt, so that a request
+ * larger than the burst can run; the debt is paid before the next one is admitted.
  *
  * <p>Safety argument. While all VMs hear each other, the copies differ by what was admitted within
  * one heartbeat, and that is charged afterwards: in a window of W seconds at most {@code rate * W +
@@ -30,6 +33,12 @@
     /** A process that has just started may follow one that had spent the burst. */
     private static final double START_PART = 0.1;
 
+    /**
+     * Part of the difference to another VM's copy that one heartbeat takes away. Copies drift apart
+     * by what VMs did not hear; with some heartbeats a second they meet again within a second.
+     */
+    private static final double ALIGNMENT = 0.04;
+
     /** Longest time a customer is held back for what other VMs admitted beyond its rate. */
     private static final double LONGEST_DEBT_SECONDS = 4;
 
@@ -45,6 +54,23 @@
         this.tolerance = tolerance;
     }
 
+    /**
+     * Takes over a configuration: what has flowed in until now flowed at the rates before.
+     *
+     * @param customers all customers
+     * @param share part of the fleet that this VM hears, in (0, 1]
+     * @param nowMillis steady time
+     */
+    public void configure(Collection<CustomerSpec> customers, double share, long nowMillis) {
+        for (CustomerSpec customer : customers) {
+            if (customer.limited()) {
+                Account account = account(customer, share, nowMillis);
+                account.advance(tolerance, share, nowMillis);
+                account.customer = customer;
+            }
+        }
+    }
+
     /**
      * Takes the tokens of a request.
      *
@@ -59,7 +85,8 @@
             return new GrantVerdict(true, Long.MAX_VALUE, 0);
         }
         Account account = account(customer, share, nowMillis);
-        account.advance(customer, tolerance, share, nowMillis);
+        account.customer = customer;
+        account.advance(tolerance, share, nowMillis);
         if (account.level <= 0) {
             double millis = (1 - account.level) / (customer.ratePerSecond() * share);
             long wait = (long) Math.ceil(millis * MILLIS_PER_SECOND);
@@ -85,28 +112,36 @@
     }
 
     /**
-     * Charges what other VMs admitted.
+     * Charges what another VM admitted.
      *
      * @param spends tokens by customer
+     * @param share part of the fleet that this VM hears, in (0, 1]
+     * @param nowMillis steady time
      */
-    public void spentElsewhere(List<CustomerSpend> spends) {
+    public void spentElsewhere(List<CustomerSpend> spends, double share, long nowMillis) {
         for (CustomerSpend spend : spends) {
             Account account = accounts.get(spend.customer());
             if (account != null) {
+                account.advance(tolerance, share, nowMillis);
                 account.charge(spend);
+                if (share >= 1) {
+                    account.level += ALIGNMENT * (spend.level() - account.level);
+                }
             }
         }
     }
 
     /**
-     * Tokens admitted here by customer since the start, for the heartbeat.
+     * What this VM knows of each customer's tokens, for the heartbeat.
      *
      * @return new map
      */
-    public Map<String, Long> admitted() {
-        Map<String, Long> totals = new HashMap<>();
-        accounts.forEach((name, account) -> totals.put(name, account.admitted));
-        return totals;
+    public Map<String, CustomerUse> uses() {
+        Map<String, CustomerUse> uses = new HashMap<>();
+        accounts.forEach(
+                (name, account) ->
+                        uses.put(name, new CustomerUse(account.admitted, (long) account.level)));
+        return uses;
     }
 
     private Account account(CustomerSpec customer, double share, long nowMillis) {
@@ -114,32 +149,32 @@
                 customer.name(),
                 unused -> {
                     double cap = tolerance.bucketCap(customer.burst()) * share;
-                    return new Account(cap * START_PART, nowMillis);
+                    return new Account(customer, cap * START_PART, nowMillis);
                 });
     }
 
+    /** One customer's bucket as this VM knows it. */
     private static final class Account {
+        private CustomerSpec customer;
         private double level;
         private long atMillis;
         private long admitted;
-        private double ratePerSecond;
 
-        Account(double level, long nowMillis) {
+        Account(CustomerSpec customer, double level, long nowMillis) {
+            this.customer = customer;
             this.level = level;
             this.atMillis = nowMillis;
         }
 
         /** What was set aside for a VM during its silence has not flowed in and is its to spend. */
         void charge(CustomerSpend spend) {
-            double setAside = ratePerSecond * spend.setAsideMillis() / MILLIS_PER_SECOND;
+            double setAside = customer.ratePerSecond() * spend.setAsideMillis() / MILLIS_PER_SECOND;
             level -= spend.tokens() <= 0 ? spend.tokens() : Math.max(0, spend.tokens() - setAside);
         }
 
-        void advance(
-                CustomerSpec customer, GrantTolerance tolerance, double share, long nowMillis) {
+        void advance(GrantTolerance tolerance, double share, long nowMillis) {
             double seconds = Math.max(0, nowMillis - atMillis) / MILLIS_PER_SECOND;
             atMillis = Math.max(atMillis, nowMillis);
-            ratePerSecond = customer.ratePerSecond();
             double rate = customer.ratePerSecond() * share;
             double cap = tolerance.bucketCap(customer.burst()) * share;
             double deepest = -customer.ratePerSecond() * LONGEST_DEBT_SECONDS;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/published/TrafficLimits.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/published/TrafficLimits.java
@@ -11,5 +11,6 @@
 public record TrafficLimits(
         int headerBytes, long bodyBytes, int headerTimeoutMillis, int idleTimeoutMillis) {
     /** Limits until a configuration is known: the usual defaults of HTTP servers. */
-    public static final TrafficLimits DEFAULT = new TrafficLimits(16_384, 4_194_304, 10_000, 60_000);
+    public static final TrafficLimits DEFAULT =
+            new TrafficLimits(16_384, 4_194_304, 10_000, 60_000);
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -152,8 +152,7 @@
             PlacementQuery query,
             Map<RegionId, String> preferred,
             long nowMillis) {
-        UpstreamUse use =
-                tracker.use().plus(fleet.useElsewhere(tracker.info().id(), nowMillis));
+        UpstreamUse use = tracker.use().plus(fleet.useElsewhere(tracker.info().id(), nowMillis));
         Scored scored = new Scored(tracker, local);
         if (query.prompt().isPresent()) {
             scoreEngine(scored, query, query.prompt().get(), use, preferred, nowMillis);
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -24,8 +24,8 @@
  */
 public final class UpstreamPool {
     /**
-     * VMs that may send to one cold replica. With one request at once each, the sum stays below
-     * the smallest rate that operators allow for a cold replica, three requests and a half.
+     * VMs that may send to one cold replica. With one request at once each, the sum stays below the
+     * smallest rate that operators allow for a cold replica, three requests and a half.
      */
     static final int COLD_OWNERS = 3;
 
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleet.java
@@ -2,6 +2,7 @@
 
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.fleet.CustomerSpend;
 import io.vanillapoint.core.fleet.FleetReport;
 import io.vanillapoint.core.fleet.FleetTiming;
 import io.vanillapoint.core.fleet.FleetView;
@@ -12,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.PriorityQueue;
@@ -19,8 +21,8 @@
 import java.util.Set;
 
 /**
- * Entry VMs that count one customer's tokens, in virtual time: heartbeats with delay and loss, cuts,
- * kills, frozen VMs. Checks each window of the rule as it slides.
+ * Entry VMs that count one customer's tokens, in virtual time: heartbeats with delay and loss,
+ * cuts, kills, frozen VMs. Checks each window of the rule as it slides.
  */
 final class GrantFleet {
     static final long WINDOW_MILLIS = 8_000;
@@ -33,7 +35,7 @@
 
     final Random random;
     final List<Vm> vms = new ArrayList<>();
-    final CustomerSpec customer;
+    private CustomerSpec customer;
     private final Set<Long> cutPairs = new HashSet<>();
     private final PriorityQueue<Mail> mail = new PriorityQueue<>();
     private final ArrayDeque<long[]> window = new ArrayDeque<>();
@@ -47,8 +49,7 @@
     GrantFleet(long seed, int[] vmsByRegion, double rate) {
         random = new Random(seed);
         customer =
-                new CustomerSpec(
-                        "c", Set.of("k"), OptionalInt.empty(), 200, rate, rate, Set.of());
+                new CustomerSpec("c", Set.of("k"), OptionalInt.empty(), 200, rate, rate, Set.of());
         for (int region = 0; region < vmsByRegion.length; region++) {
             for (int i = 0; i < vmsByRegion[region]; i++) {
                 vms.add(new Vm(vms.size(), region));
@@ -88,6 +89,22 @@
         cutPairs.clear();
     }
 
+    void lower(double rate) {
+        customer = customer(rate);
+        for (Vm vm : vms) {
+            vm.meter.configure(List.of(customer), vm.view.heardShare(now), now);
+        }
+    }
+
+    /** Difference between the highest and the lowest copy of the bucket. */
+    double spreadOfLevels() {
+        LongSummaryStatistics levels =
+                vms.stream()
+                        .mapToLong(vm -> vm.meter.uses().get(customer.name()).level())
+                        .summaryStatistics();
+        return levels.getMax() - levels.getMin();
+    }
+
     /** Largest part of the bound that any window has reached. */
     double worstPart() {
         return worstPart;
@@ -131,11 +148,17 @@
         while (!mail.isEmpty() && mail.peek().at <= now) {
             Mail next = mail.poll();
             if (next.to.up()) {
-                next.to.meter.spentElsewhere(next.to.view.receive(next.report, now));
+                Vm to = next.to;
+                List<CustomerSpend> spends = to.view.receive(next.report, now);
+                to.meter.spentElsewhere(spends, to.view.heardShare(now), now);
             }
         }
     }
 
+    private static CustomerSpec customer(double rate) {
+        return new CustomerSpec("c", Set.of("k"), OptionalInt.empty(), 200, rate, rate, Set.of());
+    }
+
     private static long pair(Vm one, Vm other) {
         return one.index * 1_000L + other.index;
     }
@@ -144,7 +167,9 @@
     private record Mail(long at, int order, Vm to, FleetReport report) implements Comparable<Mail> {
         @Override
         public int compareTo(Mail other) {
-            return at != other.at ? Long.compare(at, other.at) : Integer.compare(order, other.order);
+            return at != other.at
+                    ? Long.compare(at, other.at)
+                    : Integer.compare(order, other.order);
         }
     }
 
@@ -195,6 +220,7 @@
                             MemberState.READY);
             view = new FleetView(self, FleetTiming.DEFAULT, SMALLEST_FLEET);
             meter = new GrantMeter(new GrantTolerance(SLACK));
+            meter.configure(List.of(customer), view.heardShare(now), now);
         }
 
         private void beat() {
@@ -206,7 +232,7 @@
             if (far) {
                 nextFar = now + FleetTiming.DEFAULT.otherIntervalMillis();
             }
-            FleetReport report = view.report(now, 0, meter.admitted(), Map.of());
+            FleetReport report = view.report(now, 0, meter.uses(), Map.of());
             for (Vm other : vms) {
                 boolean send = other != this && (far || other.region == region);
                 if (send && !cutPairs.contains(pair(this, other)) && random.nextInt(100) != 0) {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleetTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleetTest.java
@@ -48,6 +48,17 @@
         assertThat(fleet.admittedPart(), greaterThan(0.995));
     }
 
+    /** A limit is lowered while some VMs have not seen the customer for a while. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void copiesOfTheBucketMeetAfterALimitIsLowered(long seed) {
+        GrantFleet fleet = new GrantFleet(seed, VMS, RATE);
+        fleet.run(2_000, new double[] {RATE * 0.2, RATE * 0.02, RATE * 0.02}, MEAN_TOKENS);
+        fleet.lower(RATE / 4);
+        fleet.run(4_000, new double[] {RATE * 0.2, RATE * 0.05, RATE * 0.05}, MEAN_TOKENS);
+        assertThat(fleet.spreadOfLevels(), lessThanOrEqualTo(RATE / 8));
+    }
+
     static LongStream seeds() {
         return LongStream.rangeClosed(1, 300);
     }
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
@@ -40,8 +40,7 @@
     private static final long NOW = 10_000;
     private static final ServiceSpec ENGINES =
             new ServiceSpec("engines", 100, 3_000, 2.9, Optional.of(new EngineSpec(64, 360_000)));
-    private static final ServiceSpec PLAIN =
-            new ServiceSpec("plain", 100, 0, 0, Optional.empty());
+    private static final ServiceSpec PLAIN = new ServiceSpec("plain", 100, 0, 0, Optional.empty());
 
     private final FleetView fleet =
             new FleetView(vm("west-1", WEST, WEST_A), FleetTiming.DEFAULT, 2);
@@ -121,7 +120,8 @@
         pool.evacuate(EAST_A, true);
         pool.remove("plain-w", NOW);
         assertThat(chooser.choose(plain(Set.of()), NOW + 1_900), instanceOf(Placement.Local.class));
-        assertThat(chooser.choose(plain(Set.of()), NOW + 2_100), instanceOf(Placement.Refuse.class));
+        assertThat(
+                chooser.choose(plain(Set.of()), NOW + 2_100), instanceOf(Placement.Refuse.class));
     }
 
     @Test
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -2,6 +2,7 @@
 
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.core.fleet.CustomerSpend;
 import io.vanillapoint.core.fleet.FleetReport;
 import io.vanillapoint.core.fleet.FleetTiming;
 import io.vanillapoint.core.fleet.FleetView;
@@ -9,6 +10,7 @@
 import io.vanillapoint.core.fleet.MemberState;
 import io.vanillapoint.core.grant.GrantMeter;
 import io.vanillapoint.core.grant.GrantTolerance;
+import io.vanillapoint.core.published.GatewayPublication;
 import io.vanillapoint.core.upstream.PlacementWeights;
 import io.vanillapoint.core.upstream.ReplicaChooser;
 import io.vanillapoint.core.upstream.UpstreamPool;
@@ -111,7 +113,9 @@
         pool = new UpstreamPool(settings.zones());
         grants = new GrantMeter(new GrantTolerance(settings.quotaSlackTokens()));
         retries = new RetryAllowance(settings.retries());
-        board = new PublicationBoard(platform.published(), pool, log, clock);
+        board =
+                new PublicationBoard(
+                        platform.published(), pool, log, clock, this::publicationTaken);
         HttpClient vms = vmClient();
         EntryContext context =
                 new EntryContext(
@@ -137,7 +141,7 @@
                         board,
                         platform.source(vertx, settings.store()),
                         this::report,
-                        grants::spentElsewhere);
+                        this::spentElsewhere);
     }
 
     /**
@@ -203,8 +207,7 @@
         settings.directory()
                 .filter(endpoint -> !endpoint.equals(settings.readiness().orElse(null)))
                 .ifPresent(endpoint -> listening.add(serve(endpoint, this::question)));
-        listening.add(
-                serve(new Endpoint(settings.host(), settings.peerPort()), this::peerRequest));
+        listening.add(serve(new Endpoint(settings.host(), settings.peerPort()), this::peerRequest));
         listening.add(
                 serve(
                         new Endpoint(settings.host(), settings.metricsPort()),
@@ -312,9 +315,18 @@
         return fleet.self().state().compareTo(MemberState.READY) > 0;
     }
 
+    private void spentElsewhere(List<CustomerSpend> spends) {
+        long now = clock.getAsLong();
+        grants.spentElsewhere(spends, fleet.heardShare(now), now);
+    }
+
+    private void publicationTaken(GatewayPublication publication) {
+        long now = clock.getAsLong();
+        grants.configure(publication.customers(), fleet.heardShare(now), now);
+    }
+
     private FleetReport report() {
-        return fleet.report(
-                clock.getAsLong(), board.revision(), grants.admitted(), pool.uses());
+        return fleet.report(clock.getAsLong(), board.revision(), grants.uses(), pool.uses());
     }
 
     private HttpClient upstreamClient() {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
@@ -122,8 +122,7 @@
 
     private void send(Buffer datagram, String host) {
         socket.send(datagram, port, host)
-                .onFailure(
-                        error -> log.record(EventCode.INTERNAL_ERROR, "send to " + host, error));
+                .onFailure(error -> log.record(EventCode.INTERNAL_ERROR, "send to " + host, error));
     }
 
     private void receive(DatagramPacket packet) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublicationBoard.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublicationBoard.java
@@ -14,6 +14,7 @@
 import io.vanillapoint.entry.port.StoreListing;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -29,6 +30,7 @@
     private final UpstreamPool pool;
     private final EventSink log;
     private final LongSupplier clock;
+    private final Consumer<GatewayPublication> taken;
     private Optional<GatewayPublication> publication = Optional.empty();
 
     /**
@@ -38,13 +40,19 @@
      * @param pool replicas
      * @param log where changes are recorded
      * @param clock steady time in milliseconds
+     * @param taken hears each new version of the configuration
      */
     public PublicationBoard(
-            PublishedFormat format, UpstreamPool pool, EventSink log, LongSupplier clock) {
+            PublishedFormat format,
+            UpstreamPool pool,
+            EventSink log,
+            LongSupplier clock,
+            Consumer<GatewayPublication> taken) {
         this.format = format;
         this.pool = pool;
         this.log = log;
         this.clock = clock;
+        this.taken = taken;
     }
 
     /**
@@ -122,8 +130,8 @@
             return;
         }
         publication = read;
-        log.record(
-                EventCode.PUBLICATION_TAKEN, read.get().version(), item.revision(), source);
+        taken.accept(read.get());
+        log.record(EventCode.PUBLICATION_TAKEN, read.get().version(), item.revision(), source);
     }
 
     private boolean newer(GatewayPublication read) {
@@ -157,8 +165,7 @@
         log.record(EventCode.EVACUATION, zone, !item.removed(), item.revision(), source);
     }
 
-    private void changed(
-            String id, String service, String state, StoredItem item, String source) {
+    private void changed(String id, String service, String state, StoredItem item, String source) {
         log.record(EventCode.REPLICA_CHANGED, id, service, state, item.revision(), source);
     }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopy.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopy.java
@@ -99,9 +99,7 @@
                             if (body.failed()) {
                                 String place = "copy of the store from " + vm;
                                 log.record(
-                                        EventCode.INTERNAL_ERROR,
-                                        place,
-                                        body.cause().getMessage());
+                                        EventCode.INTERNAL_ERROR, place, body.cause().getMessage());
                             } else {
                                 take(vm, body.result());
                             }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/PublishedSource.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/PublishedSource.java
@@ -3,9 +3,7 @@
 import io.vanillapoint.core.published.StoredDelta;
 import io.vertx.core.Future;
 
-/**
- * Reads the platform's store. Failures are {@link StoreException}s. Confined to one event loop.
- */
+/** Reads the platform's store. Failures are {@link StoreException}s. Confined to one event loop. */
 public interface PublishedSource {
     /**
      * Reads everything.
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
@@ -39,8 +39,7 @@
      * @param context what requests share
      * @param publication reads the configuration in force
      */
-    public RelayHandler(
-            EntryContext context, Supplier<Optional<GatewayPublication>> publication) {
+    public RelayHandler(EntryContext context, Supplier<Optional<GatewayPublication>> publication) {
         this.context = context;
         this.publication = publication;
     }
@@ -86,11 +85,7 @@
         try {
             relayed = codec.relayRequest(body.getBytes());
         } catch (VanillapointException e) {
-            context.log()
-                    .record(
-                            EventCode.PEER_BAD_FRAME,
-                            request.remoteAddress(),
-                            e.getMessage());
+            context.log().record(EventCode.PEER_BAD_FRAME, request.remoteAddress(), e.getMessage());
             sink.refuse(Refusal.notRun("bad_message", 0));
             return;
         }
@@ -120,7 +115,9 @@
         Optional<ServiceSpec> service = current.flatMap(known -> known.service(relayed.service()));
         Optional<CustomerSpec> customer =
                 relayed.customer().flatMap(name -> current.flatMap(known -> known.customer(name)));
-        if (route.isEmpty() || service.isEmpty() || customer.isEmpty() == relayed.customer().isPresent()) {
+        if (route.isEmpty()
+                || service.isEmpty()
+                || customer.isEmpty() == relayed.customer().isPresent()) {
             return Optional.empty();
         }
         MultiMap headers = MultiMap.caseInsensitiveMultiMap();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/settings/EntrySettings.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/settings/EntrySettings.java
@@ -48,7 +48,8 @@
         retries = Objects.requireNonNull(builder.retries, "retries");
         quotaSlackTokens = builder.quotaSlackTokens;
         if (!zones.containsKey(zone)) {
-            throw new IllegalArgumentException("expected zone " + zone + " among " + zones.keySet());
+            throw new IllegalArgumentException(
+                    "expected zone " + zone + " among " + zones.keySet());
         }
     }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
@@ -90,7 +90,10 @@
         CallerSink sink = new CallerSink(request, closing);
         Buffer body = Buffer.buffer();
         long limit =
-                publication.get().map(GatewayPublication::limits).orElse(TrafficLimits.DEFAULT)
+                publication
+                        .get()
+                        .map(GatewayPublication::limits)
+                        .orElse(TrafficLimits.DEFAULT)
                         .bodyBytes();
         if (declaredLength(request) > limit) {
             deny(sink, "", new Refusal(TOO_LARGE, "body_too_large", true, 0));
@@ -113,8 +116,7 @@
                 });
     }
 
-    private void admit(
-            HttpServerRequest request, Buffer body, CallerSink sink, long receivedAt) {
+    private void admit(HttpServerRequest request, Buffer body, CallerSink sink, long receivedAt) {
         RequestEnvelope envelope;
         try {
             envelope = context.format().request(request.headers());
@@ -147,8 +149,10 @@
             return;
         }
         long now = context.clock().getAsLong();
-        long wait = Math.min(envelope.remainingMillis().orElse(Long.MAX_VALUE),
-                route.get().timeoutMillis());
+        long wait =
+                Math.min(
+                        envelope.remainingMillis().orElse(Long.MAX_VALUE),
+                        route.get().timeoutMillis());
         RequestPlan plan =
                 new RequestPlan(
                         envelope,
@@ -206,8 +210,7 @@
 
     private void run(RequestPlan plan, HttpServerRequest request, CallerSink sink) {
         RequestRun[] started = new RequestRun[1];
-        RequestRun run =
-                new RequestRun(context, plan, sink, () -> ended(plan, started[0]));
+        RequestRun run = new RequestRun(context, plan, sink, () -> ended(plan, started[0]));
         started[0] = run;
         running.add(run);
         request.response().closeHandler(nothing -> run.callerLeft());
@@ -224,8 +227,7 @@
     private void deny(CallerSink sink, String requestId, Refusal refusal) {
         long version = publication.get().map(GatewayPublication::version).orElse(0L);
         context.log()
-                .record(
-                        EventCode.DENIED, requestId, refusal.status(), refusal.reason(), version);
+                .record(EventCode.DENIED, requestId, refusal.status(), refusal.reason(), version);
         context.metrics().count("denied." + refusal.reason());
         sink.refuse(refusal);
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerSink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerSink.java
@@ -32,8 +32,7 @@
         response.setStatusCode(status);
         headers.forEach(header -> response.headers().add(header.name(), header.value()));
         if (length.isPresent()) {
-            response.putHeader(
-                    HttpHeaders.CONTENT_LENGTH, Long.toString(length.getAsLong()));
+            response.putHeader(HttpHeaders.CONTENT_LENGTH, Long.toString(length.getAsLong()));
         } else {
             response.setChunked(true);
         }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -85,8 +85,7 @@
      * @param sink where its answer goes
      * @param whenDone called once at the end
      */
-    public RequestRun(
-            EntryContext context, RequestPlan plan, AnswerSink sink, Runnable whenDone) {
+    public RequestRun(EntryContext context, RequestPlan plan, AnswerSink sink, Runnable whenDone) {
         this.context = context;
         this.plan = plan;
         this.sink = sink;
@@ -400,25 +399,13 @@
             Refusal refusal = late ? Refusal.timedOut() : Refusal.failed(reason);
             sink.refuse(refusal);
             context.log()
-                    .record(
-                            EventCode.REQUEST_FAILED,
-                            id(),
-                            refusal.status(),
-                            reason,
-                            elapsed());
+                    .record(EventCode.REQUEST_FAILED, id(), refusal.status(), reason, elapsed());
             finish("failed");
             return;
         }
         long wait = retryAfterMillis > 0 ? retryAfterMillis : RETRY_AFTER_MILLIS;
         sink.refuse(Refusal.notRun(reason, wait));
-        context.log()
-                .record(
-                        EventCode.REFUSED,
-                        id(),
-                        Refusal.UNAVAILABLE,
-                        reason,
-                        wait,
-                        elapsed());
+        context.log().record(EventCode.REFUSED, id(), Refusal.UNAVAILABLE, reason, wait, elapsed());
         finish("refused");
     }
 
@@ -453,7 +440,8 @@
         if (!plan.route().mayRunAgain() || plan.relayed()) {
             return;
         }
-        long patience = Math.max(SILENT_MILLIS, (long) (plan.route().targetMillis() * PATIENCE_PART));
+        long patience =
+                Math.max(SILENT_MILLIS, (long) (plan.route().targetMillis() * PATIENCE_PART));
         cancelTimer(patienceTimer);
         patienceTimer = context.vertx().setTimer(patience, nothing -> lookAtReplica());
     }
@@ -496,14 +484,7 @@
 
     private void logEnd(AttemptEnd end, String cause, String next) {
         context.log()
-                .record(
-                        EventCode.ATTEMPT_ENDED,
-                        id(),
-                        target,
-                        end.name(),
-                        cause,
-                        next,
-                        elapsed());
+                .record(EventCode.ATTEMPT_ENDED, id(), target, end.name(), cause, next, elapsed());
     }
 
     private void finish(String outcome) {
@@ -563,8 +544,7 @@
             this.tracker = tracker;
             this.uncachedTokens = uncachedTokens;
             this.sentAtMillis = nowMillis;
-            UpstreamUse elsewhere =
-                    context.fleet().useElsewhere(tracker.info().id(), nowMillis);
+            UpstreamUse elsewhere = context.fleet().useElsewhere(tracker.info().id(), nowMillis);
             this.tokensAhead = tracker.use().plus(elsewhere).promptTokens() + uncachedTokens;
             PromptShape prompt = plan.envelope().prompt().orElse(null);
             tracker.dispatched(uncachedTokens, prompt, nowMillis);
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
@@ -4,6 +4,7 @@
 import io.vanillapoint.api.error.VanillapointException;
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.fleet.CustomerUse;
 import io.vanillapoint.core.fleet.FleetReport;
 import io.vanillapoint.core.fleet.HeardMember;
 import io.vanillapoint.core.fleet.MemberInfo;
@@ -56,8 +57,10 @@
         message.setSequence(report.sequence());
         message.setPublishedRevision(report.publishedRevision());
         List<TCustomerUse> customers = new ArrayList<>();
-        report.customerTokens()
-                .forEach((name, tokens) -> customers.add(new TCustomerUse(name, tokens)));
+        report.customers()
+                .forEach(
+                        (name, use) ->
+                                customers.add(new TCustomerUse(name, use.tokens(), use.level())));
         message.setCustomers(customers);
         List<TUpstreamUse> upstreams = new ArrayList<>();
         report.upstreams()
@@ -81,8 +84,13 @@
         TFleetReport message = new TFleetReport();
         read(message, bytes);
         try {
-            Map<String, Long> customers = new HashMap<>();
-            message.getCustomers().forEach(use -> customers.put(use.getCustomer(), use.getTokens()));
+            Map<String, CustomerUse> customers = new HashMap<>();
+            message.getCustomers()
+                    .forEach(
+                            use ->
+                                    customers.put(
+                                            use.getCustomer(),
+                                            new CustomerUse(use.getTokens(), use.getLevel())));
             Map<String, UpstreamUse> upstreams = new HashMap<>();
             message.getUpstreams()
                     .forEach(
--- a/vanillapoint-wire/src/main/thrift/peer.thrift
+++ b/vanillapoint-wire/src/main/thrift/peer.thrift
@@ -71,7 +71,7 @@
   1: string vm, 2: string host, 3: string region, 4: string zone, 5: i64 incarnation, 6: i32 state,
   7: i64 ageMillis
 }
-struct TCustomerUse { 1: string customer, 2: i64 tokens }
+struct TCustomerUse { 1: string customer, 2: i64 tokens, 3: i64 level }
 struct TUpstreamUse { 1: string upstream, 2: i32 requests, 3: i64 promptTokens }
 struct TFleetReport {
   1: TFleetMember sender, 2: i64 sequence, 3: i64 publishedRevision, 4: list<TCustomerUse> customers,
