--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -128,7 +128,8 @@
             "attempt",
             "uncached",
             "expected_ms",
-            "elapsed_ms"),
+            "elapsed_ms",
+            "cache_source"),
     /** A request is sent to a VM of another region. */
     RELAYED(
             2304,
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/prompt/PromptShape.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/prompt/PromptShape.java
@@ -26,6 +26,15 @@
         return parts.isEmpty() ? List.of() : parts.subList(0, parts.size() - 1);
     }
 
+    /**
+     * Tokens of the parts that other requests share.
+     *
+     * @return tokens
+     */
+    public long sharedTokens() {
+        return sharedParts().stream().mapToLong(PromptPart::tokens).sum();
+    }
+
     /**
      * Key by which requests that share the longest prefix find the same engine.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Placement.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Placement.java
@@ -1,6 +1,8 @@
 package io.vanillapoint.core.upstream;
 
 import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.core.published.UpstreamReplica;
+import java.util.Optional;
 
 /** Where a request goes. Immutable. */
 public sealed interface Placement {
@@ -10,8 +12,13 @@
      * @param replica the replica
      * @param uncachedTokens prompt tokens that it has to read
      * @param expectedMillis expected time to the first event or the answer
+     * @param cacheSource replica that probably holds more of the prompt, to be copied from
      */
-    record Local(ReplicaTracker replica, long uncachedTokens, long expectedMillis)
+    record Local(
+            ReplicaTracker replica,
+            long uncachedTokens,
+            long expectedMillis,
+            Optional<UpstreamReplica> cacheSource)
             implements Placement {}
 
     /**
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -6,6 +6,7 @@
 import io.vanillapoint.core.hash.Rendezvous;
 import io.vanillapoint.core.prompt.PromptShape;
 import io.vanillapoint.core.published.EngineSpec;
+import io.vanillapoint.core.published.UpstreamReplica;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -126,10 +127,15 @@
                 best = scored;
             }
         }
-        return placement(best, published, query);
+        return placement(best, published, query, preferred, nowMillis);
     }
 
-    private Placement placement(Scored best, boolean published, PlacementQuery query) {
+    private Placement placement(
+            Scored best,
+            boolean published,
+            PlacementQuery query,
+            Map<RegionId, String> preferred,
+            long nowMillis) {
         if (best == null) {
             RefusalReason reason =
                     published ? RefusalReason.ALL_REPLICAS_BUSY : RefusalReason.NO_REPLICA;
@@ -141,7 +147,8 @@
             return new Placement.Refuse(RefusalReason.TOO_LATE, wait);
         }
         if (best.local) {
-            return new Placement.Local(best.tracker, best.uncached, (long) best.millis);
+            Optional<UpstreamReplica> source = cacheSource(best, query, preferred, nowMillis);
+            return new Placement.Local(best.tracker, best.uncached, (long) best.millis, source);
         }
         return new Placement.Relay(best.tracker.region(), (long) best.millis);
     }
@@ -182,7 +189,7 @@
             Map<RegionId, String> preferred,
             long nowMillis) {
         ReplicaTracker tracker = scored.tracker;
-        long shared = prompt.sharedParts().stream().mapToLong(part -> part.tokens()).sum();
+        long shared = prompt.sharedTokens();
         long held = tracker.cached().cachedTokens(prompt);
         if (tracker.info().id().equals(preferredOf(tracker, query, preferred, nowMillis))) {
             double holds = scored.local ? PREFERRED_HOLDS : REMOTE_PREFERRED_HOLDS;
@@ -201,6 +208,55 @@
         scored.loss += 0.02 * use.requests() / Math.max(1, slots);
     }
 
+    /**
+     * A replica from which the chosen one should copy the shared parts of the prompt: the session's
+     * engine of this region, else that of the region in which most is under way. A source that
+     * holds nothing costs nothing, so a guess is enough.
+     */
+    private Optional<UpstreamReplica> cacheSource(
+            Scored best,
+            PlacementQuery query,
+            Map<RegionId, String> preferred,
+            long nowMillis) {
+        boolean copies = query.service().engine().filter(EngineSpec::copiesCache).isPresent();
+        if (!copies || query.prompt().isEmpty()) {
+            return Optional.empty();
+        }
+        PromptShape prompt = query.prompt().get();
+        if (best.tracker.cached().cachedTokens(prompt) >= prompt.sharedTokens()) {
+            return Optional.empty();
+        }
+        ReplicaTracker source = null;
+        double bestRank = 0;
+        for (ReplicaTracker other : pool.serving(query.service().name(), nowMillis)) {
+            if (other == best.tracker || other.failing() || !fits(other, query)) {
+                continue;
+            }
+            double rank = sourceRank(other, query, preferred, nowMillis);
+            if (rank > bestRank) {
+                bestRank = rank;
+                source = other;
+            }
+        }
+        return Optional.ofNullable(source).map(ReplicaTracker::info);
+    }
+
+    private double sourceRank(
+            ReplicaTracker other,
+            PlacementQuery query,
+            Map<RegionId, String> preferred,
+            long nowMillis) {
+        PromptShape prompt = query.prompt().orElseThrow();
+        double known = other.cached().cachedTokens(prompt);
+        if (!other.info().id().equals(preferredOf(other, query, preferred, nowMillis))) {
+            return known;
+        }
+        boolean near = other.region().equals(fleet.self().region());
+        double guess = prompt.sharedTokens() * (near ? PREFERRED_HOLDS : REMOTE_PREFERRED_HOLDS);
+        int busy = other.use().plus(fleet.useElsewhere(other.info().id(), nowMillis)).requests();
+        return Math.max(known, guess) + busy;
+    }
+
     private String preferredOf(
             ReplicaTracker tracker,
             PlacementQuery query,
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
@@ -39,7 +39,7 @@
     private static final ZoneId EAST_A = new ZoneId("east-a");
     private static final long NOW = 10_000;
     private static final ServiceSpec ENGINES =
-            new ServiceSpec("engines", 100, 3_000, 2.9, Optional.of(new EngineSpec(64, 360_000)));
+            new ServiceSpec("engines", 100, 3_000, 2.9, Optional.of(new EngineSpec(64, 360_000, true)));
     private static final ServiceSpec PLAIN = new ServiceSpec("plain", 100, 0, 0, Optional.empty());
 
     private final FleetView fleet =
@@ -89,6 +89,22 @@
         assertThat(second.replica().info().id().equals(first.replica().info().id()), is(false));
     }
 
+    @Test
+    void sessionThatLeavesItsEngineCopiesThePromptFromThere() {
+        Placement.Local first = (Placement.Local) chooser.choose(draft("s1"), NOW);
+        first.replica().dispatched(60_000, shape("s1"), NOW);
+        Placement.Local second = (Placement.Local) chooser.choose(draftHere("s1"), NOW);
+        assertThat(second.cacheSource().orElseThrow().id(), is(first.replica().info().id()));
+    }
+
+    @Test
+    void sessionThatItsEngineHoldsCopiesNothing() {
+        Placement.Local first = (Placement.Local) chooser.choose(draft("s1"), NOW);
+        first.replica().dispatched(0, shape("s1"), NOW);
+        Placement.Local second = (Placement.Local) chooser.choose(draft("s1"), NOW);
+        assertThat(second.cacheSource().isPresent(), is(false));
+    }
+
     @Test
     void usualFailuresOfAServiceDoNotSendItsRequestsAway() {
         ReplicaTracker local = pool.replica("plain-w").orElseThrow();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/UpstreamCall.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/UpstreamCall.java
@@ -1,5 +1,6 @@
 package io.vanillapoint.entry.port;
 
+import io.vanillapoint.api.model.Endpoint;
 import io.vanillapoint.core.message.HeaderField;
 import java.util.List;
 import java.util.Optional;
@@ -15,6 +16,7 @@
  * @param remainingMillis how long the upstream may work
  * @param urgency rank among the requests of an engine, 0 first
  * @param lastEventId event after which a stream goes on
+ * @param cacheSource engine that may hold more of the prompt, to be copied from
  */
 public record UpstreamCall(
         List<HeaderField> headers,
@@ -22,4 +24,5 @@
         Optional<String> customer,
         long remainingMillis,
         OptionalInt urgency,
-        OptionalLong lastEventId) {}
+        OptionalLong lastEventId,
+        Optional<Endpoint> cacheSource) {}
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -241,7 +241,8 @@
                         history.sent(),
                         local.uncachedTokens(),
                         local.expectedMillis(),
-                        now - plan.receivedAtMillis());
+                        now - plan.receivedAtMillis(),
+                        local.cacheSource().map(UpstreamReplica::id).orElse(""));
         UpstreamCall call =
                 new UpstreamCall(
                         plan.envelope().headers(),
@@ -249,7 +250,8 @@
                         plan.customer().map(CustomerSpec::name),
                         plan.deadlineMillis() - now - WAY_BACK_MILLIS,
                         plan.urgency(),
-                        resumeAfter());
+                        resumeAfter(),
+                        local.cacheSource().map(UpstreamReplica::endpoint));
         UpstreamAttempt sending = new UpstreamAttempt(context.format(), call, id(), this);
         attempt = sending;
         RequestOptions options =
