Count failures against a replica only where another one succeeds

Ruled out: queues, unreachable replicas (none was). Change: a failure that may be repeated counts when the repeat succeeds elsewhere.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -44,8 +44,8 @@
     /** Loss of a replica that failed all its last answers. */
     private static final double FAILURE_LOSS = 0.8;
 
-    /** Share of failures that services have of their own, wherever a request is sent. */
-    private static final double USUAL_FAILURES = 0.3;
+    /** Share of failures that services have of their own. */
+    private static final double USUAL_FAILURES = 0.1;
 
     /** When a request may come back after a refusal, if nothing better is known. */
     private static final long RETRY_AFTER_MILLIS = 400;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -66,6 +66,7 @@
     private final EventStreamReader events = new EventStreamReader(this::writeEvents);
     private Attempt attempt;
     private Use use;
+    private ReplicaTracker failedBefore;
     private String target = "";
     private AnswerEnvelope answer;
     private Buffer plainBody;
@@ -130,12 +131,11 @@
             reject(head);
             return;
         }
-        if (use != null) {
-            use.tracker.judged(head.status() >= PLAIN_ERROR);
-        }
-        if (!head.success() && retryInstead(head)) {
+        boolean failure = head.status() >= PLAIN_ERROR;
+        if (failure && retryInstead(head)) {
             return;
         }
+        judge(failure);
         if (!head.success() && headSent) {
             attempt.cancel();
             attemptEnded(AttemptEnd.FAILED, "status " + head.status(), 0);
@@ -331,9 +331,22 @@
         attemptEnded(AttemptEnd.REJECTED, cause, head.retryAfterMillis().orElse(0));
     }
 
+    /**
+     * Some requests fail wherever they run. So where a request may be sent again, its failure counts
+     * against a replica only if another one succeeds with it.
+     */
+    private void judge(boolean failure) {
+        if (!failure && failedBefore != null) {
+            failedBefore.judged(true);
+        }
+        if (use != null && (!failure || !plan.route().mayRunAgain())) {
+            use.tracker.judged(failure);
+        }
+    }
+
     /** Sends the request elsewhere if that may help, else lets the failure go to the caller. */
     private boolean retryInstead(AnswerEnvelope head) {
-        if (head.status() < PLAIN_ERROR || headSent || callerGone) {
+        if (headSent || callerGone) {
             return false;
         }
         AttemptHistory after = history;
@@ -348,6 +361,7 @@
             return false;
         }
         attempt.cancel();
+        failedBefore = use == null ? null : use.tracker;
         logEnd(AttemptEnd.FAILED, "status " + head.status(), "again");
         release();
         place(placement, now);
