--- /dev/null
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/ExplainCommand.java
@@ -0,0 +1,114 @@
+package io.vanillapoint.cli;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vanillapoint.api.event.EventCode;
+import io.vanillapoint.cli.explain.Decision;
+import io.vanillapoint.cli.explain.DecisionFiles;
+import io.vanillapoint.cli.explain.LikelyCause;
+import io.vanillapoint.cli.explain.RequestStory;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** Tells the story of one request from the logs of all VMs, or lists requests that failed. */
+final class ExplainCommand extends Command {
+    private static final Set<EventCode> FAILURES =
+            Set.of(
+                    EventCode.REQUEST_FAILED,
+                    EventCode.REFUSED,
+                    EventCode.TOKENS_REFUSED,
+                    EventCode.DENIED);
+
+    @Option(name = "--failed", usage = "list requests that failed or were refused")
+    private boolean failed;
+
+    @Option(name = "--reason", metaVar = "TEXT", usage = "with --failed: only this reason")
+    private String reason;
+
+    @Option(name = "--since", metaVar = "MILLIS", usage = "with --failed: not before this time")
+    private long since;
+
+    @Argument(metaVar = "REQUEST-ID FILE...", usage = "id (not with --failed), then log files")
+    private List<String> arguments = new ArrayList<>();
+
+    @Override
+    String summary() {
+        return "tell what happened to a request, from logs";
+    }
+
+    @Override
+    int run(Console console) {
+        int files = failed ? 0 : 1;
+        if (arguments.size() <= files) {
+            console.err().println("expected " + (failed ? "FILE..." : "REQUEST-ID FILE..."));
+            return ExitCode.WRONG_USAGE;
+        }
+        DecisionFiles logs = new DecisionFiles();
+        arguments.subList(files, arguments.size()).forEach(file -> logs.read(Path.of(file)));
+        if (logs.unreadable() > 0) {
+            console.err().println(logs.unreadable() + " lines could not be read");
+        }
+        return failed ? list(console, logs.decisions()) : tell(console, logs.decisions());
+    }
+
+    private int tell(Console console, List<Decision> decisions) {
+        RequestStory story = RequestStory.of(arguments.get(0), decisions);
+        if (jsonWanted()) {
+            console.out().println(json(story));
+        } else {
+            story.own().forEach(decision -> print(console, "", decision));
+            console.out().println("known to these VMs at the time:");
+            story.context().forEach(decision -> print(console, "  ", decision));
+            console.out().println("likely cause: " + LikelyCause.of(story));
+        }
+        return story.own().isEmpty() ? ExitCode.FINDINGS : ExitCode.DONE;
+    }
+
+    private int list(Console console, List<Decision> decisions) {
+        Set<String> requests = new LinkedHashSet<>();
+        for (Decision decision : decisions) {
+            boolean wanted =
+                    FAILURES.contains(decision.code())
+                            && decision.atMillis() >= since
+                            && (reason == null || reason.equals(reason(decision)));
+            if (wanted && requests.add(decision.text("request"))) {
+                print(console, decision.text("request") + " ", decision);
+            }
+        }
+        return requests.isEmpty() ? ExitCode.FINDINGS : ExitCode.DONE;
+    }
+
+    private static String reason(Decision decision) {
+        boolean tokens = decision.code() == EventCode.TOKENS_REFUSED;
+        return tokens ? "tokens" : decision.text("reason");
+    }
+
+    private static ObjectNode json(RequestStory story) {
+        ObjectNode root = MAPPER.createObjectNode();
+        root.put("request", story.request());
+        root.put("likely_cause", LikelyCause.of(story));
+        ArrayNode own = root.putArray("decisions");
+        story.own().forEach(decision -> own.add(decision.fields()));
+        ArrayNode context = root.putArray("context");
+        story.context().forEach(decision -> context.add(decision.fields()));
+        return root;
+    }
+
+    private static void print(Console console, String before, Decision decision) {
+        console.out()
+                .printf(
+                        "%s%s %-20s %d %s %s%n",
+                        before,
+                        Instant.ofEpochMilli(decision.atMillis()),
+                        decision.vm(),
+                        decision.code().number(),
+                        decision.code().title(),
+                        decision.details());
+    }
+}
--- a/vanillapoint-cli/src/main/java/io/vanillapoint/cli/VanillapointCli.java
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/VanillapointCli.java
@@ -20,6 +20,7 @@
         COMMANDS.put("timeline", TimelineCommand::new);
         COMMANDS.put("drain", DrainCommand::new);
         COMMANDS.put("digest", DigestCommand::new);
+        COMMANDS.put("explain", ExplainCommand::new);
     }
 
     private VanillapointCli() {}
--- /dev/null
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/Decision.java
@@ -0,0 +1,89 @@
+package io.vanillapoint.cli.explain;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vanillapoint.api.event.EventCode;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * One line of a decision log. Immutable.
+ *
+ * @param atMillis wall time of the VM that wrote it, shifted where clocks disagree
+ * @param vm name of the VM
+ * @param code event of the catalogue
+ * @param fields all fields of the line
+ */
+public record Decision(long atMillis, String vm, EventCode code, JsonNode fields) {
+    /**
+     * Reads one line.
+     *
+     * @param line JSON object
+     * @return the decision, or nothing if the line is of another kind
+     */
+    static Optional<Decision> of(JsonNode line) {
+        int number = line.path("event").asInt(-1);
+        return Arrays.stream(EventCode.values())
+                .filter(code -> code.number() == number)
+                .findFirst()
+                .map(
+                        code ->
+                                new Decision(
+                                        line.path("at").asLong(),
+                                        line.path("vm").asText(),
+                                        code,
+                                        line));
+    }
+
+    /**
+     * Text of a field.
+     *
+     * @param name name as in the catalogue
+     * @return its text, empty if the line does not have it
+     */
+    public String text(String name) {
+        return fields.path(name).asText("");
+    }
+
+    /**
+     * Number of a field.
+     *
+     * @param name name as in the catalogue
+     * @return its number, 0 if the line does not have it
+     */
+    public double number(String name) {
+        return fields.path(name).asDouble(0);
+    }
+
+    /**
+     * Tells whether the line belongs to a request.
+     *
+     * @param request id of the request
+     * @return true if it does
+     */
+    public boolean concerns(String request) {
+        return request.equals(text("request"));
+    }
+
+    /**
+     * The fields as people read them.
+     *
+     * @return name=value pairs
+     */
+    public String details() {
+        return code.fields().stream()
+                .filter(name -> !name.equals("request") && fields.has(name))
+                .map(name -> name + "=" + fields.path(name).asText())
+                .collect(Collectors.joining(" "));
+    }
+
+    /**
+     * The same decision at another time.
+     *
+     * @param millis to add
+     * @return a copy
+     */
+    Decision later(long millis) {
+        return millis == 0 ? this : new Decision(atMillis + millis, vm, code, fields);
+    }
+}
--- /dev/null
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/DecisionFiles.java
@@ -0,0 +1,70 @@
+package io.vanillapoint.cli.explain;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Reads decision logs of many VMs. What stands before the first brace of a line, such as the stamp
+ * of a log collector, is passed over. Not safe for use by several threads.
+ */
+public final class DecisionFiles {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final List<Decision> decisions = new ArrayList<>();
+    private int unreadable;
+
+    /**
+     * Reads a file.
+     *
+     * @param file path
+     * @throws VanillapointException if it can't be read
+     */
+    public void read(Path file) {
+        try (BufferedReader lines = Files.newBufferedReader(file)) {
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                take(line);
+            }
+        } catch (IOException e) {
+            throw new VanillapointException(
+                    ErrorCode.INTERNAL, file.toString(), "can't be read: " + e);
+        }
+    }
+
+    /**
+     * All decisions that were read.
+     *
+     * @return immutable copy, in the order of the files
+     */
+    public List<Decision> decisions() {
+        return List.copyOf(decisions);
+    }
+
+    /**
+     * Lines that look like decisions and could not be read.
+     *
+     * @return number
+     */
+    public int unreadable() {
+        return unreadable;
+    }
+
+    private void take(String line) {
+        int brace = line.indexOf("{\"at\"");
+        if (brace < 0) {
+            return;
+        }
+        try {
+            Decision.of(MAPPER.readTree(line.substring(brace))).ifPresent(decisions::add);
+        } catch (JsonProcessingException e) {
+            unreadable++;
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/LikelyCause.java
@@ -0,0 +1,153 @@
+package io.vanillapoint.cli.explain;
+
+import io.vanillapoint.api.event.EventCode;
+import java.util.Arrays;
+import java.util.Optional;
+
+/** Why a request ended as it did, the most specific reason first. Immutable. */
+public enum LikelyCause {
+    /** No line names the request. */
+    NOT_LOGGED {
+        @Override
+        Optional<String> explain(RequestStory story) {
+            return story.own().isEmpty()
+                    ? Optional.of("no VM logged this request: it reached none, or lines are missing")
+                    : Optional.empty();
+        }
+    },
+    /** The route or the key is not known. */
+    DENIED {
+        @Override
+        Optional<String> explain(RequestStory story) {
+            return story.last(EventCode.DENIED)
+                    .map(
+                            denied ->
+                                    "denied as "
+                                            + denied.text("reason")
+                                            + " by configuration "
+                                            + denied.text("version")
+                                            + story.learnt(EventCode.STORE_LOST)
+                                                    .map(lost -> ", which may be old: store lost")
+                                                    .orElse(""));
+        }
+    },
+    /** The customer's tokens are spent. */
+    TOKENS_SPENT {
+        @Override
+        Optional<String> explain(RequestStory story) {
+            return story.last(EventCode.TOKENS_REFUSED)
+                    .map(
+                            refused ->
+                                    "customer "
+                                            + refused.text("customer")
+                                            + " had "
+                                            + refused.text("level")
+                                            + " tokens left"
+                                            + (refused.number("share") < 1
+                                                    ? ", and this VM heard only "
+                                                            + refused.text("share")
+                                                            + " of the fleet (cut or killed VMs)"
+                                                    : ""));
+        }
+    },
+    /** The caller went away first. */
+    CALLER_LEFT {
+        @Override
+        Optional<String> explain(RequestStory story) {
+            return story.last(EventCode.CALLER_LEFT)
+                    .map(left -> "the caller left after " + left.text("elapsed_ms") + " ms");
+        }
+    },
+    /** No replica could take it. */
+    REFUSED {
+        @Override
+        Optional<String> explain(RequestStory story) {
+            return story.last(EventCode.REFUSED)
+                    .map(
+                            refused ->
+                                    "refused, not run: "
+                                            + refused.text("reason")
+                                            + story.learnt(EventCode.EVACUATION)
+                                                    .map(zone -> "; evacuation of " + zone.text("zone"))
+                                                    .orElse("")
+                                            + leaving(story));
+        }
+    },
+    /** A replica or the way to it failed. */
+    FAILED {
+        @Override
+        Optional<String> explain(RequestStory story) {
+            return story.last(EventCode.REQUEST_FAILED)
+                    .map(
+                            failed ->
+                                    "failed with "
+                                            + failed.text("reason")
+                                            + story.last(EventCode.ATTEMPT_ENDED)
+                                                    .map(LikelyCause::attempt)
+                                                    .orElse("")
+                                            + leaving(story));
+        }
+    },
+    /** It was answered. */
+    ANSWERED {
+        @Override
+        Optional<String> explain(RequestStory story) {
+            return story.last(EventCode.ANSWERED)
+                    .map(
+                            answered ->
+                                    "answered with "
+                                            + answered.text("status")
+                                            + ", first bytes after "
+                                            + answered.text("first_ms")
+                                            + " ms"
+                                            + story.last(EventCode.ATTEMPT_ENDED)
+                                                    .map(LikelyCause::attempt)
+                                                    .orElse("")
+                                            + story.learnt(EventCode.STORE_LOST)
+                                                    .map(lost -> "; the store was lost")
+                                                    .orElse(""));
+        }
+    },
+    /** The log ends before the request does. */
+    UNFINISHED {
+        @Override
+        Optional<String> explain(RequestStory story) {
+            return Optional.of("the log ends before the request: its VM was killed or is still busy");
+        }
+    };
+
+    /**
+     * One line on the cause.
+     *
+     * @param story the request
+     * @return text without a full stop
+     */
+    public static String of(RequestStory story) {
+        return Arrays.stream(values())
+                .map(cause -> cause.explain(story))
+                .flatMap(Optional::stream)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    abstract Optional<String> explain(RequestStory story);
+
+    private static String attempt(Decision ended) {
+        return " after " + ended.text("end") + " at " + ended.text("target") + " (" + ended.text("cause")
+                + ")";
+    }
+
+    private static String leaving(RequestStory story) {
+        return story.context().stream()
+                .filter(decision -> decision.code() == EventCode.REPLICA_CHANGED)
+                .filter(decision -> !decision.text("state").startsWith("READY"))
+                .reduce((first, second) -> second)
+                .map(
+                        change ->
+                                "; replica "
+                                        + change.text("replica")
+                                        + " was "
+                                        + change.text("state").toLowerCase(java.util.Locale.ROOT))
+                .orElse("");
+    }
+}
--- /dev/null
+++ b/vanillapoint-cli/src/test/java/io/vanillapoint/cli/explain/RequestStoryTest.java
@@ -0,0 +1,78 @@
+package io.vanillapoint.cli.explain;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import io.vanillapoint.api.event.EventCode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Stories and causes from lines as VMs write them. */
+class RequestStoryTest {
+    @TempDir private Path folder;
+
+    @Test
+    void relayedRequestIsToldInCausalOrderThoughAClockIsSlow() throws IOException {
+        RequestStory story =
+                story(
+                        "{\"at\":1000,\"vm\":\"a\",\"event\":2304,\"request\":\"r1\",\"to\":\"b\"}",
+                        "{\"at\":400,\"vm\":\"b\",\"event\":2311,\"request\":\"r1\"}",
+                        "{\"at\":430,\"vm\":\"b\",\"event\":2303,\"request\":\"r1\",\"replica\":\"i\"}",
+                        "{\"at\":1200,\"vm\":\"a\",\"event\":2306,\"request\":\"r1\",\"status\":200,"
+                                + "\"first_ms\":200}");
+        List<EventCode> codes = story.own().stream().map(Decision::code).toList();
+        assertThat(
+                codes,
+                is(
+                        List.of(
+                                EventCode.RELAYED,
+                                EventCode.RELAY_ACCEPTED,
+                                EventCode.PLACED,
+                                EventCode.ANSWERED)));
+        assertThat(LikelyCause.of(story), containsString("answered with 200"));
+    }
+
+    @Test
+    void refusalDuringACutNamesTheCut() throws IOException {
+        RequestStory story =
+                story(
+                        "{\"at\":900,\"vm\":\"a\",\"event\":2201,\"member\":\"b\"}",
+                        "{\"at\":950,\"vm\":\"a\",\"event\":2202,\"member\":\"b\",\"silent_ms\":2000}",
+                        "{\"at\":1000,\"vm\":\"a\",\"event\":2302,\"request\":\"r1\","
+                                + "\"customer\":\"c\",\"level\":-5,\"share\":0.33}");
+        assertThat(LikelyCause.of(story), containsString("heard only 0.33 of the fleet"));
+        assertThat(story.learnt(EventCode.MEMBER_SUSPECTED).isPresent(), is(true));
+    }
+
+    @Test
+    void failureNamesTheReplicaThatLeft() throws IOException {
+        RequestStory story =
+                story(
+                        "12.5 a {\"at\":900,\"vm\":\"a\",\"event\":2103,\"replica\":\"i-1\","
+                                + "\"state\":\"DRAINING\"}",
+                        "12.5 a {\"at\":950,\"vm\":\"a\",\"event\":2305,\"request\":\"r1\","
+                                + "\"target\":\"i-1\",\"end\":\"LOST\",\"cause\":\"reset\"}",
+                        "12.5 a {\"at\":960,\"vm\":\"a\",\"event\":2308,\"request\":\"r1\","
+                                + "\"reason\":\"attempt_lost\"}");
+        assertThat(LikelyCause.of(story), containsString("replica i-1 was draining"));
+    }
+
+    @Test
+    void unknownRequestIsSaidToBeUnknown() throws IOException {
+        RequestStory story = story("{\"at\":1,\"vm\":\"a\",\"event\":2302,\"request\":\"r2\"}");
+        assertThat(LikelyCause.of(story), containsString("no VM logged this request"));
+    }
+
+    private RequestStory story(String... lines) throws IOException {
+        Path file = folder.resolve("log");
+        Files.write(file, List.of(lines));
+        DecisionFiles files = new DecisionFiles();
+        files.read(file);
+        return RequestStory.of("r1", files.decisions());
+    }
+}
