--- a/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/LikelyCause.java
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/LikelyCause.java
@@ -11,7 +11,8 @@
         @Override
         Optional<String> explain(RequestStory story) {
             return story.own().isEmpty()
-                    ? Optional.of("no VM logged this request: it reached none, or lines are missing")
+                    ? Optional.of(
+                            "no VM logged this request: it reached none, or lines are missing")
                     : Optional.empty();
         }
     },
@@ -68,7 +69,10 @@
                                     "refused, not run: "
                                             + refused.text("reason")
                                             + story.learnt(EventCode.EVACUATION)
-                                                    .map(zone -> "; evacuation of " + zone.text("zone"))
+                                                    .map(
+                                                            zone ->
+                                                                    "; evacuation of "
+                                                                            + zone.text("zone"))
                                                     .orElse("")
                                             + leaving(story));
         }
@@ -112,7 +116,8 @@
     UNFINISHED {
         @Override
         Optional<String> explain(RequestStory story) {
-            return Optional.of("the log ends before the request: its VM was killed or is still busy");
+            return Optional.of(
+                    "the log ends before the request: its VM was killed or is still busy");
         }
     };
 
@@ -133,7 +138,12 @@
     abstract Optional<String> explain(RequestStory story);
 
     private static String attempt(Decision ended) {
-        return " after " + ended.text("end") + " at " + ended.text("target") + " (" + ended.text("cause")
+        return " after "
+                + ended.text("end")
+                + " at "
+                + ended.text("target")
+                + " ("
+                + ended.text("cause")
                 + ")";
     }
 
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -1,7 +1,6 @@
 package io.vanillapoint.core.fleet;
 
 import io.vanillapoint.api.model.RegionId;
-import io.vanillapoint.api.model.ZoneId;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -9,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Which entry VMs exist, learnt from heartbeats alone.
@@ -143,17 +143,23 @@
     }
 
     /**
-     * VMs that callers may be sent to: those of the caller's zone, else of its region, else all.
+     * VMs that callers may be sent to: those of the caller's region, else of the regions in which
+     * its requests may be processed, else all.
      *
      * @param region region of the caller, may be unknown to the fleet
-     * @param zone zone of the caller
+     * @param homes regions in which the caller's requests may be processed, empty for all
      * @param nowMillis steady time
      * @return IP addresses in no special order, empty if no VM takes requests
      */
-    public List<String> hostsFor(RegionId region, ZoneId zone, long nowMillis) {
+    public List<String> hostsFor(RegionId region, Set<RegionId> homes, long nowMillis) {
         List<MemberInfo> ready = takingRequests(nowMillis);
         List<String> near = hosts(ready.stream().filter(vm -> vm.region().equals(region)).toList());
-        return near.isEmpty() ? hosts(ready) : near;
+        if (!near.isEmpty()) {
+            return near;
+        }
+        List<String> home =
+                hosts(ready.stream().filter(vm -> homes.contains(vm.region())).toList());
+        return home.isEmpty() ? hosts(ready) : home;
     }
 
     /**
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/published/GatewayPublication.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/published/GatewayPublication.java
@@ -1,12 +1,15 @@
 package io.vanillapoint.core.published;
 
+import io.vanillapoint.api.model.RegionId;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * One version of the operators' configuration.
@@ -108,6 +111,24 @@
         return routes.stream().filter(route -> path.startsWith(route.prefix())).findFirst();
     }
 
+    /**
+     * Regions in which every request for a host may be processed.
+     *
+     * @param host value of the Host header
+     * @return the homes that all its routes with homes share, empty if there are none
+     */
+    public Set<RegionId> homes(String host) {
+        Set<RegionId> shared = null;
+        for (RouteSpec route :
+                routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of())) {
+            if (!route.homes().isEmpty()) {
+                shared = shared == null ? new HashSet<>(route.homes()) : shared;
+                shared.retainAll(route.homes());
+            }
+        }
+        return shared == null ? Set.of() : shared;
+    }
+
     /**
      * Finds a route by its name.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -214,10 +214,7 @@
      * holds nothing costs nothing, so a guess is enough.
      */
     private Optional<UpstreamReplica> cacheSource(
-            Scored best,
-            PlacementQuery query,
-            Map<RegionId, String> preferred,
-            long nowMillis) {
+            Scored best, PlacementQuery query, Map<RegionId, String> preferred, long nowMillis) {
         boolean copies = query.service().engine().filter(EngineSpec::copiesCache).isPresent();
         if (!copies || query.prompt().isEmpty()) {
             return Optional.empty();
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
@@ -0,0 +1,118 @@
+package io.vanillapoint.core.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.ZoneId;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Membership from heartbeats alone. */
+class FleetViewTest {
+    private static final RegionId WEST = new RegionId("west");
+    private static final RegionId EAST = new RegionId("east");
+    private static final RegionId NORTH = new RegionId("north");
+    private static final long NOW = 10_000;
+
+    private final FleetView view =
+            new FleetView(vm("w1", WEST, 1, MemberState.READY), FleetTiming.DEFAULT, 2);
+
+    @Test
+    void callersAreSentToTheirRegion() {
+        view.receive(report(vm("w2", WEST, 1, MemberState.READY), 1), NOW);
+        view.receive(report(vm("e1", EAST, 1, MemberState.READY), 1), NOW);
+        assertThat(view.hostsFor(WEST, Set.of(), NOW), containsInAnyOrder("w1-host", "w2-host"));
+        assertThat(view.hostsFor(EAST, Set.of(), NOW), contains("e1-host"));
+    }
+
+    @Test
+    void callersOfARegionWithoutVmsAreSentToTheirHomes() {
+        view.receive(report(vm("e1", EAST, 1, MemberState.READY), 1), NOW);
+        assertThat(view.hostsFor(NORTH, Set.of(NORTH, EAST), NOW), contains("e1-host"));
+        assertThat(
+                view.hostsFor(NORTH, Set.of(NORTH), NOW), containsInAnyOrder("w1-host", "e1-host"));
+    }
+
+    @Test
+    void silentAndDrainingVmsAreNotNamed() {
+        view.receive(report(vm("e1", EAST, 1, MemberState.READY), 1), NOW);
+        view.receive(report(vm("e2", EAST, 1, MemberState.DRAINING), 1), NOW);
+        assertThat(view.hostsFor(EAST, Set.of(), NOW + 1_900), contains("e1-host"));
+        assertThat(view.hostsFor(EAST, Set.of(), NOW + 2_100), contains("w1-host"));
+    }
+
+    @Test
+    void vmThatWasHeardOfThroughOthersIsNamedUntilItsOwnSilence() {
+        HeardMember heard = new HeardMember(vm("e2", EAST, 1, MemberState.READY), 1_500);
+        FleetReport report =
+                new FleetReport(
+                        vm("e1", EAST, 1, MemberState.READY),
+                        1,
+                        0,
+                        Map.of(),
+                        Map.of(),
+                        List.of(heard));
+        view.receive(report, NOW);
+        assertThat(view.relays(EAST, NOW + 100).size(), is(2));
+        assertThat(view.relays(EAST, NOW + 600).size(), is(1));
+    }
+
+    @Test
+    void reportOfAnEarlierLifeChangesNothing() {
+        view.receive(report(vm("e1", EAST, 2, MemberState.READY), 1), NOW);
+        view.receive(report(vm("e1", EAST, 1, MemberState.DRAINING), 9), NOW);
+        assertThat(view.hostsFor(EAST, Set.of(), NOW), contains("e1-host"));
+    }
+
+    @Test
+    void vmThatEndedIsForgottenAndNotBroughtBackByOthers() {
+        view.receive(report(vm("e1", EAST, 1, MemberState.GONE), 1), NOW);
+        view.prune(NOW + 2_100);
+        assertThat(view.members(), is(empty()));
+        HeardMember heard = new HeardMember(vm("e1", EAST, 1, MemberState.GONE), 2_000);
+        FleetReport other =
+                new FleetReport(
+                        vm("e2", EAST, 1, MemberState.READY),
+                        1,
+                        0,
+                        Map.of(),
+                        Map.of(),
+                        List.of(heard));
+        view.receive(other, NOW + 2_200);
+        assertThat(view.members().size(), is(1));
+    }
+
+    @Test
+    void partsOfAFleetThatIsCutAddUpToOne() {
+        FleetView other =
+                new FleetView(vm("e1", EAST, 1, MemberState.READY), FleetTiming.DEFAULT, 2);
+        other.receive(report(vm("w1", WEST, 1, MemberState.READY), 1), NOW);
+        view.receive(report(vm("e1", EAST, 1, MemberState.READY), 1), NOW);
+        assertThat(view.heardShare(NOW), is(1.0));
+        double sum = view.heardShare(NOW + 2_000) + other.heardShare(NOW + 2_000);
+        assertThat(sum, is(1.0));
+    }
+
+    @Test
+    void vmThatHasJustStartedAssumesTheSmallestFleet() {
+        FleetView alone =
+                new FleetView(vm("w1", WEST, 1, MemberState.READY), FleetTiming.DEFAULT, 6);
+        assertThat(alone.heardShare(NOW), is(1.0 / 6));
+    }
+
+    private static FleetReport report(MemberInfo vm, long sequence) {
+        return new FleetReport(vm, sequence, 0, Map.of(), Map.of(), List.of());
+    }
+
+    private static MemberInfo vm(
+            String name, RegionId region, long incarnation, MemberState state) {
+        ZoneId zone = new ZoneId(region + "-a");
+        return new MemberInfo(name, name + "-host", region, zone, incarnation, state);
+    }
+}
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
@@ -39,7 +39,8 @@
     private static final ZoneId EAST_A = new ZoneId("east-a");
     private static final long NOW = 10_000;
     private static final ServiceSpec ENGINES =
-            new ServiceSpec("engines", 100, 3_000, 2.9, Optional.of(new EngineSpec(64, 360_000, true)));
+            new ServiceSpec(
+                    "engines", 100, 3_000, 2.9, Optional.of(new EngineSpec(64, 360_000, true)));
     private static final ServiceSpec PLAIN = new ServiceSpec("plain", 100, 0, 0, Optional.empty());
 
     private final FleetView fleet =
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -2,6 +2,7 @@
 
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.core.fleet.CustomerSpend;
 import io.vanillapoint.core.fleet.FleetReport;
 import io.vanillapoint.core.fleet.FleetTiming;
@@ -40,6 +41,7 @@
 import io.vertx.core.http.PoolOptions;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 /**
@@ -239,8 +241,10 @@
 
     private void directory(HttpServerRequest request, EntryQuestion.Directory directory) {
         long now = clock.getAsLong();
+        Set<RegionId> homes =
+                board.publication().map(known -> known.homes(directory.host())).orElse(Set.of());
         List<String> addresses =
-                fleet.hostsFor(directory.region(), directory.zone(), now).stream()
+                fleet.hostsFor(directory.region(), homes, now).stream()
                         .map(host -> new Endpoint(host, settings.callers().port()).toString())
                         .toList();
         if (addresses.isEmpty()) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/EntryQuestion.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/EntryQuestion.java
@@ -1,7 +1,6 @@
 package io.vanillapoint.entry.port;
 
 import io.vanillapoint.api.model.RegionId;
-import io.vanillapoint.api.model.ZoneId;
 
 /** What callers and the platform ask an entry VM beside requests. Immutable. */
 public sealed interface EntryQuestion {
@@ -11,10 +10,10 @@
     /**
      * Which VMs a caller should use.
      *
+     * @param host name of the host that the caller wants to reach
      * @param region region of the caller
-     * @param zone availability zone of the caller
      */
-    record Directory(RegionId region, ZoneId zone) implements EntryQuestion {}
+    record Directory(String host, RegionId region) implements EntryQuestion {}
 
     /** Something that the platform does not define. */
     record Unknown() implements EntryQuestion {}
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -332,8 +332,8 @@
     }
 
     /**
-     * Some requests fail wherever they run. So where a request may be sent again, its failure counts
-     * against a replica only if another one succeeds with it.
+     * Some requests fail wherever they run. So where a request may be sent again, its failure
+     * counts against a replica only if another one succeeds with it.
      */
     private void judge(boolean failure) {
         if (!failure && failedBefore != null) {
