Tell other VMs which engines have read which sessions

Ruled out: memory of the engines (no request was preempted). Change: heartbeats name the sessions read in the last 0.9 s with their engine; copies come from the engine that read a session last; an engine that is known to hold a session counts as such on all VMs.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
@@ -11,6 +11,7 @@
  * @param publishedRevision revision of the platform's store up to which the sender knows it
  * @param customers what the sender knows of each customer's tokens
  * @param upstreams what the sender has outstanding at each upstream
+ * @param reads sessions that engines have read for the sender lately
  * @param others VMs that the sender has heard of
  */
 public record FleetReport(
@@ -19,11 +20,13 @@
         long publishedRevision,
         Map<String, CustomerUse> customers,
         Map<String, UpstreamUse> upstreams,
+        List<SessionRead> reads,
         List<HeardMember> others) {
     /** Copies the collections. */
     public FleetReport {
         customers = Map.copyOf(customers);
         upstreams = Map.copyOf(upstreams);
+        reads = List.copyOf(reads);
         others = List.copyOf(others);
     }
 
@@ -33,6 +36,7 @@
      * @return a copy that names no other VMs
      */
     public FleetReport withoutOthers() {
-        return new FleetReport(self, sequence, publishedRevision, customers, upstreams, List.of());
+        return new FleetReport(
+                self, sequence, publishedRevision, customers, upstreams, reads, List.of());
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -71,18 +71,21 @@
      * @param publishedRevision revision of the platform's store that this VM has reached
      * @param customers what this VM knows of each customer's tokens
      * @param upstreams what is outstanding by upstream
+     * @param reads sessions that engines have read for this VM lately
      * @return the report
      */
     public FleetReport report(
             long nowMillis,
             long publishedRevision,
             Map<String, CustomerUse> customers,
-            Map<String, UpstreamUse> upstreams) {
+            Map<String, UpstreamUse> upstreams,
+            List<SessionRead> reads) {
         List<HeardMember> others = new ArrayList<>();
         for (Member member : members.values()) {
             others.add(new HeardMember(member.info(), nowMillis - member.heardAtMillis()));
         }
-        return new FleetReport(self, ++sequence, publishedRevision, customers, upstreams, others);
+        return new FleetReport(
+                self, ++sequence, publishedRevision, customers, upstreams, reads, others);
     }
 
     /**
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/SessionRead.java
@@ -0,0 +1,10 @@
+package io.vanillapoint.core.fleet;
+
+/**
+ * An engine has read the shared parts of a session's prompt. Immutable.
+ *
+ * @param session hash of the session's key
+ * @param upstream id of the engine
+ * @param ageMillis time since the request was sent there
+ */
+public record SessionRead(long session, String upstream, long ageMillis) {}
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/prompt/SessionLocations.java
@@ -0,0 +1,137 @@
+package io.vanillapoint.core.prompt;
+
+import io.vanillapoint.core.fleet.SessionRead;
+import io.vanillapoint.core.hash.Rendezvous;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Which engines have read which sessions lately, by all VMs' heartbeats.
+ *
+ * <p>Load pattern: peak hours pass from region to region, and with them sessions whose prompts
+ * other engines have just read. Invariants: holds at most a fixed number of sessions and a few
+ * engines for each, the most recent first. Confined to one thread.
+ */
+public final class SessionLocations {
+    /** Engines reuse their memory within this time when they are busy. */
+    private static final long LIFETIME_MILLIS = 12_000;
+
+    /** Reads are repeated in heartbeats for this long, so that a lost one does no harm. */
+    private static final long REPORT_MILLIS = 900;
+
+    private static final int MOST_SESSIONS = 20_000;
+    private static final int MOST_ENGINES = 4;
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final Map<Long, List<Read>> sessions =
+            new LinkedHashMap<>(256, LOAD_FACTOR, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Long, List<Read>> eldest) {
+                    return size() > MOST_SESSIONS;
+                }
+            };
+
+    private final ArrayDeque<Own> own = new ArrayDeque<>();
+
+    /**
+     * Notes that this VM sends a session's request to an engine.
+     *
+     * @param prompt the prompt
+     * @param upstream id of the engine
+     * @param nowMillis steady time
+     */
+    public void sent(PromptShape prompt, String upstream, long nowMillis) {
+        if (prompt.sharedParts().isEmpty()) {
+            return;
+        }
+        long session = hash(prompt);
+        note(session, upstream, nowMillis);
+        own.addLast(new Own(session, upstream, nowMillis));
+        while (own.peekFirst().atMillis < nowMillis - REPORT_MILLIS) {
+            own.removeFirst();
+        }
+    }
+
+    /**
+     * Takes what another VM reports.
+     *
+     * @param reads reads of that VM
+     * @param nowMillis steady time
+     */
+    public void heard(List<SessionRead> reads, long nowMillis) {
+        for (SessionRead read : reads) {
+            note(read.session(), read.upstream(), nowMillis - read.ageMillis());
+        }
+    }
+
+    /**
+     * Reads of this VM for the next heartbeat.
+     *
+     * @param nowMillis steady time
+     * @return new list
+     */
+    public List<SessionRead> report(long nowMillis) {
+        List<SessionRead> reads = new ArrayList<>();
+        for (Own read : own) {
+            if (read.atMillis >= nowMillis - REPORT_MILLIS) {
+                reads.add(new SessionRead(read.session, read.upstream, nowMillis - read.atMillis));
+            }
+        }
+        return reads;
+    }
+
+    /**
+     * Engines that probably hold the shared parts of a prompt.
+     *
+     * @param prompt the prompt
+     * @param nowMillis steady time
+     * @return ids of engines, the one that read it last first
+     */
+    public List<String> holders(PromptShape prompt, long nowMillis) {
+        List<Read> reads = sessions.get(hash(prompt));
+        if (reads == null || prompt.sharedParts().isEmpty()) {
+            return List.of();
+        }
+        return reads.stream()
+                .filter(read -> read.atMillis >= nowMillis - LIFETIME_MILLIS)
+                .map(read -> read.upstream)
+                .toList();
+    }
+
+    private void note(long session, String upstream, long atMillis) {
+        List<Read> reads = sessions.computeIfAbsent(session, unused -> new ArrayList<>());
+        Iterator<Read> known = reads.iterator();
+        long newest = atMillis;
+        while (known.hasNext()) {
+            Read read = known.next();
+            if (read.upstream.equals(upstream)) {
+                newest = Math.max(newest, read.atMillis);
+                known.remove();
+            }
+        }
+        int place = 0;
+        while (place < reads.size() && reads.get(place).atMillis > newest) {
+            place++;
+        }
+        reads.add(place, new Read(upstream, newest));
+        if (reads.size() > MOST_ENGINES) {
+            reads.remove(reads.size() - 1);
+        }
+    }
+
+    private static long hash(PromptShape prompt) {
+        return Rendezvous.weight(prompt.affinityKey(), prompt.model());
+    }
+
+    /** An engine that has read a session. */
+    private record Read(String upstream, long atMillis) {}
+
+    /** A read of this VM. */
+    private record Own(long session, String upstream, long atMillis) {}
+}
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -5,6 +5,7 @@
 import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.hash.Rendezvous;
 import io.vanillapoint.core.prompt.PromptShape;
+import io.vanillapoint.core.prompt.SessionLocations;
 import io.vanillapoint.core.published.EngineSpec;
 import io.vanillapoint.core.published.UpstreamReplica;
 import java.util.HashMap;
@@ -53,6 +54,7 @@
     private final UpstreamPool pool;
     private final FleetView fleet;
     private final PlacementWeights weights;
+    private final SessionLocations sessions;
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
     private final Map<RegionId, Double> roundTrips = new HashMap<>();
 
@@ -62,11 +64,17 @@
      * @param pool replicas
      * @param fleet other VMs and what they have outstanding
      * @param weights costs
+     * @param sessions which engines have read which sessions
      */
-    public ReplicaChooser(UpstreamPool pool, FleetView fleet, PlacementWeights weights) {
+    public ReplicaChooser(
+            UpstreamPool pool,
+            FleetView fleet,
+            PlacementWeights weights,
+            SessionLocations sessions) {
         this.pool = pool;
         this.fleet = fleet;
         this.weights = weights;
+        this.sessions = sessions;
     }
 
     /**
@@ -127,15 +135,11 @@
                 best = scored;
             }
         }
-        return placement(best, published, query, preferred, nowMillis);
+        return placement(best, published, query, nowMillis);
     }
 
     private Placement placement(
-            Scored best,
-            boolean published,
-            PlacementQuery query,
-            Map<RegionId, String> preferred,
-            long nowMillis) {
+            Scored best, boolean published, PlacementQuery query, long nowMillis) {
         if (best == null) {
             RefusalReason reason =
                     published ? RefusalReason.ALL_REPLICAS_BUSY : RefusalReason.NO_REPLICA;
@@ -147,7 +151,7 @@
             return new Placement.Refuse(RefusalReason.TOO_LATE, wait);
         }
         if (best.local) {
-            Optional<UpstreamReplica> source = cacheSource(best, query, preferred, nowMillis);
+            Optional<UpstreamReplica> source = cacheSource(best, query, nowMillis);
             return new Placement.Local(best.tracker, best.uncached, (long) best.millis, source);
         }
         return new Placement.Relay(best.tracker.region(), (long) best.millis);
@@ -191,7 +195,9 @@
         ReplicaTracker tracker = scored.tracker;
         long shared = prompt.sharedTokens();
         long held = tracker.cached().cachedTokens(prompt);
-        if (tracker.info().id().equals(preferredOf(tracker, query, preferred, nowMillis))) {
+        if (sessions.holders(prompt, nowMillis).contains(tracker.info().id())) {
+            held = Math.max(held, shared);
+        } else if (isPreferred(tracker, query, preferred, nowMillis)) {
             double holds = scored.local ? PREFERRED_HOLDS : REMOTE_PREFERRED_HOLDS;
             held = Math.max(held, (long) (shared * holds));
         }
@@ -209,49 +215,33 @@
     }
 
     /**
-     * A replica from which the chosen one should copy the shared parts of the prompt: the session's
-     * engine of this region, else that of the region in which most is under way. A source that
-     * holds nothing costs nothing, so a guess is enough.
+     * A replica from which the chosen one should copy the shared parts of the prompt: the one that
+     * read them last. Nothing if the chosen one holds them itself.
      */
     private Optional<UpstreamReplica> cacheSource(
-            Scored best, PlacementQuery query, Map<RegionId, String> preferred, long nowMillis) {
+            Scored best, PlacementQuery query, long nowMillis) {
         boolean copies = query.service().engine().filter(EngineSpec::copiesCache).isPresent();
         if (!copies || query.prompt().isEmpty()) {
             return Optional.empty();
         }
-        PromptShape prompt = query.prompt().get();
-        if (best.tracker.cached().cachedTokens(prompt) >= prompt.sharedTokens()) {
+        List<String> holders = sessions.holders(query.prompt().get(), nowMillis);
+        if (holders.contains(best.tracker.info().id())) {
             return Optional.empty();
         }
-        ReplicaTracker source = null;
-        double bestRank = 0;
-        for (ReplicaTracker other : pool.serving(query.service().name(), nowMillis)) {
-            if (other == best.tracker || other.failing() || !fits(other, query)) {
-                continue;
-            }
-            double rank = sourceRank(other, query, preferred, nowMillis);
-            if (rank > bestRank) {
-                bestRank = rank;
-                source = other;
-            }
-        }
-        return Optional.ofNullable(source).map(ReplicaTracker::info);
+        return holders.stream()
+                .flatMap(id -> pool.replica(id).stream())
+                .filter(holder -> !holder.failing() && fits(holder, query))
+                .map(ReplicaTracker::info)
+                .findFirst();
     }
 
-    private double sourceRank(
-            ReplicaTracker other,
+    private boolean isPreferred(
+            ReplicaTracker tracker,
             PlacementQuery query,
             Map<RegionId, String> preferred,
             long nowMillis) {
-        PromptShape prompt = query.prompt().orElseThrow();
-        double known = other.cached().cachedTokens(prompt);
-        if (!other.info().id().equals(preferredOf(other, query, preferred, nowMillis))) {
-            return known;
-        }
-        boolean near = other.region().equals(fleet.self().region());
-        double guess = prompt.sharedTokens() * (near ? PREFERRED_HOLDS : REMOTE_PREFERRED_HOLDS);
-        int busy = other.use().plus(fleet.useElsewhere(other.info().id(), nowMillis)).requests();
-        return Math.max(known, guess) + busy;
+        String id = tracker.info().id();
+        return id.equals(preferredOf(tracker, query, preferred, nowMillis));
     }
 
     private String preferredOf(
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
@@ -57,6 +57,7 @@
                         0,
                         Map.of(),
                         Map.of(),
+                        List.of(),
                         List.of(heard));
         view.receive(report, NOW);
         assertThat(view.relays(EAST, NOW + 100).size(), is(2));
@@ -83,6 +84,7 @@
                         0,
                         Map.of(),
                         Map.of(),
+                        List.of(),
                         List.of(heard));
         view.receive(other, NOW + 2_200);
         assertThat(view.members().size(), is(1));
@@ -107,7 +109,7 @@
     }
 
     private static FleetReport report(MemberInfo vm, long sequence) {
-        return new FleetReport(vm, sequence, 0, Map.of(), Map.of(), List.of());
+        return new FleetReport(vm, sequence, 0, Map.of(), Map.of(), List.of(), List.of());
     }
 
     private static MemberInfo vm(
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
@@ -15,6 +15,7 @@
 import io.vanillapoint.core.fleet.MemberState;
 import io.vanillapoint.core.prompt.PromptPart;
 import io.vanillapoint.core.prompt.PromptShape;
+import io.vanillapoint.core.prompt.SessionLocations;
 import io.vanillapoint.core.published.EngineSpec;
 import io.vanillapoint.core.published.ReplicaState;
 import io.vanillapoint.core.published.RouteKind;
@@ -46,8 +47,9 @@
     private final FleetView fleet =
             new FleetView(vm("west-1", WEST, WEST_A), FleetTiming.DEFAULT, 2);
     private final UpstreamPool pool = new UpstreamPool(Map.of(WEST_A, WEST, EAST_A, EAST));
+    private final SessionLocations sessions = new SessionLocations();
     private final ReplicaChooser chooser =
-            new ReplicaChooser(pool, fleet, PlacementWeights.DEFAULT);
+            new ReplicaChooser(pool, fleet, PlacementWeights.DEFAULT, sessions);
 
     @BeforeEach
     void publish() {
@@ -58,7 +60,8 @@
         publish("plain-w", "plain", WEST_A, ReplicaState.READY, 0);
         publish("plain-e", "plain", EAST_A, ReplicaState.READY, 0);
         FleetReport report =
-                new FleetReport(vm("east-1", EAST, EAST_A), 1, 0, Map.of(), Map.of(), List.of());
+                new FleetReport(
+                        vm("east-1", EAST, EAST_A), 1, 0, Map.of(), Map.of(), List.of(), List.of());
         fleet.receive(report, NOW);
     }
 
@@ -94,6 +97,7 @@
     void sessionThatLeavesItsEngineCopiesThePromptFromThere() {
         Placement.Local first = (Placement.Local) chooser.choose(draft("s1"), NOW);
         first.replica().dispatched(60_000, shape("s1"), NOW);
+        sessions.sent(shape("s1"), first.replica().info().id(), NOW);
         Placement.Local second = (Placement.Local) chooser.choose(draftHere("s1"), NOW);
         assertThat(second.cacheSource().orElseThrow().id(), is(first.replica().info().id()));
     }
@@ -102,6 +106,7 @@
     void sessionThatItsEngineHoldsCopiesNothing() {
         Placement.Local first = (Placement.Local) chooser.choose(draft("s1"), NOW);
         first.replica().dispatched(0, shape("s1"), NOW);
+        sessions.sent(shape("s1"), first.replica().info().id(), NOW);
         Placement.Local second = (Placement.Local) chooser.choose(draft("s1"), NOW);
         assertThat(second.cacheSource().isPresent(), is(false));
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -11,6 +11,7 @@
 import io.vanillapoint.core.fleet.MemberState;
 import io.vanillapoint.core.grant.GrantMeter;
 import io.vanillapoint.core.grant.GrantTolerance;
+import io.vanillapoint.core.prompt.SessionLocations;
 import io.vanillapoint.core.published.GatewayPublication;
 import io.vanillapoint.core.upstream.PlacementWeights;
 import io.vanillapoint.core.upstream.ReplicaChooser;
@@ -75,6 +76,7 @@
     private final LongSupplier clock = () -> System.nanoTime() / 1_000_000;
     private final FleetView fleet;
     private final UpstreamPool pool;
+    private final SessionLocations sessions = new SessionLocations();
     private final GrantMeter grants;
     private final RetryAllowance retries;
     private final PublicationBoard board;
@@ -128,7 +130,8 @@
                         platform.requests(),
                         fleet,
                         pool,
-                        new ReplicaChooser(pool, fleet, PlacementWeights.DEFAULT),
+                        new ReplicaChooser(pool, fleet, PlacementWeights.DEFAULT, sessions),
+                        sessions,
                         retries,
                         upstreamClient(),
                         vms,
@@ -143,7 +146,7 @@
                         board,
                         platform.source(vertx, settings.store()),
                         this::report,
-                        this::spentElsewhere);
+                        this::heard);
     }
 
     /**
@@ -319,8 +322,10 @@
         return fleet.self().state().compareTo(MemberState.READY) > 0;
     }
 
-    private void spentElsewhere(List<CustomerSpend> spends) {
+    private void heard(FleetReport report) {
         long now = clock.getAsLong();
+        List<CustomerSpend> spends = fleet.receive(report, now);
+        sessions.heard(report.reads(), now);
         grants.spentElsewhere(spends, fleet.heardShare(now), now);
     }
 
@@ -330,7 +335,9 @@
     }
 
     private FleetReport report() {
-        return fleet.report(clock.getAsLong(), board.revision(), grants.uses(), pool.uses());
+        long now = clock.getAsLong();
+        return fleet.report(
+                now, board.revision(), grants.uses(), pool.uses(), sessions.report(now));
     }
 
     private HttpClient upstreamClient() {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
@@ -1,6 +1,5 @@
 package io.vanillapoint.entry.control;
 
-import io.vanillapoint.core.fleet.CustomerSpend;
 import io.vanillapoint.core.fleet.FleetReport;
 import io.vanillapoint.core.fleet.FleetTiming;
 import io.vanillapoint.entry.port.PublishedSource;
@@ -30,14 +29,14 @@
      * @param board what is published
      * @param source the platform's store
      * @param reports makes heartbeats
-     * @param spends hears what other VMs admitted
+     * @param heard takes heartbeats of other VMs
      */
     public EntryControl(
             EntryContext context,
             PublicationBoard board,
             PublishedSource source,
             Supplier<FleetReport> reports,
-            Consumer<List<CustomerSpend>> spends) {
+            Consumer<FleetReport> heard) {
         this.board = board;
         sync = new StoreSync(context.vertx(), source, board, context.log(), context.clock());
         copy =
@@ -59,7 +58,7 @@
                         context.clock(),
                         context.peerPort(),
                         reports,
-                        spends);
+                        heard);
     }
 
     /**
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
@@ -3,7 +3,6 @@
 import io.vanillapoint.api.error.VanillapointException;
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.event.EventSink;
-import io.vanillapoint.core.fleet.CustomerSpend;
 import io.vanillapoint.core.fleet.FleetReport;
 import io.vanillapoint.core.fleet.FleetTiming;
 import io.vanillapoint.core.fleet.FleetView;
@@ -41,7 +40,7 @@
     private final LongSupplier clock;
     private final int port;
     private final Supplier<FleetReport> reports;
-    private final Consumer<List<CustomerSpend>> spends;
+    private final Consumer<FleetReport> heard;
     private final Map<String, MemberState> logged = new HashMap<>();
     private final Set<String> suspected = new HashSet<>();
     private List<String> seeds;
@@ -57,7 +56,7 @@
             LongSupplier clock,
             int port,
             Supplier<FleetReport> reports,
-            Consumer<List<CustomerSpend>> spends) {
+            Consumer<FleetReport> heard) {
         this.vertx = vertx;
         this.fleet = fleet;
         this.timing = timing;
@@ -65,7 +64,7 @@
         this.clock = clock;
         this.port = port;
         this.reports = reports;
-        this.spends = spends;
+        this.heard = heard;
         this.seeds = List.of();
     }
 
@@ -131,7 +130,7 @@
             boolean first =
                     fleet.members().stream()
                             .noneMatch(member -> member.info().vm().equals(report.self().vm()));
-            spends.accept(fleet.receive(report, clock.getAsLong()));
+            heard.accept(report);
             logState(report.self());
             if (first) {
                 send(datagram(), report.self().host());
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EntryContext.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EntryContext.java
@@ -2,6 +2,7 @@
 
 import io.vanillapoint.api.event.EventSink;
 import io.vanillapoint.core.fleet.FleetView;
+import io.vanillapoint.core.prompt.SessionLocations;
 import io.vanillapoint.core.upstream.ReplicaChooser;
 import io.vanillapoint.core.upstream.UpstreamPool;
 import io.vanillapoint.entry.control.RetryAllowance;
@@ -22,6 +23,7 @@
  * @param fleet other VMs
  * @param pool replicas
  * @param chooser chooses replicas
+ * @param sessions which engines have read which sessions
  * @param retries this VM's part of the retries
  * @param upstreams opens a connection for each request
  * @param vms keeps connections to other VMs
@@ -36,6 +38,7 @@
         FleetView fleet,
         UpstreamPool pool,
         ReplicaChooser chooser,
+        SessionLocations sessions,
         RetryAllowance retries,
         HttpClient upstreams,
         HttpClient vms,
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -564,6 +564,9 @@
             this.tokensAhead = tracker.use().plus(elsewhere).promptTokens() + uncachedTokens;
             PromptShape prompt = plan.envelope().prompt().orElse(null);
             tracker.dispatched(uncachedTokens, prompt, nowMillis);
+            if (prompt != null) {
+                context.sessions().sent(prompt, tracker.info().id(), nowMillis);
+            }
         }
 
         long heardAtMillis() {
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
@@ -9,6 +9,7 @@
 import io.vanillapoint.core.fleet.HeardMember;
 import io.vanillapoint.core.fleet.MemberInfo;
 import io.vanillapoint.core.fleet.MemberState;
+import io.vanillapoint.core.fleet.SessionRead;
 import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.message.HeaderField;
 import io.vanillapoint.core.message.RelayRequest;
@@ -19,6 +20,7 @@
 import io.vanillapoint.wire.generated.TFleetReport;
 import io.vanillapoint.wire.generated.THeader;
 import io.vanillapoint.wire.generated.TRelayRequest;
+import io.vanillapoint.wire.generated.TSessionRead;
 import io.vanillapoint.wire.generated.TStoredDelta;
 import io.vanillapoint.wire.generated.TStoredItem;
 import io.vanillapoint.wire.generated.TUpstreamUse;
@@ -69,6 +71,11 @@
                                 upstreams.add(
                                         new TUpstreamUse(id, use.requests(), use.promptTokens())));
         message.setUpstreams(upstreams);
+        List<TSessionRead> reads = new ArrayList<>();
+        for (SessionRead read : report.reads()) {
+            reads.add(new TSessionRead(read.session(), read.upstream(), (int) read.ageMillis()));
+        }
+        message.setReads(reads);
         message.setOthers(report.others().stream().map(FleetCodec::member).toList());
         return write(message);
     }
@@ -105,6 +112,14 @@
                     message.getPublishedRevision(),
                     customers,
                     upstreams,
+                    message.getReads().stream()
+                            .map(
+                                    read ->
+                                            new SessionRead(
+                                                    read.getSession(),
+                                                    read.getUpstream(),
+                                                    read.getAgeMillis()))
+                            .toList(),
                     message.getOthers().stream().map(FleetCodec::member).toList());
         } catch (RuntimeException e) {
             throw bad(e.toString());
