--- /dev/null
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/EventStreamReaderTest.java
@@ -0,0 +1,65 @@
+package io.vanillapoint.entry.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** Whole events out of pieces of any size. */
+class EventStreamReaderTest {
+    private final StringBuilder delivered = new StringBuilder();
+    private final EventStreamReader reader =
+            new EventStreamReader(events -> delivered.append(events.toString()));
+
+    @Test
+    void bytesArriveUnchangedHoweverTheyAreCut() {
+        String stream = events(1, 40);
+        for (long seed = 0; seed < 200; seed++) {
+            StringBuilder out = new StringBuilder();
+            EventStreamReader cut = new EventStreamReader(part -> out.append(part.toString()));
+            Random random = new Random(seed);
+            int from = 0;
+            while (from < stream.length()) {
+                int to = Math.min(stream.length(), from + 1 + random.nextInt(30));
+                cut.read(Buffer.buffer(stream.substring(from, to)));
+                from = to;
+            }
+            assertThat(out.toString(), is(stream));
+            assertThat(cut.lastId(), is(OptionalLong.of(40)));
+        }
+    }
+
+    @Test
+    void partOfAnEventWaits() {
+        reader.read(Buffer.buffer("id: 1\ndata: a\n\nid: 2\nda"));
+        assertThat(delivered.toString(), is("id: 1\ndata: a\n\n"));
+        assertThat(reader.rest().toString(), is("id: 2\nda"));
+    }
+
+    @Test
+    void otherRunGoesOnWithoutRepeatingWhatWasDelivered() {
+        reader.read(Buffer.buffer(events(1, 3) + "id: 4\ndat"));
+        reader.restart();
+        reader.read(Buffer.buffer(events(3, 6)));
+        assertThat(delivered.toString(), is(events(1, 6)));
+    }
+
+    @Test
+    void linesMayEndWithCarriageReturns() {
+        String stream = "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n";
+        reader.read(Buffer.buffer(stream));
+        assertThat(delivered.toString(), is(stream));
+        assertThat(reader.lastId(), is(OptionalLong.of(2)));
+    }
+
+    private static String events(int from, int to) {
+        StringBuilder text = new StringBuilder();
+        for (int id = from; id <= to; id++) {
+            text.append("id: ").append(id).append("\ndata: token ").append(id).append("\n\n");
+        }
+        return text.toString();
+    }
+}
