Keep the cost of heartbeats flat from nine VMs to hundreds

Cause: on 76 VMs each VM sent 250 datagrams a second, 62 KB/s where operators allow 5. Change: HeartbeatPlan sends to five VMs of the region and eight of others in a round and takes turns; silence is judged by the rounds that a fleet of that size needs; a VM that a request could not reach is passed over for two seconds. Before: every VM each round.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -18,6 +18,9 @@
  * of a later incarnation or sequence. Confined to one thread.
  */
 public final class FleetView {
+    /** Heartbeats that may be lost in a row before a VM of a large fleet is suspected. */
+    private static final int SUSPECT_INTERVALS = 3;
+
     private final FleetTiming timing;
     private final int smallestFleet;
     private final Map<String, Member> members = new HashMap<>();
@@ -142,7 +145,23 @@
      * @return false if it is suspected to be down or cut off
      */
     public boolean alive(Member member, long nowMillis) {
-        return nowMillis - member.heardAtMillis() <= timing.suspectMillis();
+        long interval = near(member) ? timing.regionIntervalMillis() : timing.otherIntervalMillis();
+        long limit =
+                Math.max(timing.suspectMillis(), SUSPECT_INTERVALS * interval * rounds(member));
+        return nowMillis - member.heardAtMillis() <= limit;
+    }
+
+    /**
+     * Notes that a VM could not be reached by a request, so that others go elsewhere for a moment.
+     *
+     * @param vm name of the VM
+     * @param nowMillis steady time
+     */
+    public void unreachable(String vm, long nowMillis) {
+        Member member = members.get(vm);
+        if (member != null) {
+            member.avoidUntil(nowMillis + timing.suspectMillis());
+        }
     }
 
     /**
@@ -176,7 +195,7 @@
         return members.values().stream()
                 .filter(member -> member.info().region().equals(region))
                 .filter(member -> member.info().state().takesRequests())
-                .filter(member -> alive(member, nowMillis))
+                .filter(member -> alive(member, nowMillis) && !member.avoided(nowMillis))
                 .sorted(Comparator.comparing(member -> member.info().vm()))
                 .map(Member::info)
                 .toList();
@@ -230,7 +249,7 @@
         UpstreamUse sum = UpstreamUse.NONE;
         for (Member member : members.values()) {
             UpstreamUse use = member.upstreams().get(upstream);
-            if (use != null && nowMillis - member.directAtMillis() <= timing.suspectMillis()) {
+            if (use != null && alive(member, nowMillis)) {
                 sum = sum.plus(use);
             }
         }
@@ -247,7 +266,7 @@
     public Optional<Member> ahead(long revision, long nowMillis) {
         return members.values().stream()
                 .filter(member -> member.publishedRevision() > revision)
-                .filter(member -> nowMillis - member.directAtMillis() <= timing.suspectMillis())
+                .filter(member -> alive(member, nowMillis))
                 .max(
                         Comparator.comparingLong(Member::publishedRevision)
                                 .thenComparing(
@@ -257,9 +276,23 @@
 
     /** Tells whether the VM's own heartbeats arrive, with room for two that were lost. */
     private boolean hears(Member member, long nowMillis) {
-        boolean near = member.info().region().equals(self.region());
-        long limit = near ? timing.regionSilenceMillis() : timing.otherSilenceMillis();
-        return nowMillis - member.directAtMillis() <= limit;
+        long limit = near(member) ? timing.regionSilenceMillis() : timing.otherSilenceMillis();
+        return nowMillis - member.directAtMillis() <= limit * rounds(member);
+    }
+
+    /** Rounds in which a VM sends to this one once. */
+    private int rounds(Member member) {
+        int others = 0;
+        for (Member other : members.values()) {
+            others += near(other) == near(member) ? 1 : 0;
+        }
+        return near(member)
+                ? HeartbeatPlan.regionRounds(others)
+                : HeartbeatPlan.otherRounds(others);
+    }
+
+    private boolean near(Member member) {
+        return member.info().region().equals(self.region());
     }
 
     private int knownVms() {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
@@ -13,6 +13,7 @@
     private long heardAtMillis;
     private long directAtMillis = Long.MIN_VALUE / 2;
     private long sequence = -1;
+    private long avoidUntilMillis = Long.MIN_VALUE;
     private long publishedRevision;
     private Map<String, CustomerUse> customers = Map.of();
     private Map<String, UpstreamUse> upstreams = Map.of();
@@ -67,6 +68,14 @@
         return directAtMillis;
     }
 
+    void avoidUntil(long millis) {
+        avoidUntilMillis = millis;
+    }
+
+    boolean avoided(long nowMillis) {
+        return nowMillis < avoidUntilMillis;
+    }
+
     Map<String, CustomerUse> customers() {
         return customers;
     }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/prompt/SessionLocations.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/prompt/SessionLocations.java
@@ -20,9 +20,12 @@
     /** Engines reuse their memory within this time when they are busy. */
     private static final long LIFETIME_MILLIS = 12_000;
 
-    /** Reads are repeated in heartbeats for this long, so that a lost one does no harm. */
+    /** Reads are repeated in heartbeats for this long, so that all VMs hear of most. */
     private static final long REPORT_MILLIS = 900;
 
+    /** Keeps a heartbeat within one datagram of any link. */
+    private static final int MOST_REPORTED = 24;
+
     private static final int MOST_SESSIONS = 20_000;
     private static final int MOST_ENGINES = 4;
     private static final float LOAD_FACTOR = 0.75f;
@@ -79,7 +82,8 @@
     public List<SessionRead> report(long nowMillis) {
         List<SessionRead> reads = new ArrayList<>();
         for (Own read : own) {
-            if (read.atMillis >= nowMillis - REPORT_MILLIS) {
+            boolean room = reads.size() < MOST_REPORTED;
+            if (room && read.atMillis >= nowMillis - REPORT_MILLIS) {
                 reads.add(new SessionRead(read.session, read.upstream, nowMillis - read.atMillis));
             }
         }
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
@@ -5,9 +5,11 @@
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.api.model.ZoneId;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -101,6 +103,31 @@
         assertThat(sum, is(1.0));
     }
 
+    @Test
+    void heartbeatsOfALargeFleetReachAllAtAFixedCost() {
+        for (int i = 0; i < 370; i++) {
+            view.receive(
+                    report(vm("vm" + i, i % 3 == 0 ? WEST : EAST, 1, MemberState.READY), 1), 0);
+        }
+        HeartbeatPlan plan = new HeartbeatPlan(FleetTiming.DEFAULT);
+        Set<String> reached = new HashSet<>();
+        for (long now = 0; now < 20_000; now += FleetTiming.DEFAULT.regionIntervalMillis()) {
+            List<String> round = plan.next(view, now);
+            assertThat(round.size(), lessThanOrEqualTo(13));
+            reached.addAll(round);
+        }
+        assertThat(reached.size(), is(370));
+    }
+
+    @Test
+    void vmThatARequestCouldNotReachIsPassedOverForAWhile() {
+        view.receive(report(vm("e1", EAST, 1, MemberState.READY), 1), NOW);
+        view.unreachable("e1", NOW);
+        assertThat(view.relays(EAST, NOW + 100), is(empty()));
+        view.receive(report(vm("e1", EAST, 1, MemberState.READY), 2), NOW + 2_100);
+        assertThat(view.relays(EAST, NOW + 2_100).size(), is(1));
+    }
+
     @Test
     void vmThatHasJustStartedAssumesTheSmallestFleet() {
         FleetView alone =
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
@@ -6,6 +6,7 @@
 import io.vanillapoint.core.fleet.FleetReport;
 import io.vanillapoint.core.fleet.FleetTiming;
 import io.vanillapoint.core.fleet.FleetView;
+import io.vanillapoint.core.fleet.HeartbeatPlan;
 import io.vanillapoint.core.fleet.Member;
 import io.vanillapoint.core.fleet.MemberInfo;
 import io.vanillapoint.core.fleet.MemberState;
@@ -35,6 +36,7 @@
     private final Vertx vertx;
     private final FleetView fleet;
     private final FleetTiming timing;
+    private final HeartbeatPlan plan;
     private final FleetCodec codec = new FleetCodec();
     private final EventSink log;
     private final LongSupplier clock;
@@ -45,7 +47,6 @@
     private final Set<String> suspected = new HashSet<>();
     private List<String> seeds;
     private DatagramSocket socket;
-    private long otherSentAtMillis = Long.MIN_VALUE / 2;
     private int beats;
 
     FleetLink(
@@ -60,6 +61,7 @@
         this.vertx = vertx;
         this.fleet = fleet;
         this.timing = timing;
+        plan = new HeartbeatPlan(timing);
         this.log = log;
         this.clock = clock;
         this.port = port;
@@ -92,26 +94,24 @@
         fleet.members().forEach(member -> hosts.add(member.info().host()));
         hosts.remove(fleet.self().host());
         hosts.forEach(host -> send(datagram, host));
-        otherSentAtMillis = clock.getAsLong();
     }
 
     private void beat() {
         long now = clock.getAsLong();
         fleet.prune(now);
         logSuspects(now);
-        boolean others = now - otherSentAtMillis >= timing.otherIntervalMillis();
-        if (++beats % BEATS_PER_FULL_REPORT == 0 || fleet.members().isEmpty()) {
+        if (fleet.members().isEmpty()) {
             sendAll();
             return;
         }
-        Buffer datagram = Buffer.buffer(codec.encode(reports.get().withoutOthers()));
-        for (Member member : fleet.members()) {
-            if (others || member.info().region().equals(fleet.self().region())) {
-                send(datagram, member.info().host());
-            }
-        }
-        if (others) {
-            otherSentAtMillis = now;
+        boolean full = ++beats % BEATS_PER_FULL_REPORT == 0;
+        FleetReport report = full ? reports.get() : reports.get().withoutOthers();
+        Buffer datagram = Buffer.buffer(codec.encode(report));
+        plan.next(fleet, now).forEach(host -> send(datagram, host));
+        if (full) {
+            seeds.stream()
+                    .filter(seed -> !seed.equals(fleet.self().host()))
+                    .forEach(seed -> send(datagram, seed));
         }
     }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -377,6 +377,9 @@
             use.tracker.unreachable(now());
             context.log().record(EventCode.REPLICA_UNREACHABLE, target, cause);
         }
+        if (end == AttemptEnd.NOT_SENT && use == null) {
+            context.fleet().unreachable(target, now());
+        }
         release();
         history.ended(end);
         boolean again =
