--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/published/PublishedTableTest.java
@@ -0,0 +1,140 @@
+package io.vanillapoint.core.published;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Copies of the store that learn in any order. */
+class PublishedTableTest {
+    @Test
+    void olderValueChangesNothing() {
+        PublishedTable table = new PublishedTable();
+        table.merge(delta(5, item("k", 5, "new")));
+        assertThat(table.merge(delta(4, item("k", 4, "old"))), is(empty()));
+        assertThat(table.revision(), is(5L));
+    }
+
+    @Test
+    void removalIsNotUndoneByACopyThatMissedIt() {
+        PublishedTable table = new PublishedTable();
+        table.merge(delta(3, item("k", 3, "v")));
+        table.merge(delta(4, new StoredItem("k", 4, true, new byte[0])));
+        table.merge(delta(3, item("k", 3, "v")));
+        assertThat(table.since(3).items().get(0).removed(), is(true));
+    }
+
+    @Test
+    void listingRemovesWhatItLacksUnlessItIsNewer() {
+        PublishedTable table = new PublishedTable();
+        table.merge(delta(9, item("gone", 3, "v"), item("kept", 4, "v"), item("late", 9, "v")));
+        List<StoredItem> changed = table.replace(List.of(item("kept", 4, "v")), 8);
+        assertThat(changed.stream().map(StoredItem::key).toList(), is(List.of("gone")));
+    }
+
+    /** Some tables watch the store, with gaps and listings; the others copy from each other. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void allCopiesEndWithTheStoreAndNoneEverGoesBack(long seed) {
+        Random random = new Random(seed);
+        Store store = new Store();
+        List<Copy> copies = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            copies.add(new Copy());
+        }
+        for (int step = 0; step < 2_000; step++) {
+            if (random.nextInt(3) == 0) {
+                store.change("k" + random.nextInt(12), random.nextInt(4) == 0);
+            }
+            Copy copy = copies.get(random.nextInt(copies.size()));
+            switch (random.nextInt(4)) {
+                case 0 -> copy.list(store);
+                case 1 -> copy.watch(store);
+                default -> copy.copyFrom(copies.get(random.nextInt(copies.size())));
+            }
+        }
+        Copy last = copies.get(0);
+        last.watch(store);
+        copies.forEach(copy -> copy.copyFrom(last));
+        copies.forEach(copy -> assertThat(copy.live(), is(store.live())));
+    }
+
+    private static StoredDelta delta(long revision, StoredItem... items) {
+        return new StoredDelta(revision, List.of(items));
+    }
+
+    private static StoredItem item(String key, long revision, String value) {
+        return new StoredItem(key, revision, false, value.getBytes());
+    }
+
+    /** The store with its whole history. */
+    private static final class Store {
+        private final List<StoredItem> history = new ArrayList<>();
+        private long revision;
+
+        void change(String key, boolean remove) {
+            revision++;
+            history.add(new StoredItem(key, revision, remove, new byte[remove ? 0 : 1]));
+        }
+
+        Map<String, Long> live() {
+            Map<String, Long> live = new TreeMap<>();
+            for (StoredItem item : history) {
+                if (item.removed()) {
+                    live.remove(item.key());
+                } else {
+                    live.put(item.key(), item.revision());
+                }
+            }
+            return live;
+        }
+    }
+
+    /** A table with a check that no key ever goes back. */
+    private static final class Copy {
+        private final PublishedTable table = new PublishedTable();
+        private final Map<String, StoredItem> seen = new TreeMap<>();
+
+        void list(Store store) {
+            Map<String, StoredItem> live = new TreeMap<>();
+            store.history.forEach(item -> live.put(item.key(), item));
+            List<StoredItem> items = live.values().stream().filter(i -> !i.removed()).toList();
+            note(table.replace(items, store.revision));
+        }
+
+        void watch(Store store) {
+            long after = table.revision();
+            List<StoredItem> newer =
+                    store.history.stream().filter(item -> item.revision() > after).toList();
+            note(table.merge(new StoredDelta(store.revision, newer)));
+        }
+
+        void copyFrom(Copy other) {
+            note(table.merge(other.table.since(table.revision())));
+        }
+
+        Map<String, Long> live() {
+            Map<String, Long> live = new TreeMap<>();
+            seen.values().stream()
+                    .filter(item -> !item.removed())
+                    .forEach(item -> live.put(item.key(), item.revision()));
+            return live;
+        }
+
+        private void note(List<StoredItem> changed) {
+            for (StoredItem item : changed) {
+                StoredItem before = seen.put(item.key(), item);
+                boolean back = before != null && before.revision() > item.revision();
+                assertThat(item.key() + " went back", back, is(false));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ColdFleetTest.java
@@ -0,0 +1,85 @@
+package io.vanillapoint.core.upstream;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.published.EngineSpec;
+import io.vanillapoint.core.published.ReplicaState;
+import io.vanillapoint.core.published.ServiceSpec;
+import io.vanillapoint.core.published.UpstreamReplica;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Rate of a cold replica over all VMs of a region, while VMs come, go and see each other late. */
+class ColdFleetTest {
+    private static final double PER_SECOND = 2.9;
+    private static final double OVERRUN = 1.5;
+    private static final double SLACK = 3;
+    private static final ZoneId ZONE = new ZoneId("z");
+    private static final ServiceSpec SERVICE =
+            new ServiceSpec(
+                    "s", 100, 3_000, PER_SECOND, Optional.of(new EngineSpec(8, 1_000, false)));
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void rateHoldsInEverySecond(long seed) {
+        Random random = new Random(seed);
+        List<String> names = new ArrayList<>();
+        int vms = 1 + random.nextInt(8);
+        for (int i = 0; i < vms; i++) {
+            names.add("vm-" + i);
+        }
+        List<UpstreamPool> pools = new ArrayList<>();
+        names.forEach(name -> pools.add(pool(0)));
+        ArrayDeque<Long> second = new ArrayDeque<>();
+        int most = 0;
+        int sent = 0;
+        for (long now = 0; now < 20_000; now += 5) {
+            int vm = random.nextInt(vms);
+            if (random.nextInt(400) == 0) {
+                pools.set(vm, pool(now));
+            }
+            UpstreamPool pool = pools.get(vm);
+            ReplicaTracker replica = pool.replica("cold").orElseThrow();
+            if (pool.takes(replica, SERVICE, names.get(vm), names, now)) {
+                replica.dispatched(0, null, now);
+                sent++;
+                second.addLast(now);
+            }
+            while (!second.isEmpty() && second.peekFirst() <= now - 1_000) {
+                second.removeFirst();
+            }
+            most = Math.max(most, second.size());
+        }
+        assertThat((double) most, lessThanOrEqualTo(PER_SECOND * OVERRUN + SLACK));
+        assertThat(sent, greaterThan(10));
+    }
+
+    private static UpstreamPool pool(long now) {
+        UpstreamPool pool = new UpstreamPool(Map.of(ZONE, new RegionId("r")));
+        UpstreamReplica replica =
+                new UpstreamReplica(
+                        "cold",
+                        "s",
+                        new Endpoint("10.0.0.1", 80),
+                        ZONE,
+                        8,
+                        ReplicaState.READY,
+                        60_000,
+                        1,
+                        Set.of("m"));
+        pool.publish(replica, Optional.of(SERVICE), now);
+        return pool;
+    }
+}
