Try another region at once when a region has no replica left

Change: NOT_PLACED is an end of its own; it costs no retry, and the region is left out for the request. explain names the ending at the VM that took the request.

--- a/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/LikelyCause.java
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/LikelyCause.java
@@ -20,7 +20,7 @@
     DENIED {
         @Override
         Optional<String> explain(RequestStory story) {
-            return story.last(EventCode.DENIED)
+            return story.ending(EventCode.DENIED)
                     .map(
                             denied ->
                                     "denied as "
@@ -36,7 +36,7 @@
     TOKENS_SPENT {
         @Override
         Optional<String> explain(RequestStory story) {
-            return story.last(EventCode.TOKENS_REFUSED)
+            return story.ending(EventCode.TOKENS_REFUSED)
                     .map(
                             refused ->
                                     "customer "
@@ -55,7 +55,7 @@
     CALLER_LEFT {
         @Override
         Optional<String> explain(RequestStory story) {
-            return story.last(EventCode.CALLER_LEFT)
+            return story.ending(EventCode.CALLER_LEFT)
                     .map(left -> "the caller left after " + left.text("elapsed_ms") + " ms");
         }
     },
@@ -63,7 +63,7 @@
     REFUSED {
         @Override
         Optional<String> explain(RequestStory story) {
-            return story.last(EventCode.REFUSED)
+            return story.ending(EventCode.REFUSED)
                     .map(
                             refused ->
                                     "refused, not run: "
@@ -81,7 +81,7 @@
     FAILED {
         @Override
         Optional<String> explain(RequestStory story) {
-            return story.last(EventCode.REQUEST_FAILED)
+            return story.ending(EventCode.REQUEST_FAILED)
                     .map(
                             failed ->
                                     "failed with "
@@ -96,7 +96,7 @@
     ANSWERED {
         @Override
         Optional<String> explain(RequestStory story) {
-            return story.last(EventCode.ANSWERED)
+            return story.ending(EventCode.ANSWERED)
                     .map(
                             answered ->
                                     "answered with "
--- a/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/RequestStory.java
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/RequestStory.java
@@ -18,6 +18,15 @@
     /** What happened longer ago is no longer the reason for a decision. */
     private static final long CONTEXT_MILLIS = 8_000;
 
+    private static final Set<EventCode> ENDINGS =
+            Set.of(
+                    EventCode.ANSWERED,
+                    EventCode.REFUSED,
+                    EventCode.REQUEST_FAILED,
+                    EventCode.TOKENS_REFUSED,
+                    EventCode.DENIED,
+                    EventCode.CALLER_LEFT);
+
     private static final Set<EventCode> OF_THE_VM =
             Set.of(
                     EventCode.STORE_LOST,
@@ -87,18 +96,31 @@
     }
 
     /**
-     * The last decision with one of some codes.
+     * The last decision with a code.
      *
-     * @param codes codes
+     * @param code code
      * @return the decision
      */
-    public Optional<Decision> last(EventCode... codes) {
-        Set<EventCode> wanted = Set.of(codes);
+    public Optional<Decision> last(EventCode code) {
         return own.stream()
-                .filter(decision -> wanted.contains(decision.code()))
+                .filter(decision -> decision.code() == code)
                 .reduce((first, second) -> second);
     }
 
+    /**
+     * How the request ended for its caller, if that was with a code.
+     *
+     * @param code code
+     * @return the last decision of the VM that took the request, if it has the code
+     */
+    public Optional<Decision> ending(EventCode code) {
+        return own.stream()
+                .filter(decision -> decision.vm().equals(own.get(0).vm()))
+                .filter(decision -> ENDINGS.contains(decision.code()))
+                .reduce((first, second) -> second)
+                .filter(decision -> decision.code() == code);
+    }
+
     /**
      * The last thing learnt with a code.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptEnd.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptEnd.java
@@ -4,6 +4,8 @@
 public enum AttemptEnd {
     /** No connection was made, so nothing was sent. */
     NOT_SENT(false, true),
+    /** A VM of another region had no replica for it. */
+    NOT_PLACED(false, false),
     /** The replica said that it did not run the request. */
     REJECTED(false, false),
     /** The connection failed or was silent after the request was sent. */
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptRules.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptRules.java
@@ -28,7 +28,7 @@
      * @return true if it may
      */
     public static boolean mayTryAgain(RouteSpec route, AttemptHistory history, AttemptEnd end) {
-        if (end == AttemptEnd.NOT_SENT) {
+        if (!countsAsRetry(end)) {
             return history.unsent() < UNSENT_LIMIT
                     && (!history.mayHaveRun() || history.sent() < route.attempts());
         }
@@ -45,6 +45,6 @@
      * @return true if a replica may have been loaded by it
      */
     public static boolean countsAsRetry(AttemptEnd end) {
-        return end != AttemptEnd.NOT_SENT;
+        return end != AttemptEnd.NOT_SENT && end != AttemptEnd.NOT_PLACED;
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
@@ -1,5 +1,6 @@
 package io.vanillapoint.entry.relay;
 
+import io.vanillapoint.api.error.ErrorCode;
 import io.vanillapoint.api.error.RunState;
 import io.vanillapoint.api.error.VanillapointException;
 import io.vanillapoint.core.attempt.AttemptEnd;
@@ -167,12 +168,18 @@
             done = true;
             listener.end();
         } else if (message instanceof ForwardFailure failure) {
-            boolean notRun = failure.runState() == RunState.NOT_RUN;
-            AttemptEnd end = notRun ? AttemptEnd.REJECTED : AttemptEnd.LOST;
-            fail(end, failure.message(), failure.retryAfterMillis());
+            fail(end(failure), failure.message(), failure.retryAfterMillis());
         }
     }
 
+    private static AttemptEnd end(ForwardFailure failure) {
+        if (failure.runState() != RunState.NOT_RUN) {
+            return AttemptEnd.LOST;
+        }
+        boolean placed = failure.code() != ErrorCode.NO_UPSTREAM;
+        return placed ? AttemptEnd.REJECTED : AttemptEnd.NOT_PLACED;
+    }
+
     private void silent() {
         arrivalTimer = -1;
         fail(AttemptEnd.LOST, "connection to the VM is silent", 0);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelaySink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelaySink.java
@@ -57,7 +57,10 @@
     @Override
     public void refuse(Refusal refusal) {
         RunState state = refusal.notRun() ? RunState.NOT_RUN : RunState.UNKNOWN;
-        ErrorCode code = refusal.notRun() ? ErrorCode.NO_UPSTREAM : ErrorCode.UPSTREAM_FAILED;
+        ErrorCode code = ErrorCode.UPSTREAM_FAILED;
+        if (refusal.notRun()) {
+            code = refusal.reachedReplica() ? ErrorCode.OVERLOADED : ErrorCode.NO_UPSTREAM;
+        }
         fail(code, refusal.reason(), state, refusal.retryAfterMillis());
     }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
@@ -96,7 +96,7 @@
                         .orElse(TrafficLimits.DEFAULT)
                         .bodyBytes();
         if (declaredLength(request) > limit) {
-            deny(sink, "", new Refusal(TOO_LARGE, "body_too_large", true, 0));
+            deny(sink, "", Refusal.denied(TOO_LARGE, "body_too_large"));
             request.connection().close();
             return;
         }
@@ -105,7 +105,7 @@
                     body.appendBuffer(data);
                     if (body.length() > limit) {
                         request.handler(null);
-                        deny(sink, "", new Refusal(TOO_LARGE, "body_too_large", true, 0));
+                        deny(sink, "", Refusal.denied(TOO_LARGE, "body_too_large"));
                     }
                 });
         request.endHandler(
@@ -121,7 +121,7 @@
         try {
             envelope = context.format().request(request.headers());
         } catch (VanillapointException e) {
-            deny(sink, "", new Refusal(BAD_REQUEST, e.code().code(), true, 0));
+            deny(sink, "", Refusal.denied(BAD_REQUEST, e.code().code()));
             return;
         }
         Optional<GatewayPublication> known = publication.get();
@@ -133,13 +133,13 @@
         GatewayPublication current = known.get();
         Optional<RouteSpec> route = current.route(envelope.host(), request.path());
         if (route.isEmpty()) {
-            deny(sink, envelope.requestId(), new Refusal(NOT_FOUND, "no_route", true, 0));
+            deny(sink, envelope.requestId(), Refusal.denied(NOT_FOUND, "no_route"));
             return;
         }
         Optional<CustomerSpec> customer = envelope.key().flatMap(current::customerOfKey);
         boolean keyNeeded = current.hasCustomers() && !route.get().open();
         if (keyNeeded && customer.isEmpty()) {
-            deny(sink, envelope.requestId(), new Refusal(UNAUTHORIZED, "unknown_key", true, 0));
+            deny(sink, envelope.requestId(), Refusal.denied(UNAUTHORIZED, "unknown_key"));
             return;
         }
         Optional<ServiceSpec> service =
@@ -204,7 +204,7 @@
                         share,
                         retryAfter);
         context.metrics().count("tokens_refused");
-        sink.refuse(new Refusal(Refusal.TOO_MANY_REQUESTS, "rate_exceeded", true, retryAfter));
+        sink.refuse(Refusal.rateExceeded(retryAfter));
         return false;
     }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -63,11 +63,13 @@
     private final Runnable whenDone;
     private final AttemptHistory history = new AttemptHistory();
     private final Set<String> tried = new HashSet<>();
+    private final Set<RegionId> fullRegions = new HashSet<>();
     private final EventStreamReader events = new EventStreamReader(this::writeEvents);
     private Attempt attempt;
     private Use use;
     private ReplicaTracker failedBefore;
     private String target = "";
+    private RegionId targetRegion;
     private AnswerEnvelope answer;
     private Buffer plainBody;
     private long bytes;
@@ -220,7 +222,7 @@
                 plan.service(),
                 plan.envelope().prompt(),
                 plan.body().length(),
-                plan::allowedIn,
+                region -> plan.allowedIn(region) && !fullRegions.contains(region),
                 tried,
                 !plan.relayed(),
                 now - plan.receivedAtMillis(),
@@ -271,6 +273,7 @@
         RegionId region = relay.region();
         use = null;
         target = vm.vm();
+        targetRegion = region;
         history.sending();
         context.log()
                 .record(
@@ -379,6 +382,8 @@
         }
         if (end == AttemptEnd.NOT_SENT && use == null) {
             context.fleet().unreachable(target, now());
+        } else if (end == AttemptEnd.NOT_PLACED) {
+            fullRegions.add(targetRegion);
         }
         release();
         history.ended(end);
@@ -423,7 +428,8 @@
             return;
         }
         long wait = retryAfterMillis > 0 ? retryAfterMillis : RETRY_AFTER_MILLIS;
-        sink.refuse(Refusal.notRun(reason, wait));
+        boolean reached = history.sent() > 0;
+        sink.refuse(reached ? Refusal.rejected(reason, wait) : Refusal.notRun(reason, wait));
         context.log().record(EventCode.REFUSED, id(), Refusal.UNAVAILABLE, reason, wait, elapsed());
         finish("refused");
     }
