Tell refused callers when it is their turn; relay to VMs that are heard now

Change: each refusal of tokens adds to what is promised, and the next one is told a later time; relays go to VMs whose own heartbeat came within the last second where there is one. Tests: mostOfThoseWhoComeBackWhenToldAreServed, requestsAreRelayedToVmsThatAreHeardThemselves.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -185,17 +185,23 @@
     }
 
     /**
-     * VMs of another region that take requests, those that were heard last first.
+     * VMs of another region that take requests. Where some have been heard within the last moment,
+     * the others are left out: a cut shows there first.
      *
      * @param region region to reach
      * @param nowMillis steady time
      * @return the VMs, suspected ones left out
      */
     public List<MemberInfo> relays(RegionId region, long nowMillis) {
-        return members.values().stream()
-                .filter(member -> member.info().region().equals(region))
-                .filter(member -> member.info().state().takesRequests())
-                .filter(member -> alive(member, nowMillis) && !member.avoided(nowMillis))
+        List<Member> taking =
+                members.values().stream()
+                        .filter(member -> member.info().region().equals(region))
+                        .filter(member -> member.info().state().takesRequests())
+                        .filter(member -> alive(member, nowMillis) && !member.avoided(nowMillis))
+                        .toList();
+        boolean anyHeard = taking.stream().anyMatch(member -> hears(member, nowMillis));
+        return taking.stream()
+                .filter(member -> !anyHeard || hears(member, nowMillis))
                 .sorted(Comparator.comparing(member -> member.info().vm()))
                 .map(Member::info)
                 .toList();
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/grant/GrantMeter.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/grant/GrantMeter.java
@@ -88,8 +88,8 @@
         account.customer = customer;
         account.advance(tolerance, share, nowMillis);
         if (account.level <= 0) {
-            double millis = (1 - account.level) / (customer.ratePerSecond() * share);
-            long wait = (long) Math.ceil(millis * MILLIS_PER_SECOND);
+            long wait = account.waitMillis(share);
+            account.promised += tokens;
             return new GrantVerdict(false, (long) account.level, wait);
         }
         account.level -= tokens;
@@ -160,6 +160,9 @@
         private long atMillis;
         private long admitted;
 
+        /** Tokens of requests that were told when to come back; pays off at the rate. */
+        private double promised;
+
         Account(CustomerSpec customer, double level, long nowMillis) {
             this.customer = customer;
             this.level = level;
@@ -172,6 +175,12 @@
             level -= spend.tokens() <= 0 ? spend.tokens() : Math.max(0, spend.tokens() - setAside);
         }
 
+        /** Those who are refused come back one after the other, not all at once. */
+        long waitMillis(double share) {
+            double seconds = (1 - level + promised) / (customer.ratePerSecond() * share);
+            return (long) Math.ceil(seconds * MILLIS_PER_SECOND);
+        }
+
         void advance(GrantTolerance tolerance, double share, long nowMillis) {
             double seconds = Math.max(0, nowMillis - atMillis) / MILLIS_PER_SECOND;
             atMillis = Math.max(atMillis, nowMillis);
@@ -179,6 +188,7 @@
             double cap = tolerance.bucketCap(customer.burst()) * share;
             double deepest = -customer.ratePerSecond() * LONGEST_DEBT_SECONDS;
             level = Math.min(cap, Math.max(deepest, level) + rate * seconds);
+            promised = Math.max(0, promised - rate * seconds);
         }
     }
 }
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
@@ -62,8 +62,26 @@
                         List.of(),
                         List.of(heard));
         view.receive(report, NOW);
-        assertThat(view.relays(EAST, NOW + 100).size(), is(2));
-        assertThat(view.relays(EAST, NOW + 600).size(), is(1));
+        assertThat(
+                view.hostsFor(EAST, Set.of(), NOW + 100), containsInAnyOrder("e1-host", "e2-host"));
+        assertThat(view.hostsFor(EAST, Set.of(), NOW + 600), contains("e1-host"));
+    }
+
+    @Test
+    void requestsAreRelayedToVmsThatAreHeardThemselves() {
+        HeardMember heard = new HeardMember(vm("e2", EAST, 1, MemberState.READY), 100);
+        FleetReport report =
+                new FleetReport(
+                        vm("e1", EAST, 1, MemberState.READY),
+                        1,
+                        0,
+                        Map.of(),
+                        Map.of(),
+                        List.of(),
+                        List.of(heard));
+        view.receive(report, NOW);
+        assertThat(view.relays(EAST, NOW).size(), is(1));
+        assertThat(view.relays(EAST, NOW + 1_500).size(), is(2));
     }
 
     @Test
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantMeterTest.java
@@ -0,0 +1,77 @@
+package io.vanillapoint.core.grant;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import io.vanillapoint.core.fleet.CustomerSpend;
+import io.vanillapoint.core.published.CustomerSpec;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** One VM's copy of a customer's bucket. */
+class GrantMeterTest {
+    private static final double RATE = 10_000;
+
+    private final GrantMeter meter = new GrantMeter(new GrantTolerance(0));
+    private final CustomerSpec customer =
+            new CustomerSpec("c", Set.of("k"), OptionalInt.empty(), 200, RATE, RATE, Set.of());
+
+    @Test
+    void requestLargerThanTheBurstRunsAndIsPaidOff() {
+        meter.take(customer, 0, 1, 0);
+        assertThat(meter.take(customer, 25_000, 1, 1_000).admitted(), is(true));
+        assertThat(meter.take(customer, 1, 1, 2_000).admitted(), is(false));
+        assertThat(meter.take(customer, 1, 1, 2_600).admitted(), is(true));
+    }
+
+    @Test
+    void spendsOfOtherVmsCount() {
+        meter.take(customer, 0, 1, 0);
+        meter.spentElsewhere(List.of(new CustomerSpend("c", 20_000, 0, -10_000)), 1, 1_000);
+        assertThat(meter.take(customer, 1, 1, 1_000).admitted(), is(false));
+    }
+
+    @Test
+    void whatWasSetAsideForASilentVmIsNotChargedTwice() {
+        meter.take(customer, 0, 1, 0);
+        meter.spentElsewhere(List.of(new CustomerSpend("c", 5_000, 500, 1_000)), 0.5, 1_000);
+        assertThat(meter.take(customer, 1, 1, 1_000).admitted(), is(true));
+    }
+
+    @Test
+    void customerWithoutALimitIsNeverRefused() {
+        CustomerSpec free =
+                new CustomerSpec("f", Set.of("k"), OptionalInt.empty(), 200, 0, 0, Set.of());
+        assertThat(meter.take(free, 1_000_000_000, 1, 0).admitted(), is(true));
+    }
+
+    /** Callers of a customer at three times its rate come back when they are told to. */
+    @Test
+    void mostOfThoseWhoComeBackWhenToldAreServed() {
+        Random random = new Random(1);
+        PriorityQueue<Long> returns = new PriorityQueue<>();
+        int cameBack = 0;
+        int refusedAgain = 0;
+        for (long now = 0; now < 30_000; now += 10) {
+            while (!returns.isEmpty() && returns.peek() <= now) {
+                returns.poll();
+                cameBack++;
+                refusedAgain += meter.take(customer, 500, 1, now).admitted() ? 0 : 1;
+            }
+            if (now < 5_000 && random.nextInt(100) < 60) {
+                GrantVerdict verdict = meter.take(customer, 500, 1, now);
+                if (!verdict.admitted()) {
+                    returns.add(now + verdict.retryAfterMillis());
+                }
+            }
+        }
+        assertThat(cameBack, greaterThan(50));
+        assertThat(refusedAgain, lessThan(cameBack / 2));
+    }
+}
