Add an emulator with an experiment tool around the real decisions

Change: vanillapoint-emulator with engines, links, callers and troubles in virtual time; bin/lab compares policies over seeds; EmulationTest replays the loads that the rule answers beside plain rules.

--- /dev/null
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/Lab.java
@@ -0,0 +1,132 @@
+package io.vanillapoint.emulator;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.emulator.report.Comparison;
+import io.vanillapoint.emulator.report.KindResult;
+import io.vanillapoint.emulator.scenario.Scenario;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** Experiment tool: plays a scenario under several policies and compares what came of it. */
+public final class Lab {
+    private static final int EXIT_USAGE = 2;
+
+    @Option(name = "--seeds", metaVar = "N", usage = "runs of each policy (default 5)")
+    private int seeds = 5;
+
+    @Option(name = "--load", metaVar = "X", usage = "times the traffic of the file (default 1)")
+    private double load = 1;
+
+    @Option(
+            name = "--policy",
+            metaVar = "NAME",
+            usage = "a policy; repeat to compare (default all)")
+    private List<PlacementPolicy> policies = new ArrayList<>();
+
+    @Option(name = "--json", usage = "write JSON for scripts")
+    private boolean json;
+
+    @Argument(metaVar = "SCENARIO", required = true, usage = "YAML file, see examples/lab")
+    private String file;
+
+    private Lab() {}
+
+    /**
+     * Runs the tool.
+     *
+     * @param args flags and the scenario
+     */
+    public static void main(String[] args) {
+        System.exit(run(args, System.out, System.err));
+    }
+
+    static int run(String[] args, PrintStream out, PrintStream err) {
+        Lab lab = new Lab();
+        CmdLineParser parser = new CmdLineParser(lab);
+        try {
+            parser.parseArgument(args);
+            lab.play(out);
+            return 0;
+        } catch (CmdLineException e) {
+            err.println(e.getMessage());
+            parser.printUsage(err);
+        } catch (VanillapointException e) {
+            err.println(e.place() + ": " + e.getMessage());
+        }
+        return EXIT_USAGE;
+    }
+
+    private void play(PrintStream out) {
+        Scenario scenario = Scenario.read(Path.of(file)).withLoad(load);
+        List<PlacementPolicy> wanted =
+                policies.isEmpty() ? List.of(PlacementPolicy.values()) : policies;
+        List<Comparison> comparisons = new ArrayList<>();
+        for (PlacementPolicy policy : wanted) {
+            Comparison comparison = new Comparison(policy.name());
+            for (long seed = 1; seed <= seeds; seed++) {
+                comparison.add(new Emulation(scenario, policy, seed).run());
+            }
+            comparisons.add(comparison);
+        }
+        if (json) {
+            out.println(json(comparisons));
+        } else {
+            comparisons.forEach(comparison -> print(out, comparison));
+        }
+    }
+
+    private static ArrayNode json(List<Comparison> comparisons) {
+        ArrayNode root = new ObjectMapper().createArrayNode();
+        for (Comparison comparison : comparisons) {
+            ObjectNode node = root.addObject();
+            node.put("policy", comparison.policy());
+            node.put("worth_mean", comparison.meanWorth());
+            comparison.worth().forEach(node.putArray("worth")::add);
+            node.put("shared_kilotokens_read", comparison.sharedKiloTokens());
+            node.put("crossed_megabytes", comparison.crossedMegabytes());
+        }
+        return root;
+    }
+
+    private static void print(PrintStream out, Comparison comparison) {
+        List<Double> worth = comparison.worth();
+        out.printf(
+                Locale.ROOT,
+                "%-18s worth %.3f (%.3f to %.3f)  shared tokens read %.0f k  sent away %.1f MB%n",
+                comparison.policy(),
+                comparison.meanWorth(),
+                worth.get(0),
+                worth.get(worth.size() - 1),
+                comparison.sharedKiloTokens(),
+                comparison.crossedMegabytes());
+        comparison.first().kinds().forEach((name, result) -> row(out, name, result));
+        for (Map.Entry<String, KindResult> region : comparison.first().regions().entrySet()) {
+            row(out, region.getKey(), region.getValue());
+        }
+    }
+
+    private static void row(PrintStream out, String name, KindResult result) {
+        long[] counts = result.counts();
+        out.printf(
+                Locale.ROOT,
+                "  %-16s asked %6d  in time %6d  late %5d  refused %5d  failed %5d  worth %.3f%n",
+                name,
+                counts[0],
+                counts[1],
+                counts[2],
+                counts[3],
+                counts[4],
+                result.worth());
+    }
+}
--- /dev/null
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/PlacementPolicy.java
@@ -0,0 +1,74 @@
+package io.vanillapoint.emulator;
+
+import io.vanillapoint.core.hash.Rendezvous;
+import io.vanillapoint.core.upstream.Placement;
+import io.vanillapoint.core.upstream.PlacementQuery;
+import io.vanillapoint.core.upstream.RefusalReason;
+import io.vanillapoint.core.upstream.ReplicaTracker;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** Rules to compare: the product's own and plain ones. Immutable. */
+public enum PlacementPolicy {
+    /** The product's rule. */
+    LEAST_LOSS {
+        @Override
+        Placement choose(VmModel vm, PlacementQuery query, long nowMillis) {
+            return vm.chooser().choose(query, nowMillis);
+        }
+    },
+    /** The replica of the region with the fewest requests of this VM. */
+    LEAST_OUTSTANDING {
+        @Override
+        Placement choose(VmModel vm, PlacementQuery query, long nowMillis) {
+            return here(
+                    query,
+                    serving(vm, query, nowMillis).stream()
+                            .min(Comparator.comparingInt(replica -> replica.use().requests())));
+        }
+    },
+    /** The session's replica by rendezvous hashing, however busy it is. */
+    AFFINITY {
+        @Override
+        Placement choose(VmModel vm, PlacementQuery query, long nowMillis) {
+            String key = query.prompt().orElseThrow().affinityKey();
+            return here(
+                    query,
+                    Rendezvous.pick(
+                            key, serving(vm, query, nowMillis), replica -> replica.info().id()));
+        }
+    },
+    /** Any replica of the region. */
+    RANDOM {
+        @Override
+        Placement choose(VmModel vm, PlacementQuery query, long nowMillis) {
+            List<ReplicaTracker> serving = serving(vm, query, nowMillis);
+            if (serving.isEmpty()) {
+                return here(query, Optional.empty());
+            }
+            return here(query, Optional.of(serving.get(vm.random().nextInt(serving.size()))));
+        }
+    };
+
+    private static final long RETRY_AFTER_MILLIS = 400;
+
+    abstract Placement choose(VmModel vm, PlacementQuery query, long nowMillis);
+
+    private static List<ReplicaTracker> serving(VmModel vm, PlacementQuery query, long nowMillis) {
+        return vm.pool().serving(query.service().name(), nowMillis).stream()
+                .filter(replica -> replica.region().equals(vm.region()))
+                .filter(replica -> !query.tried().contains(replica.info().id()))
+                .toList();
+    }
+
+    private static Placement here(PlacementQuery query, Optional<ReplicaTracker> replica) {
+        if (replica.isEmpty()) {
+            return new Placement.Refuse(RefusalReason.NO_REPLICA, RETRY_AFTER_MILLIS);
+        }
+        long uncached =
+                query.prompt().orElseThrow().promptTokens()
+                        - replica.get().cached().cachedTokens(query.prompt().get());
+        return new Placement.Local(replica.get(), Math.max(0, uncached), 0, Optional.empty());
+    }
+}
--- /dev/null
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
@@ -0,0 +1,82 @@
+package io.vanillapoint.emulator;
+
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.fleet.FleetReport;
+import io.vanillapoint.core.fleet.FleetTiming;
+import io.vanillapoint.core.fleet.FleetView;
+import io.vanillapoint.core.fleet.HeartbeatPlan;
+import io.vanillapoint.core.fleet.MemberInfo;
+import io.vanillapoint.core.fleet.MemberState;
+import io.vanillapoint.core.prompt.SessionLocations;
+import io.vanillapoint.core.upstream.PlacementWeights;
+import io.vanillapoint.core.upstream.ReplicaChooser;
+import io.vanillapoint.core.upstream.UpstreamPool;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/** An entry VM: the real decisions with nothing around them. Confined to one thread. */
+final class VmModel {
+    private static final int SMALLEST_FLEET = 2;
+
+    private final String name;
+    private final RegionId region;
+    private final FleetView view;
+    private final UpstreamPool pool;
+    private final SessionLocations sessions = new SessionLocations();
+    private final ReplicaChooser chooser;
+    private final HeartbeatPlan plan = new HeartbeatPlan(FleetTiming.DEFAULT);
+    private final Random random;
+
+    VmModel(String name, RegionId region, ZoneId zone, Map<ZoneId, RegionId> zones, Random random) {
+        this.name = name;
+        this.region = region;
+        this.random = random;
+        MemberInfo self = new MemberInfo(name, name, region, zone, 1, MemberState.READY);
+        view = new FleetView(self, FleetTiming.DEFAULT, SMALLEST_FLEET);
+        pool = new UpstreamPool(zones);
+        chooser = new ReplicaChooser(pool, view, PlacementWeights.DEFAULT, sessions);
+    }
+
+    String name() {
+        return name;
+    }
+
+    RegionId region() {
+        return region;
+    }
+
+    FleetView view() {
+        return view;
+    }
+
+    UpstreamPool pool() {
+        return pool;
+    }
+
+    SessionLocations sessions() {
+        return sessions;
+    }
+
+    ReplicaChooser chooser() {
+        return chooser;
+    }
+
+    Random random() {
+        return random;
+    }
+
+    List<String> heartbeatTargets(long now) {
+        return plan.next(view, now);
+    }
+
+    FleetReport report(long now) {
+        return view.report(now, 0, Map.of(), pool.uses(), sessions.report(now));
+    }
+
+    void hear(FleetReport report, long now) {
+        view.receive(report, now);
+        sessions.heard(report.reads(), now);
+    }
+}
--- /dev/null
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Model of a batching engine. */
+package io.vanillapoint.emulator.engine;
--- /dev/null
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/package-info.java
@@ -0,0 +1,2 @@
+/** Engines, links and callers in virtual time around the real decisions. */
+package io.vanillapoint.emulator;
--- /dev/null
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/report/Comparison.java
@@ -0,0 +1,90 @@
+package io.vanillapoint.emulator.report;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+/** Results of one policy over many seeds. Confined to one thread. */
+public final class Comparison {
+    private static final double PER_THOUSAND = 1_000;
+    private static final double PER_MILLION = 1_000_000;
+
+    private final String policy;
+    private final List<RunResult> runs = new ArrayList<>();
+
+    /**
+     * Creates an empty collection.
+     *
+     * @param policy name for tables
+     */
+    public Comparison(String policy) {
+        this.policy = policy;
+    }
+
+    /**
+     * Adds a run.
+     *
+     * @param run what came of it
+     */
+    public void add(RunResult run) {
+        runs.add(run);
+    }
+
+    /**
+     * Name of the policy.
+     *
+     * @return name
+     */
+    public String policy() {
+        return policy;
+    }
+
+    /**
+     * Worth of all runs.
+     *
+     * @return sorted list, the worst first
+     */
+    public List<Double> worth() {
+        List<Double> worth = new ArrayList<>();
+        runs.forEach(run -> worth.add(run.all().worth()));
+        Collections.sort(worth);
+        return worth;
+    }
+
+    /**
+     * Mean worth.
+     *
+     * @return from 0 to 1
+     */
+    public double meanWorth() {
+        return worth().stream().mapToDouble(Double::doubleValue).average().orElse(0);
+    }
+
+    /**
+     * Mean of shared prompt tokens that engines have read in a run.
+     *
+     * @return thousands of tokens
+     */
+    public double sharedKiloTokens() {
+        return runs.stream().mapToLong(RunResult::readAgainTokens).average().orElse(0)
+                / PER_THOUSAND;
+    }
+
+    /**
+     * Mean of bytes sent to other regions in a run.
+     *
+     * @return megabytes
+     */
+    public double crossedMegabytes() {
+        return runs.stream().mapToLong(RunResult::crossedBytes).average().orElse(0) / PER_MILLION;
+    }
+
+    /**
+     * Results of the first run, for a table by kind and region.
+     *
+     * @return the run
+     */
+    public RunResult first() {
+        return runs.get(0);
+    }
+}
--- /dev/null
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/report/package-info.java
@@ -0,0 +1,2 @@
+/** What came of a run. */
+package io.vanillapoint.emulator.report;
--- /dev/null
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/scenario/Scenario.java
@@ -0,0 +1,85 @@
+package io.vanillapoint.emulator.scenario;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * A deployment with its traffic and troubles. Immutable.
+ *
+ * @param name name for tables
+ * @param seconds length of the run
+ * @param regionDelayMillis one way between regions
+ * @param engine figures of all engines
+ * @param regions regions
+ * @param kinds kinds of requests
+ * @param troubles what goes wrong
+ */
+public record Scenario(
+        String name,
+        double seconds,
+        double regionDelayMillis,
+        EngineFigures engine,
+        List<RegionFigures> regions,
+        List<RequestKind> kinds,
+        List<Trouble> troubles) {
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper(new YAMLFactory())
+                    .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
+                    .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+
+    /** Copies the lists. */
+    public Scenario {
+        regions = List.copyOf(regions);
+        kinds = List.copyOf(kinds);
+        troubles = List.copyOf(troubles);
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @param file path of a YAML file
+     * @return the scenario
+     * @throws VanillapointException with the place of the first fault
+     */
+    public static Scenario read(Path file) {
+        try {
+            return MAPPER.readValue(Files.readString(file), Scenario.class);
+        } catch (JsonProcessingException e) {
+            String line = e.getLocation() == null ? "" : ":" + e.getLocation().getLineNr();
+            throw new VanillapointException(
+                    ErrorCode.INVALID_SETTINGS, file + line, e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new VanillapointException(
+                    ErrorCode.INVALID_SETTINGS, file.toString(), "can't be read: " + e);
+        }
+    }
+
+    /**
+     * The same scenario with more or less traffic.
+     *
+     * @param factor times the traffic
+     * @return a copy
+     */
+    public Scenario withLoad(double factor) {
+        List<RegionFigures> scaled =
+                regions.stream()
+                        .map(
+                                region ->
+                                        new RegionFigures(
+                                                region.name(),
+                                                region.vms(),
+                                                region.engines(),
+                                                region.requestsPerSecond() * factor,
+                                                region.shape()))
+                        .toList();
+        return new Scenario(name, seconds, regionDelayMillis, engine, scaled, kinds, troubles);
+    }
+}
--- /dev/null
+++ b/vanillapoint-emulator/src/test/java/io/vanillapoint/emulator/EmulationTest.java
@@ -0,0 +1,96 @@
+package io.vanillapoint.emulator;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.emulator.report.Comparison;
+import io.vanillapoint.emulator.scenario.Scenario;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The product's placement replayed under the loads that it answers, beside plain rules. */
+class EmulationTest {
+    private static final Path LAB = Path.of("..", "examples", "lab");
+    private static final int SEEDS = 5;
+
+    /** What operators ask for on a day without trouble. */
+    private static final double QUIET_WORTH = 0.95;
+
+    @TempDir private Path folder;
+
+    @Test
+    void peakHoursThatPassFromRegionToRegionAreServedInTime() {
+        Scenario scenario = Scenario.read(LAB.resolve("utility.yaml"));
+        Comparison product = compare(scenario, PlacementPolicy.LEAST_LOSS);
+        Comparison affinity = compare(scenario, PlacementPolicy.AFFINITY);
+        Comparison outstanding = compare(scenario, PlacementPolicy.LEAST_OUTSTANDING);
+        assertThat(product.worth().get(0), greaterThan(QUIET_WORTH));
+        assertThat(product.meanWorth(), greaterThan(affinity.meanWorth()));
+        assertThat(product.meanWorth(), greaterThan(outstanding.meanWorth()));
+        assertThat(product.sharedKiloTokens(), lessThan(affinity.sharedKiloTokens()));
+    }
+
+    @Test
+    void crashesEvacuationsCutsAndBurstsCostLessThanWithPlainRules() {
+        Scenario scenario = Scenario.read(LAB.resolve("utility-troubled.yaml"));
+        Comparison product = compare(scenario, PlacementPolicy.LEAST_LOSS);
+        for (PlacementPolicy plain : PlacementPolicy.values()) {
+            if (plain != PlacementPolicy.LEAST_LOSS) {
+                assertThat(
+                        product.worth().get(0), greaterThan(compare(scenario, plain).meanWorth()));
+            }
+        }
+    }
+
+    @Test
+    void sameSeedGivesTheSameRun() {
+        Scenario scenario = Scenario.read(LAB.resolve("utility-troubled.yaml"));
+        double first = new Emulation(scenario, PlacementPolicy.LEAST_LOSS, 7).run().all().worth();
+        double second = new Emulation(scenario, PlacementPolicy.LEAST_LOSS, 7).run().all().worth();
+        assertThat(second, is(first));
+    }
+
+    @Test
+    void overloadIsRefusedRatherThanServedLate() {
+        Scenario scenario = Scenario.read(LAB.resolve("utility.yaml")).withLoad(3);
+        Comparison product = compare(scenario, PlacementPolicy.LEAST_LOSS);
+        long[] counts = product.first().all().counts();
+        assertThat("refused before they fail", counts[3], greaterThan(counts[4]));
+    }
+
+    @Test
+    void faultOfAScenarioIsToldWithItsPlace() throws IOException {
+        Path file = folder.resolve("bad.yaml");
+        Files.writeString(file, "name: x\nseconds: soon\n");
+        VanillapointException refused =
+                assertThrows(VanillapointException.class, () -> Scenario.read(file));
+        assertThat(refused.place(), containsString("bad.yaml:2"));
+    }
+
+    @Test
+    void toolComparesPoliciesAsJson() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        String file = LAB.resolve("utility.yaml").toString();
+        String[] args = {"--seeds", "1", "--load", "0.3", "--json", "--policy", "AFFINITY", file};
+        assertThat(Lab.run(args, new PrintStream(out), System.err), is(0));
+        assertThat(out.toString(), containsString("\"policy\":\"AFFINITY\""));
+    }
+
+    private static Comparison compare(Scenario scenario, PlacementPolicy policy) {
+        Comparison comparison = new Comparison(policy.name());
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            comparison.add(new Emulation(scenario, policy, seed).run());
+        }
+        return comparison;
+    }
+}
