Let a directory that has just started wait until it has heard of the others

The homes of a host were also lost where two routes of it share none. Ruled out: relays (all went to homes). Change: no directory answers for 0.7 s after the start or without a configuration; homes are those of most of the host's routes; directory answers are logged.

--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -96,6 +96,8 @@
     MEMBER_CHANGED(2201, EventLevel.INFO, "member", "member", "state", "incarnation"),
     /** A VM has fallen silent and is not named to callers. */
     MEMBER_SUSPECTED(2202, EventLevel.WARN, "member suspected", "member", "silent_ms"),
+    /** A caller was told which VMs to use. */
+    DIRECTORY_ANSWERED(2203, EventLevel.INFO, "directory", "host", "region", "homes", "vms"),
     /** A request was admitted. */
     ADMITTED(
             2301,
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/published/GatewayPublication.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/published/GatewayPublication.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -112,21 +111,23 @@
     }
 
     /**
-     * Regions in which every request for a host may be processed.
+     * Regions in which most routes of a host may be processed.
      *
      * @param host value of the Host header
-     * @return the homes that all its routes with homes share, empty if there are none
+     * @return the regions that the most of its routes with homes share, empty if there are none
      */
     public Set<RegionId> homes(String host) {
-        Set<RegionId> shared = null;
+        Map<RegionId, Integer> counts = new HashMap<>();
+        int most = 0;
         for (RouteSpec route :
                 routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of())) {
-            if (!route.homes().isEmpty()) {
-                shared = shared == null ? new HashSet<>(route.homes()) : shared;
-                shared.retainAll(route.homes());
+            for (RegionId home : route.homes()) {
+                most = Math.max(most, counts.merge(home, 1, Integer::sum));
             }
         }
-        return shared == null ? Set.of() : shared;
+        int shared = most;
+        counts.values().removeIf(count -> count < shared);
+        return Set.copyOf(counts.keySet());
     }
 
     /**
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -84,6 +84,7 @@
     private final CallerHandler callers;
     private final RelayHandler relays;
     private final Promise<Void> stopped = Promise.promise();
+    private long startedAtMillis;
     private boolean refusing;
 
     /**
@@ -158,6 +159,7 @@
         Promise<Void> started = Promise.promise();
         vertx.runOnContext(
                 nothing -> {
+                    startedAtMillis = clock.getAsLong();
                     MemberInfo self = fleet.self();
                     log.record(
                             EventCode.ENTRY_STARTED,
@@ -250,10 +252,16 @@
                 fleet.hostsFor(directory.region(), homes, now).stream()
                         .map(host -> new Endpoint(host, settings.callers().port()).toString())
                         .toList();
-        if (addresses.isEmpty()) {
+        if (addresses.isEmpty() || !settled(now)) {
             answer(request, UNAVAILABLE, Buffer.buffer());
             return;
         }
+        log.record(
+                EventCode.DIRECTORY_ANSWERED,
+                directory.host(),
+                directory.region(),
+                homes,
+                addresses);
         request.response().putHeader(HttpHeaders.CONTENT_TYPE, "application/json");
         answer(request, OK, platform.entry().directory(addresses, tuning.directorySeconds()));
     }
@@ -314,6 +322,15 @@
         control.announce();
     }
 
+    /**
+     * A VM that has just started may know one VM of another region only and would send all callers
+     * there; callers ask the next directory instead.
+     */
+    private boolean settled(long now) {
+        boolean knowsConfiguration = board.publication().isPresent();
+        return knowsConfiguration && now - startedAtMillis >= tuning.hearMillis();
+    }
+
     private boolean ready() {
         return fleet.self().state().takesRequests();
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryTuning.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryTuning.java
@@ -4,6 +4,8 @@
  * Times of an entry VM's life cycle. Immutable.
  *
  * @param directorySeconds how long callers may keep a directory answer, in seconds
+ * @param hearMillis time after the start in which heartbeats of all VMs arrive; the directory waits
+ *     for it
  * @param settleMillis time after the order to stop in which callers may still come, since they keep
  *     directory answers
  * @param acceptMillis time after the order to stop from which new requests are refused
@@ -12,10 +14,11 @@
  */
 public record EntryTuning(
         int directorySeconds,
+        long hearMillis,
         long settleMillis,
         long acceptMillis,
         long reserveMillis,
         long flushMillis) {
     /** For platforms that give eight seconds to stop. */
-    public static final EntryTuning DEFAULT = new EntryTuning(1, 2_000, 2_800, 250, 100);
+    public static final EntryTuning DEFAULT = new EntryTuning(1, 700, 2_000, 2_800, 250, 100);
 }
