Keep the sum of other VMs' load up to date instead of adding it up for each request

Cause: a choice among 63 replicas visited each of 76 VMs for each replica. Change: the sum changes with each heartbeat and silence; counts of near VMs are kept; the names of the region's VMs are sorted only for cold replicas. Test: sumOfWhatOtherVmsHaveOutstandingIsThatOfTheVmsHeard.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -24,7 +24,14 @@
     private final FleetTiming timing;
     private final int smallestFleet;
     private final Map<String, Member> members = new HashMap<>();
+
+    /**
+     * Sum over all VMs that are heard, kept up to date so that a request need not visit each VM.
+     */
+    private final Map<String, UpstreamUse> elsewhere = new HashMap<>();
+
     private MemberInfo self;
+    private int nearMembers;
     private long sequence;
 
     /**
@@ -107,7 +114,8 @@
         if (member == null) {
             member = new Member(report.self(), nowMillis);
             members.put(report.self().vm(), member);
-            member.take(report, nowMillis);
+            countNear();
+            takeReport(member, report, nowMillis);
             return List.of();
         }
         if (member.outdates(report)) {
@@ -117,7 +125,7 @@
         Map<String, CustomerUse> before = restarted ? Map.of() : member.customers();
         long silentMillis = hears(member, nowMillis) ? 0 : nowMillis - member.directAtMillis();
         double setAside = (double) silentMillis / knownVms();
-        member.take(report, nowMillis);
+        takeReport(member, report, nowMillis);
         return spends(before, report.customers(), setAside);
     }
 
@@ -127,6 +135,12 @@
      * @param nowMillis steady time
      */
     public void prune(long nowMillis) {
+        for (Member member : members.values()) {
+            if (!alive(member, nowMillis) || member.info().state() == MemberState.GONE) {
+                member.counted().forEach((upstream, use) -> add(upstream, use, -1));
+                member.counted(Map.of());
+            }
+        }
         members.values()
                 .removeIf(
                         member -> {
@@ -135,6 +149,7 @@
                             return silent > timing.forgetMillis()
                                     || (ended && silent > timing.suspectMillis());
                         });
+        countNear();
     }
 
     /**
@@ -248,18 +263,10 @@
      * What all other VMs have outstanding at an upstream. Silent VMs no longer count.
      *
      * @param upstream id of the upstream
-     * @param nowMillis steady time
      * @return the sum
      */
-    public UpstreamUse useElsewhere(String upstream, long nowMillis) {
-        UpstreamUse sum = UpstreamUse.NONE;
-        for (Member member : members.values()) {
-            UpstreamUse use = member.upstreams().get(upstream);
-            if (use != null && alive(member, nowMillis)) {
-                sum = sum.plus(use);
-            }
-        }
-        return sum;
+    public UpstreamUse useElsewhere(String upstream) {
+        return elsewhere.getOrDefault(upstream, UpstreamUse.NONE);
     }
 
     /**
@@ -288,13 +295,13 @@
 
     /** Rounds in which a VM sends to this one once. */
     private int rounds(Member member) {
-        int others = 0;
-        for (Member other : members.values()) {
-            others += near(other) == near(member) ? 1 : 0;
-        }
         return near(member)
-                ? HeartbeatPlan.regionRounds(others)
-                : HeartbeatPlan.otherRounds(others);
+                ? HeartbeatPlan.regionRounds(nearMembers)
+                : HeartbeatPlan.otherRounds(members.size() - nearMembers);
+    }
+
+    private void countNear() {
+        nearMembers = (int) members.values().stream().filter(this::near).count();
     }
 
     private boolean near(Member member) {
@@ -311,6 +318,21 @@
         return Math.max(known, smallestFleet);
     }
 
+    private void takeReport(Member member, FleetReport report, long nowMillis) {
+        member.counted().forEach((upstream, use) -> add(upstream, use, -1));
+        member.take(report, nowMillis);
+        member.counted(report.upstreams());
+        member.counted().forEach((upstream, use) -> add(upstream, use, 1));
+    }
+
+    private void add(String upstream, UpstreamUse use, int sign) {
+        UpstreamUse signed = new UpstreamUse(sign * use.requests(), sign * use.promptTokens());
+        UpstreamUse sum = elsewhere.merge(upstream, signed, UpstreamUse::plus);
+        if (sum.requests() == 0 && sum.promptTokens() == 0) {
+            elsewhere.remove(upstream);
+        }
+    }
+
     private void hear(HeardMember heard, long nowMillis) {
         MemberInfo info = heard.info();
         if (info.vm().equals(self.vm()) || heard.ageMillis() > timing.forgetMillis()) {
@@ -322,6 +344,7 @@
         }
         if (known == null) {
             members.put(info.vm(), new Member(info, nowMillis - heard.ageMillis()));
+            countNear();
         } else {
             known.hear(heard, nowMillis);
         }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
@@ -16,7 +16,7 @@
     private long avoidUntilMillis = Long.MIN_VALUE;
     private long publishedRevision;
     private Map<String, CustomerUse> customers = Map.of();
-    private Map<String, UpstreamUse> upstreams = Map.of();
+    private Map<String, UpstreamUse> counted = Map.of();
 
     Member(MemberInfo info, long heardAtMillis) {
         this.info = info;
@@ -41,13 +41,13 @@
         return publishedRevision;
     }
 
-    /**
-     * What the VM has outstanding at upstreams, by upstream id.
-     *
-     * @return immutable map
-     */
-    public Map<String, UpstreamUse> upstreams() {
-        return upstreams;
+    /** What the VM has outstanding at upstreams and is part of the sum over all VMs. */
+    Map<String, UpstreamUse> counted() {
+        return counted;
+    }
+
+    void counted(Map<String, UpstreamUse> uses) {
+        counted = uses;
     }
 
     /**
@@ -91,7 +91,6 @@
         sequence = report.sequence();
         publishedRevision = report.publishedRevision();
         customers = report.customers();
-        upstreams = report.upstreams();
         heardAtMillis = nowMillis;
         directAtMillis = nowMillis;
     }
@@ -105,7 +104,6 @@
             info = heard.info();
             sequence = -1;
             customers = Map.of();
-            upstreams = Map.of();
             heardAtMillis = at;
         } else if (at > heardAtMillis) {
             boolean later = heard.info().state().ordinal() > info.state().ordinal();
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /**
  * Chooses the replica, or the other region, that loses the least of a request's worth: by being
@@ -108,7 +109,9 @@
     public Placement choose(PlacementQuery query, long nowMillis) {
         Scored best = null;
         boolean published = false;
-        List<String> regionVms = fleet.regionVms();
+        Supplier<List<String>> regionVms = fleet::regionVms;
+        List<String> holders =
+                query.prompt().map(prompt -> sessions.holders(prompt, nowMillis)).orElse(List.of());
         Map<RegionId, String> preferred = new HashMap<>();
         Set<RegionId> relayRegions = new HashSet<>();
         for (ReplicaTracker tracker : pool.serving(query.service().name(), nowMillis)) {
@@ -130,7 +133,7 @@
             if (!usable || query.tried().contains(tracker.info().id())) {
                 continue;
             }
-            Scored scored = score(tracker, local, query, preferred, nowMillis);
+            Scored scored = score(tracker, local, query, preferred, holders, nowMillis);
             if (best == null || scored.loss < best.loss) {
                 best = scored;
             }
@@ -162,11 +165,12 @@
             boolean local,
             PlacementQuery query,
             Map<RegionId, String> preferred,
+            List<String> holders,
             long nowMillis) {
-        UpstreamUse use = tracker.use().plus(fleet.useElsewhere(tracker.info().id(), nowMillis));
+        UpstreamUse use = tracker.use().plus(fleet.useElsewhere(tracker.info().id()));
         Scored scored = new Scored(tracker, local);
         if (query.prompt().isPresent()) {
-            scoreEngine(scored, query, query.prompt().get(), use, preferred, nowMillis);
+            scoreEngine(scored, query, use, preferred, holders, nowMillis);
         } else {
             int queued = Math.max(0, use.requests() + 1 - Math.max(1, tracker.info().slots()));
             double waiting = (double) queued / Math.max(1, tracker.info().slots());
@@ -188,14 +192,15 @@
     private void scoreEngine(
             Scored scored,
             PlacementQuery query,
-            PromptShape prompt,
             UpstreamUse use,
             Map<RegionId, String> preferred,
+            List<String> holders,
             long nowMillis) {
+        PromptShape prompt = query.prompt().orElseThrow();
         ReplicaTracker tracker = scored.tracker;
         long shared = prompt.sharedTokens();
         long held = tracker.cached().cachedTokens(prompt);
-        if (sessions.holders(prompt, nowMillis).contains(tracker.info().id())) {
+        if (holders.contains(tracker.info().id())) {
             held = Math.max(held, shared);
         } else if (isPreferred(tracker, query, preferred, nowMillis)) {
             double holds = scored.local ? PREFERRED_HOLDS : REMOTE_PREFERRED_HOLDS;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /**
  * All replicas that are published, by service, and which of them may get a request now.
@@ -159,7 +160,7 @@
      * @param tracker a serving replica
      * @param service its service
      * @param self name of this VM
-     * @param regionVms names of the VMs of the region
+     * @param regionVms names of the VMs of the region, asked for only if the replica is cold
      * @param nowMillis steady time
      * @return false if it is cold and this VM's part of its rate is used up, or if it was
      *     unreachable just now
@@ -168,7 +169,7 @@
             ReplicaTracker tracker,
             ServiceSpec service,
             String self,
-            List<String> regionVms,
+            Supplier<List<String>> regionVms,
             long nowMillis) {
         if (tracker.ejected(nowMillis)) {
             return false;
@@ -176,7 +177,7 @@
         if (!tracker.cold(nowMillis) || service.coldPerSecond() <= 0) {
             return true;
         }
-        List<String> owners = Rendezvous.rank(tracker.info().id(), regionVms, name -> name);
+        List<String> owners = Rendezvous.rank(tracker.info().id(), regionVms.get(), name -> name);
         int count = Math.min(COLD_OWNERS, owners.size());
         return owners.subList(0, count).contains(self)
                 && tracker.coldGateOpen(service.coldPerSecond() / COLD_OWNERS, nowMillis);
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
@@ -9,11 +9,15 @@
 
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.api.model.ZoneId;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Membership from heartbeats alone. */
 class FleetViewTest {
@@ -146,6 +150,41 @@
         assertThat(view.relays(EAST, NOW + 2_100).size(), is(1));
     }
 
+    /** Random reports, silences and restarts against a sum over all VMs that is made anew. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void sumOfWhatOtherVmsHaveOutstandingIsThatOfTheVmsHeard(long seed) {
+        Random random = new Random(seed);
+        Map<String, FleetReport> last = new HashMap<>();
+        Map<String, Long> heardAt = new HashMap<>();
+        for (long now = 0; now < 60_000; now += 100) {
+            String name = "w" + (2 + random.nextInt(4));
+            if (random.nextInt(3) > 0 && now / 5_000 % 2 == name.hashCode() % 2) {
+                UpstreamUse use = new UpstreamUse(random.nextInt(9), random.nextInt(900));
+                FleetReport report =
+                        new FleetReport(
+                                vm(name, WEST, 1 + now / 20_000, MemberState.READY),
+                                now,
+                                0,
+                                Map.of(),
+                                Map.of("u" + random.nextInt(2), use),
+                                List.of(),
+                                List.of());
+                view.receive(report, now);
+                last.put(name, report);
+                heardAt.put(name, now);
+            }
+            view.prune(now);
+            UpstreamUse expected = UpstreamUse.NONE;
+            for (Map.Entry<String, FleetReport> report : last.entrySet()) {
+                boolean heard = now - heardAt.get(report.getKey()) <= 2_000;
+                UpstreamUse use = report.getValue().upstreams().get("u0");
+                expected = heard && use != null ? expected.plus(use) : expected;
+            }
+            assertThat(view.useElsewhere("u0"), is(expected));
+        }
+    }
+
     @Test
     void vmThatHasJustStartedAssumesTheSmallestFleet() {
         FleetView alone =
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ColdFleetTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ColdFleetTest.java
@@ -52,7 +52,7 @@
             }
             UpstreamPool pool = pools.get(vm);
             ReplicaTracker replica = pool.replica("cold").orElseThrow();
-            if (pool.takes(replica, SERVICE, names.get(vm), names, now)) {
+            if (pool.takes(replica, SERVICE, names.get(vm), () -> names, now)) {
                 replica.dispatched(0, null, now);
                 sent++;
                 second.addLast(now);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -569,7 +569,7 @@
             this.tracker = tracker;
             this.uncachedTokens = uncachedTokens;
             this.sentAtMillis = nowMillis;
-            UpstreamUse elsewhere = context.fleet().useElsewhere(tracker.info().id(), nowMillis);
+            UpstreamUse elsewhere = context.fleet().useElsewhere(tracker.info().id());
             this.tokensAhead = tracker.use().plus(elsewhere).promptTokens() + uncachedTokens;
             PromptShape prompt = plan.envelope().prompt().orElse(null);
             tracker.dispatched(uncachedTokens, prompt, nowMillis);
