--- /dev/null
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
@@ -0,0 +1,158 @@
+package io.vanillapoint.entry;
+
+import io.vanillapoint.api.event.EventCode;
+import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.entry.control.EntryControl;
+import io.vanillapoint.entry.control.EntryTuning;
+import io.vanillapoint.entry.control.PublicationBoard;
+import io.vanillapoint.entry.port.EntryFormat;
+import io.vanillapoint.entry.port.EntryQuestion;
+import io.vanillapoint.entry.relay.RelayHandler;
+import io.vanillapoint.entry.settings.EntrySettings;
+import io.vanillapoint.entry.traffic.CallerHandler;
+import io.vanillapoint.entry.traffic.EntryContext;
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Listeners of an entry VM: callers, the platform's questions, other VMs, metrics.
+ *
+ * <p>Invariant: the directory answers only when the VM has had time to hear of all others. Confined
+ * to one event loop.
+ */
+final class EntryListeners {
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int UNAVAILABLE = 503;
+
+    /** Larger than the largest head that operators allow by default, so that they decide. */
+    private static final int MAX_HEADER_BYTES = 32 * 1_024;
+
+    private final EntryContext context;
+    private final EntrySettings settings;
+    private final EntryFormat format;
+    private final EntryTuning tuning;
+    private final PublicationBoard board;
+    private final EntryControl control;
+    private final CallerHandler callers;
+    private final RelayHandler relays;
+    private long startedAtMillis;
+
+    EntryListeners(
+            EntryContext context,
+            EntrySettings settings,
+            EntryFormat format,
+            EntryTuning tuning,
+            PublicationBoard board,
+            EntryControl control,
+            CallerHandler callers,
+            RelayHandler relays) {
+        this.context = context;
+        this.settings = settings;
+        this.format = format;
+        this.tuning = tuning;
+        this.board = board;
+        this.control = control;
+        this.callers = callers;
+        this.relays = relays;
+    }
+
+    /** Opens all listeners. */
+    Future<Void> start() {
+        startedAtMillis = context.clock().getAsLong();
+        List<Future<?>> listening = new ArrayList<>();
+        listening.add(serve(settings.callers(), callers::handle));
+        settings.readiness()
+                .filter(endpoint -> !endpoint.equals(settings.callers()))
+                .ifPresent(endpoint -> listening.add(serve(endpoint, this::question)));
+        settings.directory()
+                .filter(endpoint -> !endpoint.equals(settings.readiness().orElse(null)))
+                .ifPresent(endpoint -> listening.add(serve(endpoint, this::question)));
+        listening.add(serve(new Endpoint(settings.host(), settings.peerPort()), this::peerRequest));
+        listening.add(
+                serve(
+                        new Endpoint(settings.host(), settings.metricsPort()),
+                        request -> answer(request, OK, Buffer.buffer(context.metrics().text()))));
+        return Future.all(listening).mapEmpty();
+    }
+
+    private Future<?> serve(Endpoint endpoint, Handler<HttpServerRequest> handler) {
+        HttpServerOptions options =
+                new HttpServerOptions()
+                        .setHost(endpoint.host())
+                        .setPort(endpoint.port())
+                        .setTcpNoDelay(true)
+                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                        .setHandle100ContinueAutomatically(true);
+        return context.vertx().createHttpServer(options).requestHandler(handler).listen();
+    }
+
+    private void question(HttpServerRequest request) {
+        EntryQuestion question = format.question(request.path(), request.params());
+        if (question instanceof EntryQuestion.Readiness) {
+            answer(request, ready() ? OK : UNAVAILABLE, Buffer.buffer());
+        } else if (question instanceof EntryQuestion.Directory directory) {
+            directory(request, directory);
+        } else {
+            answer(request, NOT_FOUND, Buffer.buffer());
+        }
+    }
+
+    private void directory(HttpServerRequest request, EntryQuestion.Directory directory) {
+        long now = context.clock().getAsLong();
+        Set<RegionId> homes =
+                board.publication().map(known -> known.homes(directory.host())).orElse(Set.of());
+        List<String> addresses =
+                context.fleet().hostsFor(directory.region(), homes, now).stream()
+                        .map(host -> new Endpoint(host, settings.callers().port()).toString())
+                        .toList();
+        if (addresses.isEmpty() || !settled(now)) {
+            answer(request, UNAVAILABLE, Buffer.buffer());
+            return;
+        }
+        context.log()
+                .record(
+                        EventCode.DIRECTORY_ANSWERED,
+                        directory.host(),
+                        directory.region(),
+                        homes,
+                        addresses);
+        request.response().putHeader(HttpHeaders.CONTENT_TYPE, "application/json");
+        answer(request, OK, format.directory(addresses, tuning.directorySeconds()));
+    }
+
+    private void peerRequest(HttpServerRequest request) {
+        if (request.path().equals(RelayHandler.path())) {
+            relays.handle(request);
+        } else if (request.path().equals(EntryControl.publishedPath())) {
+            answer(request, OK, control.published(request.getParam("after")));
+        } else {
+            answer(request, NOT_FOUND, Buffer.buffer());
+        }
+    }
+
+    private static void answer(HttpServerRequest request, int status, Buffer body) {
+        request.response().setStatusCode(status).end(body);
+    }
+
+    /**
+     * A VM that has just started may know one VM of another region only and would send all callers
+     * there; callers ask the next directory instead.
+     */
+    private boolean settled(long now) {
+        boolean knowsConfiguration = board.publication().isPresent();
+        return knowsConfiguration && now - startedAtMillis >= tuning.hearMillis();
+    }
+
+    private boolean ready() {
+        return context.fleet().self().state().takesRequests();
+    }
+}
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -1,8 +1,6 @@
 package io.vanillapoint.entry;
 
 import io.vanillapoint.api.event.EventCode;
-import io.vanillapoint.api.model.Endpoint;
-import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.core.fleet.CustomerSpend;
 import io.vanillapoint.core.fleet.FleetReport;
 import io.vanillapoint.core.fleet.FleetTiming;
@@ -24,25 +22,17 @@
 import io.vanillapoint.entry.log.EntryMetrics;
 import io.vanillapoint.entry.log.LineWriter;
 import io.vanillapoint.entry.port.EntryPlatform;
-import io.vanillapoint.entry.port.EntryQuestion;
 import io.vanillapoint.entry.relay.RelayHandler;
 import io.vanillapoint.entry.settings.EntrySettings;
 import io.vanillapoint.entry.traffic.CallerHandler;
 import io.vanillapoint.entry.traffic.EntryContext;
 import io.vertx.core.Future;
-import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpHeaders;
-import io.vertx.core.http.HttpServerOptions;
-import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.PoolOptions;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.function.LongSupplier;
 
 /**
@@ -53,12 +43,6 @@
  * told to stop. Confined to its event loop, but for {@link #stop}, which any thread may call.
  */
 public final class EntryNode {
-    private static final int OK = 200;
-    private static final int NOT_FOUND = 404;
-    private static final int UNAVAILABLE = 503;
-
-    /** Larger than the largest head that operators allow by default, so that they decide. */
-    private static final int MAX_HEADER_BYTES = 32 * 1_024;
 
     /** More than a VM of this size can have under way. */
     private static final int MAX_CONNECTIONS = 3_000;
@@ -69,7 +53,6 @@
 
     private final Vertx vertx;
     private final EntrySettings settings;
-    private final EntryPlatform platform;
     private final EntryTuning tuning = EntryTuning.DEFAULT;
     private final DecisionLog log;
     private final EntryMetrics metrics = new EntryMetrics();
@@ -83,8 +66,8 @@
     private final EntryControl control;
     private final CallerHandler callers;
     private final RelayHandler relays;
+    private final EntryListeners listeners;
     private final Promise<Void> stopped = Promise.promise();
-    private long startedAtMillis;
     private boolean refusing;
 
     /**
@@ -104,7 +87,6 @@
             LineWriter writer) {
         this.vertx = vertx;
         this.settings = settings;
-        this.platform = platform;
         log = new DecisionLog(settings.vm(), System::currentTimeMillis, writer);
         MemberInfo self =
                 new MemberInfo(
@@ -148,6 +130,33 @@
                         platform.source(vertx, settings.store()),
                         this::report,
                         this::heard);
+        listeners =
+                new EntryListeners(
+                        context,
+                        settings,
+                        platform.entry(),
+                        tuning,
+                        board,
+                        control,
+                        callers,
+                        relays);
+        showBeliefs();
+    }
+
+    private void showBeliefs() {
+        metrics.gauge("fleet.members", () -> fleet.members().size());
+        metrics.gauge("fleet.heard_percent", () -> Math.round(100 * fleet.heardShare(now())));
+        metrics.gauge("publication.revision", board::revision);
+        metrics.gauge(
+                "publication.version",
+                () -> board.publication().map(GatewayPublication::version).orElse(0L));
+        metrics.gauge("store.lost_ms", control::storeLostMillis);
+        metrics.gauge("replicas.known", () -> pool.replicas().size());
+        metrics.gauge("requests.running", () -> callers.running() + relays.running());
+    }
+
+    private long now() {
+        return clock.getAsLong();
     }
 
     /**
@@ -159,7 +168,6 @@
         Promise<Void> started = Promise.promise();
         vertx.runOnContext(
                 nothing -> {
-                    startedAtMillis = clock.getAsLong();
                     MemberInfo self = fleet.self();
                     log.record(
                             EventCode.ENTRY_STARTED,
@@ -167,7 +175,10 @@
                             self.zone(),
                             self.incarnation());
                     vertx.setPeriodic(tuning.flushMillis(), unused -> tick());
-                    listen().compose(done -> control.start(settings.seeds())).onComplete(started);
+                    listeners
+                            .start()
+                            .compose(done -> control.start(settings.seeds()))
+                            .onComplete(started);
                 });
         return started.future();
     }
@@ -205,87 +216,12 @@
         vertx.runOnContext(nothing -> log.record(EventCode.SETTINGS_REFUSED, error));
     }
 
-    private Future<Void> listen() {
-        List<Future<?>> listening = new ArrayList<>();
-        listening.add(serve(settings.callers(), callers::handle));
-        settings.readiness()
-                .filter(endpoint -> !endpoint.equals(settings.callers()))
-                .ifPresent(endpoint -> listening.add(serve(endpoint, this::question)));
-        settings.directory()
-                .filter(endpoint -> !endpoint.equals(settings.readiness().orElse(null)))
-                .ifPresent(endpoint -> listening.add(serve(endpoint, this::question)));
-        listening.add(serve(new Endpoint(settings.host(), settings.peerPort()), this::peerRequest));
-        listening.add(
-                serve(
-                        new Endpoint(settings.host(), settings.metricsPort()),
-                        request -> answer(request, OK, Buffer.buffer(metrics.text()))));
-        return Future.all(listening).mapEmpty();
-    }
-
-    private Future<?> serve(Endpoint endpoint, Handler<HttpServerRequest> handler) {
-        HttpServerOptions options =
-                new HttpServerOptions()
-                        .setHost(endpoint.host())
-                        .setPort(endpoint.port())
-                        .setTcpNoDelay(true)
-                        .setMaxHeaderSize(MAX_HEADER_BYTES)
-                        .setHandle100ContinueAutomatically(true);
-        return vertx.createHttpServer(options).requestHandler(handler).listen();
-    }
-
-    private void question(HttpServerRequest request) {
-        EntryQuestion question = platform.entry().question(request.path(), request.params());
-        if (question instanceof EntryQuestion.Readiness) {
-            answer(request, ready() ? OK : UNAVAILABLE, Buffer.buffer());
-        } else if (question instanceof EntryQuestion.Directory directory) {
-            directory(request, directory);
-        } else {
-            answer(request, NOT_FOUND, Buffer.buffer());
-        }
-    }
-
-    private void directory(HttpServerRequest request, EntryQuestion.Directory directory) {
-        long now = clock.getAsLong();
-        Set<RegionId> homes =
-                board.publication().map(known -> known.homes(directory.host())).orElse(Set.of());
-        List<String> addresses =
-                fleet.hostsFor(directory.region(), homes, now).stream()
-                        .map(host -> new Endpoint(host, settings.callers().port()).toString())
-                        .toList();
-        if (addresses.isEmpty() || !settled(now)) {
-            answer(request, UNAVAILABLE, Buffer.buffer());
-            return;
-        }
-        log.record(
-                EventCode.DIRECTORY_ANSWERED,
-                directory.host(),
-                directory.region(),
-                homes,
-                addresses);
-        request.response().putHeader(HttpHeaders.CONTENT_TYPE, "application/json");
-        answer(request, OK, platform.entry().directory(addresses, tuning.directorySeconds()));
-    }
-
-    private void peerRequest(HttpServerRequest request) {
-        if (request.path().equals(RelayHandler.path())) {
-            relays.handle(request);
-        } else if (request.path().equals(EntryControl.publishedPath())) {
-            answer(request, OK, control.published(request.getParam("after")));
-        } else {
-            answer(request, NOT_FOUND, Buffer.buffer());
-        }
-    }
-
-    private static void answer(HttpServerRequest request, int status, Buffer body) {
-        request.response().setStatusCode(status).end(body);
-    }
-
     private void tick() {
         if (fleet.self().state() == MemberState.STARTING && board.publication().isPresent()) {
             state(MemberState.READY, "configuration known");
         }
         retries.vms(fleet.members().size() + 1);
-        pool.prune(clock.getAsLong());
+        pool.prune(now());
         log.flush();
     }
 
@@ -294,12 +230,12 @@
             return;
         }
         state(MemberState.DRAINING, "told to stop");
-        long startedAt = clock.getAsLong();
+        long startedAt = now();
         vertx.setTimer(tuning.acceptMillis(), nothing -> refusing = true);
         vertx.setPeriodic(
                 tuning.flushMillis(),
                 timer -> {
-                    long elapsed = clock.getAsLong() - startedAt;
+                    long elapsed = now() - startedAt;
                     boolean idle = callers.running() + relays.running() == 0;
                     boolean over = elapsed >= settings.graceMillis() - tuning.reserveMillis();
                     if (over || (idle && elapsed >= tuning.settleMillis())) {
@@ -322,37 +258,24 @@
         control.announce();
     }
 
-    /**
-     * A VM that has just started may know one VM of another region only and would send all callers
-     * there; callers ask the next directory instead.
-     */
-    private boolean settled(long now) {
-        boolean knowsConfiguration = board.publication().isPresent();
-        return knowsConfiguration && now - startedAtMillis >= tuning.hearMillis();
-    }
-
-    private boolean ready() {
-        return fleet.self().state().takesRequests();
-    }
-
     private boolean stopping() {
         return fleet.self().state().compareTo(MemberState.READY) > 0;
     }
 
     private void heard(FleetReport report) {
-        long now = clock.getAsLong();
+        long now = now();
         List<CustomerSpend> spends = fleet.receive(report, now);
         sessions.heard(report.reads(), now);
         grants.spentElsewhere(spends, fleet.heardShare(now), now);
     }
 
     private void publicationTaken(GatewayPublication publication) {
-        long now = clock.getAsLong();
+        long now = now();
         grants.configure(publication.customers(), fleet.heardShare(now), now);
     }
 
     private FleetReport report() {
-        long now = clock.getAsLong();
+        long now = now();
         return fleet.report(
                 now, board.revision(), grants.uses(), pool.uses(), sessions.report(now));
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
@@ -91,6 +91,15 @@
         link.seeds(seeds);
     }
 
+    /**
+     * Time for which the platform's store has not answered.
+     *
+     * @return milliseconds, 0 while it answers
+     */
+    public long storeLostMillis() {
+        return Math.max(0, sync.lostMillis());
+    }
+
     /** Tells all VMs at once that this one's state has changed. */
     public void announce() {
         link.sendAll();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -6,10 +6,8 @@
 import io.vanillapoint.core.attempt.AttemptHistory;
 import io.vanillapoint.core.attempt.AttemptRules;
 import io.vanillapoint.core.fleet.MemberInfo;
-import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.message.HeaderField;
 import io.vanillapoint.core.message.RelayRequest;
-import io.vanillapoint.core.prompt.PromptShape;
 import io.vanillapoint.core.published.CustomerSpec;
 import io.vanillapoint.core.published.RouteKind;
 import io.vanillapoint.core.published.UpstreamReplica;
@@ -66,7 +64,7 @@
     private final Set<RegionId> fullRegions = new HashSet<>();
     private final EventStreamReader events = new EventStreamReader(this::writeEvents);
     private Attempt attempt;
-    private Use use;
+    private ReplicaUse use;
     private ReplicaTracker failedBefore;
     private String target = "";
     private RegionId targetRegion;
@@ -231,7 +229,7 @@
 
     private void sendLocal(Placement.Local local, long now) {
         UpstreamReplica replica = local.replica().info();
-        use = new Use(local.replica(), local.uncachedTokens(), now);
+        use = new ReplicaUse(context, plan, local.replica(), local.uncachedTokens(), now);
         target = replica.id();
         tried.add(replica.id());
         history.sending();
@@ -315,13 +313,13 @@
     private void answeredBy(AnswerEnvelope head) {
         heard();
         if (use != null && head.status() == PLAIN_ERROR) {
-            use.tracker.answered(now());
+            use.tracker().answered(now());
         }
     }
 
     private void heard() {
         if (use != null) {
-            use.tracker.answered(now());
+            use.tracker().answered(now());
         }
     }
 
@@ -329,7 +327,7 @@
         attempt.cancel();
         String cause = head.otherReplica() ? "other replica" : "status " + head.status();
         if (head.otherReplica() && use != null) {
-            use.tracker.unreachable(now());
+            use.tracker().unreachable(now());
         }
         attemptEnded(AttemptEnd.REJECTED, cause, head.retryAfterMillis().orElse(0));
     }
@@ -343,7 +341,7 @@
             failedBefore.judged(true);
         }
         if (use != null && (!failure || !plan.route().mayRunAgain())) {
-            use.tracker.judged(failure);
+            use.tracker().judged(failure);
         }
     }
 
@@ -364,7 +362,7 @@
             return false;
         }
         attempt.cancel();
-        failedBefore = use == null ? null : use.tracker;
+        failedBefore = use == null ? null : use.tracker();
         logEnd(AttemptEnd.FAILED, "status " + head.status(), "again");
         release();
         place(placement, now);
@@ -377,7 +375,7 @@
         }
         attempt = null;
         if (end.unreachable() && use != null && !heardSinceSent()) {
-            use.tracker.unreachable(now());
+            use.tracker().unreachable(now());
             context.log().record(EventCode.REPLICA_UNREACHABLE, target, cause);
         }
         if (end == AttemptEnd.NOT_SENT && use == null) {
@@ -408,7 +406,7 @@
     }
 
     private boolean heardSinceSent() {
-        return use.tracker.answeredAtMillis() >= use.sentAtMillis;
+        return use.tracker().answeredAtMillis() >= use.sentAtMillis();
     }
 
     private void giveUp(String reason, long retryAfterMillis) {
@@ -478,7 +476,7 @@
             return;
         }
         long now = now();
-        boolean silent = now - Math.max(use.heardAtMillis(), use.sentAtMillis) >= SILENT_MILLIS;
+        boolean silent = now - Math.max(use.heardAtMillis(), use.sentAtMillis()) >= SILENT_MILLIS;
         boolean plainLate = plan.route().kind() == RouteKind.IDEMPOTENT && answer == null;
         if ((silent || plainLate) && mayLeaveReplica(now)) {
             attempt.cancel();
@@ -556,48 +554,4 @@
     private long elapsed() {
         return now() - plan.receivedAtMillis();
     }
-
-    /** What the attempt under way has outstanding at its replica. */
-    private final class Use {
-        private final ReplicaTracker tracker;
-        private final long uncachedTokens;
-        private final long sentAtMillis;
-        private final long tokensAhead;
-        private boolean firstEventSeen;
-
-        Use(ReplicaTracker tracker, long uncachedTokens, long nowMillis) {
-            this.tracker = tracker;
-            this.uncachedTokens = uncachedTokens;
-            this.sentAtMillis = nowMillis;
-            UpstreamUse elsewhere = context.fleet().useElsewhere(tracker.info().id());
-            this.tokensAhead = tracker.use().plus(elsewhere).promptTokens() + uncachedTokens;
-            PromptShape prompt = plan.envelope().prompt().orElse(null);
-            tracker.dispatched(uncachedTokens, prompt, nowMillis);
-            if (prompt != null) {
-                context.sessions().sent(prompt, tracker.info().id(), nowMillis);
-            }
-        }
-
-        long heardAtMillis() {
-            return tracker.answeredAtMillis();
-        }
-
-        void firstEvent() {
-            if (!firstEventSeen) {
-                firstEventSeen = true;
-                tracker.promptRead(uncachedTokens);
-                context.chooser()
-                        .speed(plan.service().name())
-                        .firstEvent(tokensAhead, now() - sentAtMillis);
-            }
-        }
-
-        void release() {
-            if (!firstEventSeen) {
-                firstEventSeen = true;
-                tracker.promptRead(uncachedTokens);
-            }
-            tracker.finished();
-        }
-    }
 }
