Give a relayed request back when its replica falls silent

Change: the VM that runs a relayed request looks too, and gives it back after 0.9 s. Test: relayedRequestIsGivenBackWhenItsReplicaFallsSilent.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -48,6 +48,9 @@
     /** A replica that has sent nothing at all for this long is taken to be down. */
     private static final long SILENT_MILLIS = 400;
 
+    /** The same for a relayed request, which another region can only try again from afar. */
+    private static final long RELAYED_SILENT_MILLIS = 900;
+
     /** Pause between two looks at a replica that has not answered yet. */
     private static final long LOOK_MILLIS = 150;
 
@@ -460,7 +463,7 @@
     }
 
     private void watchPatience() {
-        if (!plan.route().mayRunAgain() || plan.relayed()) {
+        if (!plan.route().mayRunAgain()) {
             return;
         }
         long patience =
@@ -469,16 +472,24 @@
         patienceTimer = context.vertx().setTimer(patience, nothing -> lookAtReplica());
     }
 
-    /** Gives up on a replica that has been silent on all connections, if another may be tried. */
+    /**
+     * Gives up on a replica that has been silent on all connections, if another may be tried. The
+     * VM that relayed a request decides on that itself, once it is told.
+     */
     private void lookAtReplica() {
         patienceTimer = -1;
         if (done || attempt == null || use == null) {
             return;
         }
         long now = now();
-        boolean silent = now - Math.max(use.heardAtMillis(), use.sentAtMillis()) >= SILENT_MILLIS;
+        long silence = now - Math.max(use.heardAtMillis(), use.sentAtMillis());
+        boolean silent = silence >= SILENT_MILLIS;
         boolean plainLate = plan.route().kind() == RouteKind.IDEMPOTENT && answer == null;
-        if ((silent || plainLate) && mayLeaveReplica(now)) {
+        boolean leave =
+                plan.relayed()
+                        ? silence >= RELAYED_SILENT_MILLIS
+                        : (silent || plainLate) && mayLeaveReplica(now);
+        if (leave) {
             attempt.cancel();
             attemptEnded(AttemptEnd.LOST, silent ? "replica is silent" : "replica is slow", 0);
             return;
