--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -101,7 +101,7 @@
         long left = Math.max(1, plan.deadlineMillis() - now());
         deadlineTimer = context.vertx().setTimer(left, nothing -> deadline());
         context.retries().request(plan.service().name(), now());
-        next();
+        later();
     }
 
     /** The caller has closed its connection. */
@@ -198,6 +198,20 @@
         attemptEnded(end, cause, retryAfterMillis);
     }
 
+    /**
+     * Places the request after all that has already arrived. On a VM that is behind, the end of the
+     * caller's connection may stand in line behind the event that leads here.
+     */
+    private void later() {
+        context.vertx()
+                .runOnContext(
+                        nothing -> {
+                            if (!done && !callerGone) {
+                                next();
+                            }
+                        });
+    }
+
     private void next() {
         long now = now();
         if (plan.deadlineMillis() - now < LEAST_MILLIS) {
@@ -397,7 +411,7 @@
         logEnd(end, cause, again ? "again" : "over");
         if (again) {
             events.restart();
-            next();
+            later();
         } else {
             giveUp(cause(end), retryAfterMillis);
         }
