--- a/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/LikelyCause.java
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/LikelyCause.java
@@ -2,6 +2,7 @@
 
 import io.vanillapoint.api.event.EventCode;
 import java.util.Arrays;
+import java.util.Locale;
 import java.util.Optional;
 
 /** Why a request ended as it did, the most specific reason first. Immutable. */
@@ -157,7 +158,7 @@
                                 "; replica "
                                         + change.text("replica")
                                         + " was "
-                                        + change.text("state").toLowerCase(java.util.Locale.ROOT))
+                                        + change.text("state").toLowerCase(Locale.ROOT))
                 .orElse("");
     }
 }
--- a/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/CallerModel.java
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/CallerModel.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 
 /**
@@ -165,7 +166,7 @@
         }
     }
 
-    private void count(java.util.function.Consumer<KindResult> outcome) {
+    private void count(Consumer<KindResult> outcome) {
         if (!counted) {
             counted = true;
             for (KindResult result : results) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -22,6 +22,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -129,7 +130,7 @@
 
     @Override
     public void head(AnswerEnvelope head) {
-        answeredBy(head);
+        heard();
         if (head.notRun() || head.otherReplica()) {
             reject(head);
             return;
@@ -327,13 +328,6 @@
         return events.lastId().isPresent() ? events.lastId() : plan.envelope().lastEventId();
     }
 
-    private void answeredBy(AnswerEnvelope head) {
-        heard();
-        if (use != null && head.status() == PLAIN_ERROR) {
-            use.tracker().answered(now());
-        }
-    }
-
     private void heard() {
         if (use != null) {
             use.tracker().answered(now());
@@ -367,10 +361,9 @@
         if (headSent || callerGone) {
             return false;
         }
-        AttemptHistory after = history;
-        after.ended(AttemptEnd.FAILED);
+        history.ended(AttemptEnd.FAILED);
         long now = now();
-        if (!AttemptRules.mayTryAgain(plan.route(), after, AttemptEnd.FAILED) || onlyOnce()) {
+        if (!AttemptRules.mayTryAgain(plan.route(), history, AttemptEnd.FAILED) || onlyOnce()) {
             return false;
         }
         Placement placement = context.chooser().choose(query(now), now);
@@ -565,7 +558,7 @@
     }
 
     private static String cause(AttemptEnd end) {
-        return "attempt_" + end.name().toLowerCase(java.util.Locale.ROOT);
+        return "attempt_" + end.name().toLowerCase(Locale.ROOT);
     }
 
     private String id() {
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
@@ -30,6 +30,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.apache.thrift.TBase;
 import org.apache.thrift.TConfiguration;
 import org.apache.thrift.TException;
@@ -197,7 +198,7 @@
                 message.getRequestId(),
                 message.getRoute(),
                 message.getServiceName(),
-                java.util.Optional.ofNullable(message.getCustomer()),
+                Optional.ofNullable(message.getCustomer()),
                 message.getRemainingMillis(),
                 message.getMethod(),
                 message.getUri(),
