Read no other request behind a body in chunks

Cause (own test, failing first): a request with both a length and chunks hid a second request behind its body; the HTTP library drops the length unseen, and the second request ran with an id that no caller sent. Ruled out: telling the two apart (the library shows only one of them). Change: a connection ends after the answer to a request with a body in chunks. Test: requestHiddenBehindAnAmbiguousLengthNeverRuns.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
@@ -12,6 +12,7 @@
 import io.vanillapoint.core.published.TrafficLimits;
 import io.vanillapoint.entry.port.RequestEnvelope;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.HashSet;
@@ -48,6 +49,7 @@
     private final BooleanSupplier closing;
     private final BooleanSupplier refusing;
     private final Set<RequestRun> running = new HashSet<>();
+    private final Set<HttpConnection> lastRequest = new HashSet<>();
 
     /**
      * Creates a handler.
@@ -86,8 +88,16 @@
      * @param request head as received, not yet read
      */
     public void handle(HttpServerRequest request) {
+        if (lastRequest.contains(request.connection())) {
+            request.connection().close();
+            return;
+        }
         long receivedAt = context.clock().getAsLong();
-        CallerSink sink = new CallerSink(request, closing);
+        boolean last = request.headers().contains(HttpHeaders.TRANSFER_ENCODING);
+        if (last) {
+            endAfter(request);
+        }
+        CallerSink sink = new CallerSink(request, () -> last || closing.getAsBoolean());
         Buffer body = Buffer.buffer();
         long limit =
                 publication
@@ -116,6 +126,18 @@
                 });
     }
 
+    /**
+     * A body in chunks may come with a length as well, which the HTTP library drops unseen. Whoever
+     * counts by the length takes what follows for part of the body, so no other request is read
+     * from this connection.
+     */
+    private void endAfter(HttpServerRequest request) {
+        HttpConnection connection = request.connection();
+        lastRequest.add(connection);
+        connection.closeHandler(nothing -> lastRequest.remove(connection));
+        request.response().endHandler(nothing -> connection.close());
+    }
+
     private void admit(HttpServerRequest request, Buffer body, CallerSink sink, long receivedAt) {
         RequestEnvelope envelope;
         try {
