--- /dev/null
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/NoFormat.java
@@ -0,0 +1,33 @@
+package io.vanillapoint.entry.traffic;
+
+import io.vanillapoint.core.message.HeaderField;
+import io.vanillapoint.entry.port.AnswerEnvelope;
+import io.vanillapoint.entry.port.RequestEnvelope;
+import io.vanillapoint.entry.port.RequestFormat;
+import io.vanillapoint.entry.port.UpstreamCall;
+import io.vertx.core.MultiMap;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** A format without headers. Stateless. */
+final class NoFormat implements RequestFormat {
+    @Override
+    public RequestEnvelope request(MultiMap headers) {
+        throw new UnsupportedOperationException("requests are made by the tests");
+    }
+
+    @Override
+    public void writeCall(UpstreamCall call, MultiMap headers) {}
+
+    @Override
+    public List<HeaderField> relayHeaders(RequestEnvelope request, OptionalLong lastEventId) {
+        return List.of();
+    }
+
+    @Override
+    public AnswerEnvelope answer(int status, MultiMap headers) {
+        return new AnswerEnvelope(
+                status, Optional.empty(), false, true, false, OptionalLong.empty(), List.of());
+    }
+}
--- /dev/null
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -0,0 +1,173 @@
+package io.vanillapoint.entry.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import io.vanillapoint.api.event.EventCode;
+import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.fleet.FleetTiming;
+import io.vanillapoint.core.fleet.FleetView;
+import io.vanillapoint.core.fleet.MemberInfo;
+import io.vanillapoint.core.fleet.MemberState;
+import io.vanillapoint.core.prompt.SessionLocations;
+import io.vanillapoint.core.published.ReplicaState;
+import io.vanillapoint.core.published.RouteKind;
+import io.vanillapoint.core.published.RouteSpec;
+import io.vanillapoint.core.published.ServiceShare;
+import io.vanillapoint.core.published.ServiceSpec;
+import io.vanillapoint.core.published.UpstreamReplica;
+import io.vanillapoint.core.upstream.PlacementWeights;
+import io.vanillapoint.core.upstream.ReplicaChooser;
+import io.vanillapoint.core.upstream.UpstreamPool;
+import io.vanillapoint.entry.control.RetryAllowance;
+import io.vanillapoint.entry.log.EntryMetrics;
+import io.vanillapoint.entry.port.RequestEnvelope;
+import io.vanillapoint.entry.settings.RetryBounds;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Life of a request at the edges: callers that leave, replicas that are not there. */
+class RequestRunTest {
+    private static final ZoneId ZONE = new ZoneId("z");
+    private static final RegionId REGION = new RegionId("r");
+    private static final ServiceSpec SERVICE = new ServiceSpec("s", 10, 0, 0, Optional.empty());
+
+    private final Vertx vertx = Vertx.vertx();
+    private final RecordingLog log = new RecordingLog();
+    private final RecordingSink sink = new RecordingSink();
+    private final UpstreamPool pool = new UpstreamPool(Map.of(ZONE, REGION));
+
+    @AfterEach
+    void close() throws Exception {
+        vertx.close().await(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void requestWhoseCallerHasLeftInTheSameMomentIsNotSent() throws Exception {
+        publish();
+        play(RouteKind.IDEMPOTENT, RequestRun::callerLeft);
+        assertThat(log.codes(), hasItem(EventCode.CALLER_LEFT));
+        assertThat(log.codes(), not(hasItem(EventCode.PLACED)));
+        assertThat(sink.seen(), is(""));
+    }
+
+    @Test
+    void requestWithoutAReplicaIsRefusedAtOnceAsNotRun() throws Exception {
+        play(RouteKind.AT_MOST_ONCE, run -> {});
+        assertThat(sink.seen(), is("refuse 503 no_replica not run"));
+        assertThat(log.codes(), hasItem(EventCode.REFUSED));
+    }
+
+    @Test
+    void replicaThatCannotBeReachedHasNotRunTheRequest() throws Exception {
+        publish();
+        play(RouteKind.AT_MOST_ONCE, run -> {});
+        assertThat(log.codes(), hasItem(EventCode.REPLICA_UNREACHABLE));
+        assertThat(sink.seen(), is("refuse 503 all_replicas_busy not run"));
+    }
+
+    private void play(RouteKind kind, Consumer<RequestRun> then) throws Exception {
+        Promise<Void> ended = Promise.promise();
+        vertx.runOnContext(
+                nothing -> {
+                    RequestRun run = new RequestRun(context(), plan(kind), sink, ended::complete);
+                    run.start();
+                    then.accept(run);
+                });
+        ended.future().await(10, TimeUnit.SECONDS);
+        Promise<Void> turn = Promise.promise();
+        vertx.runOnContext(nothing -> turn.complete());
+        turn.future().await(10, TimeUnit.SECONDS);
+    }
+
+    private void publish() {
+        // Port 1 of the loopback address has no listener.
+        UpstreamReplica replica =
+                new UpstreamReplica(
+                        "i-1",
+                        "s",
+                        new Endpoint("127.0.0.1", 1),
+                        ZONE,
+                        6,
+                        ReplicaState.READY,
+                        0,
+                        1,
+                        Set.of());
+        pool.publish(replica, Optional.of(SERVICE), 0);
+    }
+
+    private EntryContext context() {
+        MemberInfo self = new MemberInfo("vm", "127.0.0.1", REGION, ZONE, 1, MemberState.READY);
+        FleetView fleet = new FleetView(self, FleetTiming.DEFAULT, 1);
+        SessionLocations sessions = new SessionLocations();
+        return new EntryContext(
+                vertx,
+                () -> System.nanoTime() / 1_000_000,
+                log,
+                new EntryMetrics(),
+                new NoFormat(),
+                fleet,
+                pool,
+                new ReplicaChooser(pool, fleet, PlacementWeights.DEFAULT, sessions),
+                sessions,
+                new RetryAllowance(new RetryBounds(0.2, 50, 10_000)),
+                vertx.createHttpClient(),
+                vertx.createHttpClient(),
+                17_600);
+    }
+
+    private static RequestPlan plan(RouteKind kind) {
+        RouteSpec route =
+                new RouteSpec(
+                        "r",
+                        "h",
+                        "/",
+                        kind,
+                        4_000,
+                        800,
+                        0,
+                        1,
+                        List.of(new ServiceShare("s", 1)),
+                        2,
+                        true,
+                        false,
+                        false,
+                        Set.of());
+        RequestEnvelope envelope =
+                new RequestEnvelope(
+                        "id-1",
+                        "h",
+                        Optional.empty(),
+                        OptionalLong.of(4_000),
+                        Optional.empty(),
+                        OptionalLong.empty(),
+                        OptionalLong.empty(),
+                        List.of());
+        long now = System.nanoTime() / 1_000_000;
+        return new RequestPlan(
+                envelope,
+                "POST",
+                "/a",
+                Buffer.buffer(),
+                route,
+                SERVICE,
+                Optional.empty(),
+                now,
+                now + 4_000,
+                false);
+    }
+}
