--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ColdFleetTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ColdFleetTest.java
@@ -26,6 +26,10 @@
     private static final double PER_SECOND = 2.9;
     private static final double OVERRUN = 1.5;
     private static final double SLACK = 3;
+
+    /** VMs of a region at the size that operators plan for. */
+    private static final int MOST_VMS = 31;
+
     private static final ZoneId ZONE = new ZoneId("z");
     private static final ServiceSpec SERVICE =
             new ServiceSpec(
@@ -36,7 +40,7 @@
     void rateHoldsInEverySecond(long seed) {
         Random random = new Random(seed);
         List<String> names = new ArrayList<>();
-        int vms = 1 + random.nextInt(8);
+        int vms = 1 + random.nextInt(MOST_VMS);
         for (int i = 0; i < vms; i++) {
             names.add("vm-" + i);
         }
