--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -49,6 +49,18 @@
     /** Share of failures that services have of their own. */
     private static final double USUAL_FAILURES = 0.1;
 
+    /** Between replicas that would all be in time the sooner one is better, by this per target. */
+    private static final double LOSS_PER_TARGET = 0.02;
+
+    /** A full batch makes each token slower than an empty one. */
+    private static final double LOSS_OF_FULL_BATCH = 0.02;
+
+    /** Part by which a plain replica is slower when all its slots are taken. */
+    private static final double BUSY_SLOWDOWN = 0.3;
+
+    /** Weight of the newest measured round trip. */
+    private static final double ROUND_TRIP_WEIGHT = 0.125;
+
     /** When a request may come back after a refusal, if nothing better is known. */
     private static final long RETRY_AFTER_MILLIS = 400;
 
@@ -96,7 +108,7 @@
      */
     public void roundTrip(RegionId region, long millis) {
         double known = roundTrips.getOrDefault(region, weights.regionRoundTripMillis());
-        roundTrips.put(region, known + (millis - known) / 8);
+        roundTrips.put(region, known + ROUND_TRIP_WEIGHT * (millis - known));
     }
 
     /**
@@ -175,7 +187,7 @@
             int queued = Math.max(0, use.requests() + 1 - Math.max(1, tracker.info().slots()));
             double waiting = (double) queued / Math.max(1, tracker.info().slots());
             double busy = (double) use.requests() / Math.max(1, tracker.info().slots());
-            scored.millis = PLAIN_WORK_MILLIS * (1 + waiting + 0.3 * Math.min(1, busy));
+            scored.millis = PLAIN_WORK_MILLIS * (1 + waiting + BUSY_SLOWDOWN * Math.min(1, busy));
         }
         if (!local) {
             scored.millis +=
@@ -185,7 +197,7 @@
         double part = (scored.millis + query.elapsedMillis()) / query.route().targetMillis();
         scored.loss += weights.late() * lateness(part);
         scored.loss += FAILURE_LOSS * Math.max(0, tracker.failureShare() - USUAL_FAILURES);
-        scored.loss += 0.02 * part;
+        scored.loss += LOSS_PER_TARGET * part;
         return scored;
     }
 
@@ -216,7 +228,7 @@
         }
         double reread = Math.max(0, shared - held);
         scored.loss += weights.rereadPerKiloToken() * reread / 1_000.0;
-        scored.loss += 0.02 * use.requests() / Math.max(1, slots);
+        scored.loss += LOSS_OF_FULL_BATCH * use.requests() / Math.max(1, slots);
     }
 
     /**
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -19,7 +19,6 @@
     private static final double FAILURE_WEIGHT = 0.08;
 
     private final RegionId region;
-    private final long cacheTokens;
     private UpstreamReplica info;
     private long coldUntilMillis;
     private long leavingSinceMillis = Long.MAX_VALUE;
@@ -35,7 +34,6 @@
     ReplicaTracker(UpstreamReplica info, RegionId region, long cacheTokens, long nowMillis) {
         this.info = info;
         this.region = region;
-        this.cacheTokens = cacheTokens;
         this.coldGate = new ColdStartGate(nowMillis);
         this.cached = new CachedParts(cacheTokens);
         this.coldUntilMillis = nowMillis + info.coldMillis();
@@ -216,10 +214,6 @@
         return requests == 0;
     }
 
-    long cacheTokens() {
-        return cacheTokens;
-    }
-
     private void noteState(long nowMillis) {
         if (info.state() == ReplicaState.READY) {
             leavingSinceMillis = Long.MAX_VALUE;
--- a/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/FleetModel.java
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/FleetModel.java
@@ -64,10 +64,6 @@
         return vmsByRegion.get(region);
     }
 
-    VmModel vm(String name) {
-        return vms.get(name);
-    }
-
     EngineModel engine(String id) {
         return engines.get(id);
     }
