--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/model/ZoneId.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/model/ZoneId.java
@@ -20,6 +20,17 @@
         return value.compareTo(Objects.requireNonNull(other).value);
     }
 
+    /** Written out: the method that a record derives costs a VM time at its start. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ZoneId id && value.equals(id.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/log/AsyncLineWriter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/log/AsyncLineWriter.java
@@ -1,27 +1,31 @@
 package io.vanillapoint.entry.log;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /**
- * Writes batches of lines to the log on a thread of its own, so that a standard output that nobody
+ * Writes batches of lines to standard output on a thread of its own, so that an output that nobody
  * reads holds up nothing else.
  *
  * <p>Invariant: holds at most a fixed number of batches. Safe for use by several threads.
  */
-public final class AsyncLineWriter implements LineWriter {
-    private static final Logger LOG = LogManager.getLogger("io.vanillapoint.decisions");
-
+public final class AsyncLineWriter implements LineWriter, Executor {
     /** A few seconds of batches at ten a second. */
     private static final int MOST_BATCHES = 32;
 
     private static final long CLOSE_MILLIS = 200;
 
-    private final BlockingQueue<String> batches = new ArrayBlockingQueue<>(MOST_BATCHES);
+    private final BlockingQueue<Runnable> batches = new ArrayBlockingQueue<>(MOST_BATCHES);
+    private final OutputStream out = new FileOutputStream(FileDescriptor.out);
     private final Thread thread = new Thread(this::run, "decision-log");
+    private boolean failed;
 
     /** Starts the thread. */
     public AsyncLineWriter() {
@@ -31,7 +35,13 @@
 
     @Override
     public boolean offer(String lines) {
-        return batches.offer(lines);
+        return batches.offer(() -> write(lines));
+    }
+
+    /** Runs other work of the log on its thread; work for which there is no room is left out. */
+    @Override
+    public void execute(Runnable work) {
+        batches.offer(work);
     }
 
     /** Waits a moment for the last lines to be written. */
@@ -47,19 +57,27 @@
     private void run() {
         try {
             while (!Thread.currentThread().isInterrupted()) {
-                write(batches.take());
+                batches.take().run();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        String rest = batches.poll();
+        Runnable rest = batches.poll();
         while (rest != null) {
-            write(rest);
+            rest.run();
             rest = batches.poll();
         }
     }
 
-    private static void write(String lines) {
-        LOG.info(lines.substring(0, lines.length() - 1));
+    /** A closed standard output is reported once, on the only other way out that there is. */
+    private void write(String lines) {
+        try {
+            out.write(lines.getBytes(StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            if (!failed) {
+                failed = true;
+                System.err.println("standard output can't be written, log lines are lost: " + e);
+            }
+        }
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/log/EntryMetrics.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/log/EntryMetrics.java
@@ -2,7 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
-import io.vanillapoint.server.operator.MetricsText;
+import io.vanillapoint.runtime.MetricsText;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
--- /dev/null
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/log/LibraryLog.java
@@ -0,0 +1,71 @@
+package io.vanillapoint.entry.log;
+
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import io.vertx.core.logging.JULLogDelegateFactory;
+import java.util.concurrent.Executor;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.SimpleFormatter;
+
+/**
+ * Passes warnings of libraries on to Log4j, which is loaded with the first of them only: to load it
+ * at the start would cost a restarted VM a third of the processor time that it needs to serve.
+ *
+ * <p>Safe for use by several threads; writes on the thread that it was given.
+ */
+public final class LibraryLog extends Handler {
+    private static final String VERTX_FACTORY = "vertx.logger-delegate-factory-class-name";
+
+    private final Executor executor;
+    private final SimpleFormatter messages = new SimpleFormatter();
+
+    private LibraryLog(Executor executor) {
+        this.executor = executor;
+    }
+
+    /**
+     * Takes over the log of the JDK and of the libraries. To be called before either is used.
+     *
+     * @param executor runs what writes
+     */
+    public static void install(Executor executor) {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        System.setProperty(VERTX_FACTORY, JULLogDelegateFactory.class.getName());
+        LogManager.getLogManager().reset();
+        Logger root = Logger.getLogger("");
+        root.setLevel(Level.WARNING);
+        root.addHandler(new LibraryLog(executor));
+    }
+
+    @Override
+    public void publish(LogRecord record) {
+        if (isLoggable(record)) {
+            executor.execute(() -> write(record));
+        }
+    }
+
+    @Override
+    public void flush() {
+        // Nothing is held back.
+    }
+
+    @Override
+    public void close() {
+        // The executor belongs to the caller.
+    }
+
+    private void write(LogRecord record) {
+        boolean severe = record.getLevel().intValue() >= Level.SEVERE.intValue();
+        org.apache.logging.log4j.LogManager.getLogger(String.valueOf(record.getLoggerName()))
+                .log(
+                        severe
+                                ? org.apache.logging.log4j.Level.ERROR
+                                : org.apache.logging.log4j.Level.WARN,
+                        messages.formatMessage(record),
+                        record.getThrown());
+    }
+}
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/operator/MetricsText.java
+++ b/vanillapoint-runtime/src/main/java/io/vanillapoint/runtime/MetricsText.java
@@ -1,4 +1,4 @@
-package io.vanillapoint.server.operator;
+package io.vanillapoint.runtime;
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Snapshot;
@@ -15,7 +15,13 @@
 
     private MetricsText() {}
 
-    static ObjectNode json(MetricRegistry metrics) {
+    /**
+     * Writes metrics as one JSON object.
+     *
+     * @param metrics what to write
+     * @return counts and gauges as numbers, timers as objects with times in milliseconds
+     */
+    public static ObjectNode json(MetricRegistry metrics) {
         ObjectNode root = MAPPER.createObjectNode();
         metrics.getCounters().forEach((name, counter) -> root.put(name, counter.getCount()));
         metrics.getMeters().forEach((name, meter) -> root.put(name, meter.getCount()));
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/Signals.java
+++ b/vanillapoint-runtime/src/main/java/io/vanillapoint/runtime/Signals.java
@@ -1,4 +1,4 @@
-package io.vanillapoint.server;
+package io.vanillapoint.runtime;
 
 import io.vanillapoint.api.error.ErrorCode;
 import io.vanillapoint.api.error.VanillapointException;
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/Vanillapointd.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/Vanillapointd.java
@@ -1,5 +1,6 @@
 package io.vanillapoint.server;
 
+import io.vanillapoint.runtime.Signals;
 import io.vanillapoint.server.settings.DaemonSettings;
 import io.vanillapoint.server.settings.SettingsReader;
 import java.util.List;
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/operator/OperatorListener.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/operator/OperatorListener.java
@@ -7,6 +7,7 @@
 import io.vanillapoint.api.event.Event;
 import io.vanillapoint.api.model.Endpoint;
 import io.vanillapoint.api.model.KeyDigest;
+import io.vanillapoint.runtime.MetricsText;
 import io.vanillapoint.server.control.ControlPlane;
 import io.vanillapoint.server.control.ControlStatus;
 import io.vanillapoint.server.event.EventRecorder;
