--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
@@ -12,6 +12,7 @@
  * @param customers what the sender knows of each customer's tokens
  * @param upstreams what the sender has outstanding at each upstream
  * @param reads sessions that engines have read for the sender lately
+ * @param readsStore true if the platform's store has answered the sender itself lately
  * @param others VMs that the sender has heard of
  */
 public record FleetReport(
@@ -21,6 +22,7 @@
         Map<String, CustomerUse> customers,
         Map<String, UpstreamUse> upstreams,
         List<SessionRead> reads,
+        boolean readsStore,
         List<HeardMember> others) {
     /** Copies the collections. */
     public FleetReport {
@@ -37,6 +39,13 @@
      */
     public FleetReport withoutOthers() {
         return new FleetReport(
-                self, sequence, publishedRevision, customers, upstreams, reads, List.of());
+                self,
+                sequence,
+                publishedRevision,
+                customers,
+                upstreams,
+                reads,
+                readsStore,
+                List.of());
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.core.fleet;
 
 import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.core.hash.Rendezvous;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -65,6 +66,16 @@
         return members.values();
     }
 
+    /**
+     * Tells whether a VM is part of the fleet.
+     *
+     * @param vm name of the VM
+     * @return false if it was never heard of, or is forgotten
+     */
+    public boolean knows(String vm) {
+        return members.containsKey(vm);
+    }
+
     /**
      * Changes the life cycle of this VM.
      *
@@ -82,6 +93,7 @@
      * @param customers what this VM knows of each customer's tokens
      * @param upstreams what is outstanding by upstream
      * @param reads sessions that engines have read for this VM lately
+     * @param readsStore true if the platform's store has answered this VM itself lately
      * @return the report
      */
     public FleetReport report(
@@ -89,13 +101,21 @@
             long publishedRevision,
             Map<String, CustomerUse> customers,
             Map<String, UpstreamUse> upstreams,
-            List<SessionRead> reads) {
+            List<SessionRead> reads,
+            boolean readsStore) {
         List<HeardMember> others = new ArrayList<>();
         for (Member member : members.values()) {
             others.add(new HeardMember(member.info(), nowMillis - member.heardAtMillis()));
         }
         return new FleetReport(
-                self, ++sequence, publishedRevision, customers, upstreams, reads, others);
+                self,
+                ++sequence,
+                publishedRevision,
+                customers,
+                upstreams,
+                reads,
+                readsStore,
+                others);
     }
 
     /**
@@ -210,9 +230,7 @@
     public List<MemberInfo> relays(RegionId region, long nowMillis) {
         List<Member> taking =
                 members.values().stream()
-                        .filter(member -> member.info().region().equals(region))
-                        .filter(member -> member.info().state().takesRequests())
-                        .filter(member -> alive(member, nowMillis) && !member.avoided(nowMillis))
+                        .filter(member -> relays(member, region, nowMillis))
                         .toList();
         boolean anyHeard = taking.stream().anyMatch(member -> hears(member, nowMillis));
         return taking.stream()
@@ -222,6 +240,29 @@
                 .toList();
     }
 
+    /**
+     * Tells whether a region can be reached through any VM.
+     *
+     * @param region region to reach
+     * @param nowMillis steady time
+     * @return false if {@link #relays} would be empty
+     */
+    public boolean reaches(RegionId region, long nowMillis) {
+        for (Member member : members.values()) {
+            if (relays(member, region, nowMillis)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean relays(Member member, RegionId region, long nowMillis) {
+        return member.info().region().equals(region)
+                && member.info().state().takesRequests()
+                && alive(member, nowMillis)
+                && !member.avoided(nowMillis);
+    }
+
     /**
      * Part of the fleet whose heartbeats reach this VM, itself included.
      *
@@ -270,21 +311,54 @@
     }
 
     /**
-     * A VM that knows a later revision of the platform's store.
+     * A VM that knows a later revision of the platform's store. VMs that are behind ask different
+     * ones.
      *
      * @param revision revision that this VM has reached
      * @param nowMillis steady time
      * @return the one that knows most, or nothing if none knows more
      */
     public Optional<Member> ahead(long revision, long nowMillis) {
-        return members.values().stream()
-                .filter(member -> member.publishedRevision() > revision)
-                .filter(member -> alive(member, nowMillis))
-                .max(
-                        Comparator.comparingLong(Member::publishedRevision)
-                                .thenComparing(
-                                        member -> member.info().region().equals(self.region()))
-                                .thenComparing(member -> member.info().vm()));
+        Member best = null;
+        for (Member member : members.values()) {
+            if (member.publishedRevision() > revision
+                    && alive(member, nowMillis)
+                    && (best == null || aheadOf(member, best))) {
+                best = member;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * VMs of this region, without this one, that take requests, are heard and read the platform's
+     * store themselves.
+     *
+     * @param nowMillis steady time
+     * @return names in no special order
+     */
+    public List<String> storeReaders(long nowMillis) {
+        List<String> names = new ArrayList<>();
+        for (Member member : members.values()) {
+            if (member.readsStore()
+                    && near(member)
+                    && member.info().state().takesRequests()
+                    && hears(member, nowMillis)) {
+                names.add(member.info().vm());
+            }
+        }
+        return names;
+    }
+
+    private boolean aheadOf(Member member, Member other) {
+        if (member.publishedRevision() != other.publishedRevision()) {
+            return member.publishedRevision() > other.publishedRevision();
+        }
+        if (near(member) != near(other)) {
+            return near(member);
+        }
+        long weight = Rendezvous.weight(self.vm(), member.info().vm());
+        return Long.compareUnsigned(weight, Rendezvous.weight(self.vm(), other.info().vm())) > 0;
     }
 
     /** Tells whether the VM's own heartbeats arrive, with room for two that were lost. */
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
@@ -15,6 +15,7 @@
     private long sequence = -1;
     private long avoidUntilMillis = Long.MIN_VALUE;
     private long publishedRevision;
+    private boolean readsStore;
     private Map<String, CustomerUse> customers = Map.of();
     private Map<String, UpstreamUse> counted = Map.of();
 
@@ -41,6 +42,11 @@
         return publishedRevision;
     }
 
+    /** True if the platform's store answers the VM itself, as it said last. */
+    boolean readsStore() {
+        return readsStore;
+    }
+
     /** What the VM has outstanding at upstreams and is part of the sum over all VMs. */
     Map<String, UpstreamUse> counted() {
         return counted;
@@ -90,6 +96,7 @@
         info = report.self();
         sequence = report.sequence();
         publishedRevision = report.publishedRevision();
+        readsStore = report.readsStore();
         customers = report.customers();
         heardAtMillis = nowMillis;
         directAtMillis = nowMillis;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/hash/Rendezvous.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/hash/Rendezvous.java
@@ -30,8 +30,9 @@
             String key, Collection<T> candidates, Function<T, String> name) {
         T best = null;
         long bestWeight = 0;
+        long seed = seed(key);
         for (T candidate : candidates) {
-            long weight = weight(key, name.apply(candidate));
+            long weight = seededWeight(seed, name.apply(candidate));
             if (best == null || Long.compareUnsigned(weight, bestWeight) > 0) {
                 best = candidate;
                 bestWeight = weight;
@@ -67,8 +68,29 @@
      * @return 64 well-mixed bits, to be compared as unsigned
      */
     public static long weight(String key, String candidate) {
-        long hash = fnv(fnv(FNV_OFFSET, key), "\u0000" + candidate);
-        return mix(hash);
+        return seededWeight(seed(key), candidate);
+    }
+
+    /**
+     * State of the hash after a key, so that a key is read once for many candidates.
+     *
+     * @param key what to place
+     * @return seed for {@link #seededWeight}
+     */
+    public static long seed(String key) {
+        // A zero character stands between key and candidate.
+        return fnv(FNV_OFFSET, key) * FNV_PRIME;
+    }
+
+    /**
+     * Weight of a candidate for the key of a seed.
+     *
+     * @param seed state after the key
+     * @param candidate name of the candidate
+     * @return the same as {@link #weight}
+     */
+    public static long seededWeight(long seed, String candidate) {
+        return mix(fnv(seed, candidate));
     }
 
     private static long fnv(long seed, String text) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/prompt/PromptShape.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/prompt/PromptShape.java
@@ -32,7 +32,11 @@
      * @return tokens
      */
     public long sharedTokens() {
-        return sharedParts().stream().mapToLong(PromptPart::tokens).sum();
+        long tokens = 0;
+        for (int i = 0; i < parts.size() - 1; i++) {
+            tokens += parts.get(i).tokens();
+        }
+        return tokens;
     }
 
     /**
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -124,9 +124,11 @@
         Supplier<List<String>> regionVms = fleet::regionVms;
         List<String> holders =
                 query.prompt().map(prompt -> sessions.holders(prompt, nowMillis)).orElse(List.of());
-        Map<RegionId, String> preferred = new HashMap<>();
-        Set<RegionId> relayRegions = new HashSet<>();
-        for (ReplicaTracker tracker : pool.serving(query.service().name(), nowMillis)) {
+        List<ReplicaTracker> serving = pool.serving(query.service().name(), nowMillis);
+        Set<String> preferred =
+                query.prompt().map(prompt -> preferred(serving, query, prompt)).orElse(Set.of());
+        Map<RegionId, Boolean> reached = new HashMap<>();
+        for (ReplicaTracker tracker : serving) {
             boolean local = tracker.region().equals(fleet.self().region());
             if (!fits(tracker, query) || (!local && !query.mayRelay())) {
                 continue;
@@ -140,12 +142,14 @@
                                     fleet.self().vm(),
                                     regionVms,
                                     nowMillis)
-                            : reachable(tracker.region(), relayRegions, nowMillis)
-                                    && !tracker.cold(nowMillis);
+                            : !tracker.cold(nowMillis)
+                                    && reached.computeIfAbsent(
+                                            tracker.region(),
+                                            region -> fleet.reaches(region, nowMillis));
             if (!usable || query.tried().contains(tracker.info().id())) {
                 continue;
             }
-            Scored scored = score(tracker, local, query, preferred, holders, nowMillis);
+            Scored scored = score(tracker, local, query, preferred, holders);
             if (best == null || scored.loss < best.loss) {
                 best = scored;
             }
@@ -176,13 +180,12 @@
             ReplicaTracker tracker,
             boolean local,
             PlacementQuery query,
-            Map<RegionId, String> preferred,
-            List<String> holders,
-            long nowMillis) {
+            Set<String> preferred,
+            List<String> holders) {
         UpstreamUse use = tracker.use().plus(fleet.useElsewhere(tracker.info().id()));
         Scored scored = new Scored(tracker, local);
         if (query.prompt().isPresent()) {
-            scoreEngine(scored, query, use, preferred, holders, nowMillis);
+            scoreEngine(scored, query, use, preferred, holders);
         } else {
             int queued = Math.max(0, use.requests() + 1 - Math.max(1, tracker.info().slots()));
             double waiting = (double) queued / Math.max(1, tracker.info().slots());
@@ -205,16 +208,15 @@
             Scored scored,
             PlacementQuery query,
             UpstreamUse use,
-            Map<RegionId, String> preferred,
-            List<String> holders,
-            long nowMillis) {
+            Set<String> preferred,
+            List<String> holders) {
         PromptShape prompt = query.prompt().orElseThrow();
         ReplicaTracker tracker = scored.tracker;
         long shared = prompt.sharedTokens();
         long held = tracker.cached().cachedTokens(prompt);
         if (holders.contains(tracker.info().id())) {
             held = Math.max(held, shared);
-        } else if (isPreferred(tracker, query, preferred, nowMillis)) {
+        } else if (preferred.contains(tracker.info().id())) {
             double holds = scored.local ? PREFERRED_HOLDS : REMOTE_PREFERRED_HOLDS;
             held = Math.max(held, (long) (shared * holds));
         }
@@ -252,45 +254,26 @@
                 .findFirst();
     }
 
-    private boolean isPreferred(
-            ReplicaTracker tracker,
-            PlacementQuery query,
-            Map<RegionId, String> preferred,
-            long nowMillis) {
-        String id = tracker.info().id();
-        return id.equals(preferredOf(tracker, query, preferred, nowMillis));
-    }
-
-    private String preferredOf(
-            ReplicaTracker tracker,
-            PlacementQuery query,
-            Map<RegionId, String> preferred,
-            long nowMillis) {
-        return preferred.computeIfAbsent(
-                tracker.region(),
-                region -> {
-                    List<ReplicaTracker> serving =
-                            pool.serving(query.service().name(), nowMillis).stream()
-                                    .filter(other -> other.region().equals(region))
-                                    .filter(other -> fits(other, query))
-                                    .filter(other -> !other.failing())
-                                    .toList();
-                    String key = query.prompt().map(PromptShape::affinityKey).orElse("");
-                    Optional<ReplicaTracker> pick =
-                            Rendezvous.pick(key, serving, other -> other.info().id());
-                    return pick.map(other -> other.info().id()).orElse("");
-                });
-    }
-
-    private boolean reachable(RegionId region, Set<RegionId> known, long nowMillis) {
-        if (known.contains(region)) {
-            return true;
-        }
-        boolean found = !fleet.relays(region, nowMillis).isEmpty();
-        if (found) {
-            known.add(region);
+    /** The engine of each region that is likeliest to hold a session that this VM never sent. */
+    private static Set<String> preferred(
+            List<ReplicaTracker> serving, PlacementQuery query, PromptShape prompt) {
+        long seed = Rendezvous.seed(prompt.affinityKey());
+        Map<RegionId, ReplicaTracker> best = new HashMap<>();
+        Map<RegionId, Long> weights = new HashMap<>();
+        for (ReplicaTracker tracker : serving) {
+            if (tracker.failing() || !fits(tracker, query)) {
+                continue;
+            }
+            long weight = Rendezvous.seededWeight(seed, tracker.info().id());
+            Long known = weights.get(tracker.region());
+            if (known == null || Long.compareUnsigned(weight, known) > 0) {
+                weights.put(tracker.region(), weight);
+                best.put(tracker.region(), tracker);
+            }
         }
-        return found;
+        Set<String> ids = new HashSet<>();
+        best.values().forEach(tracker -> ids.add(tracker.info().id()));
+        return ids;
     }
 
     private static boolean fits(ReplicaTracker tracker, PlacementQuery query) {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
@@ -64,6 +64,7 @@
                         Map.of(),
                         Map.of(),
                         List.of(),
+                        false,
                         List.of(heard));
         view.receive(report, NOW);
         assertThat(
@@ -82,6 +83,7 @@
                         Map.of(),
                         Map.of(),
                         List.of(),
+                        false,
                         List.of(heard));
         view.receive(report, NOW);
         assertThat(view.relays(EAST, NOW).size(), is(1));
@@ -109,6 +111,7 @@
                         Map.of(),
                         Map.of(),
                         List.of(),
+                        false,
                         List.of(heard));
         view.receive(other, NOW + 2_200);
         assertThat(view.members().size(), is(1));
@@ -169,6 +172,7 @@
                                 Map.of(),
                                 Map.of("u" + random.nextInt(2), use),
                                 List.of(),
+                                false,
                                 List.of());
                 view.receive(report, now);
                 last.put(name, report);
@@ -193,7 +197,7 @@
     }
 
     private static FleetReport report(MemberInfo vm, long sequence) {
-        return new FleetReport(vm, sequence, 0, Map.of(), Map.of(), List.of(), List.of());
+        return new FleetReport(vm, sequence, 0, Map.of(), Map.of(), List.of(), false, List.of());
     }
 
     private static MemberInfo vm(
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/StoreReadersTest.java
@@ -0,0 +1,116 @@
+package io.vanillapoint.core.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.ZoneId;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Which VMs read the platform's store, played with a whole region in virtual time. */
+class StoreReadersTest {
+    private static final RegionId WEST = new RegionId("west");
+    private static final int VMS = 25;
+    private static final long ROUND_MILLIS = 200;
+
+    /** Within the shortest bound that operators set for a configuration to be in force. */
+    private static final long TAKE_OVER_MILLIS = 5_000;
+
+    private final Map<String, FleetView> views = new LinkedHashMap<>();
+    private final Map<String, HeartbeatPlan> plans = new LinkedHashMap<>();
+    private final Set<String> down = new HashSet<>();
+    private final Set<String> refused = new HashSet<>();
+    private long now = 100_000;
+
+    StoreReadersTest() {
+        for (int i = 0; i < VMS; i++) {
+            String name = "w" + i;
+            MemberInfo info =
+                    new MemberInfo(name, name, WEST, new ZoneId("west-a"), 1, MemberState.READY);
+            views.put(name, new FleetView(info, FleetTiming.DEFAULT, VMS));
+            plans.put(name, new HeartbeatPlan(FleetTiming.DEFAULT));
+        }
+        views.values().forEach(from -> views.values().forEach(to -> to.receive(report(from), now)));
+    }
+
+    @Test
+    void threeVmsOfALargeRegionRead() {
+        play(2_000);
+        assertThat(readers(), hasSize(StoreReaders.PER_REGION));
+    }
+
+    @Test
+    void othersTakeOverWhenAllReadersAreLost() {
+        play(2_000);
+        down.addAll(readers());
+        play(TAKE_OVER_MILLIS);
+        assertThat(readers(), hasSize(StoreReaders.PER_REGION));
+    }
+
+    @Test
+    void othersTakeOverWhenTheStoreRefusesTheReaders() {
+        play(2_000);
+        refused.addAll(readers());
+        play(TAKE_OVER_MILLIS);
+        List<String> answered = new ArrayList<>(readers());
+        answered.removeAll(refused);
+        assertThat(answered, hasSize(StoreReaders.PER_REGION));
+    }
+
+    @Test
+    void vmThatHearsNobodyReadsItself() {
+        play(2_000);
+        String alone = "w0";
+        down.addAll(views.keySet());
+        down.remove(alone);
+        play(TAKE_OVER_MILLIS);
+        assertThat(reads(views.get(alone)), is(true));
+    }
+
+    private void play(long millis) {
+        for (long end = now + millis; now < end; now += ROUND_MILLIS) {
+            for (FleetView from : views.values()) {
+                if (up(from)) {
+                    FleetReport report = report(from);
+                    for (String to : plans.get(from.self().vm()).next(from, now)) {
+                        deliver(report, to);
+                    }
+                }
+            }
+        }
+    }
+
+    private void deliver(FleetReport report, String to) {
+        if (!down.contains(to)) {
+            views.get(to).receive(report, now);
+        }
+    }
+
+    private FleetReport report(FleetView from) {
+        boolean answered = reads(from) && !refused.contains(from.self().vm());
+        return from.report(now, 0, Map.of(), Map.of(), List.of(), answered);
+    }
+
+    private List<String> readers() {
+        return views.values().stream()
+                .filter(this::up)
+                .filter(this::reads)
+                .map(view -> view.self().vm())
+                .toList();
+    }
+
+    private boolean up(FleetView view) {
+        return !down.contains(view.self().vm());
+    }
+
+    private boolean reads(FleetView view) {
+        return StoreReaders.reads(view, now);
+    }
+}
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleet.java
@@ -232,7 +232,7 @@
             if (far) {
                 nextFar = now + FleetTiming.DEFAULT.otherIntervalMillis();
             }
-            FleetReport report = view.report(now, 0, meter.uses(), Map.of(), List.of());
+            FleetReport report = view.report(now, 0, meter.uses(), Map.of(), List.of(), false);
             for (Vm other : vms) {
                 boolean send = other != this && (far || other.region == region);
                 if (send && !cutPairs.contains(pair(this, other)) && random.nextInt(100) != 0) {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
@@ -61,7 +61,14 @@
         publish("plain-e", "plain", EAST_A, ReplicaState.READY, 0);
         FleetReport report =
                 new FleetReport(
-                        vm("east-1", EAST, EAST_A), 1, 0, Map.of(), Map.of(), List.of(), List.of());
+                        vm("east-1", EAST, EAST_A),
+                        1,
+                        0,
+                        Map.of(),
+                        Map.of(),
+                        List.of(),
+                        false,
+                        List.of());
         fleet.receive(report, NOW);
     }
 
--- a/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
@@ -72,7 +72,7 @@
     }
 
     FleetReport report(long now) {
-        return view.report(now, 0, Map.of(), pool.uses(), sessions.report(now));
+        return view.report(now, 0, Map.of(), pool.uses(), sessions.report(now), false);
     }
 
     void hear(FleetReport report, long now) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
@@ -84,6 +84,7 @@
         return Future.all(listening).mapEmpty();
     }
 
+    /** Without protocols that no caller speaks: each costs time on every connection and message. */
     private Future<?> serve(Endpoint endpoint, Handler<HttpServerRequest> handler) {
         HttpServerOptions options =
                 new HttpServerOptions()
@@ -91,7 +92,10 @@
                         .setPort(endpoint.port())
                         .setTcpNoDelay(true)
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
-                        .setHandle100ContinueAutomatically(true);
+                        .setHandle100ContinueAutomatically(true)
+                        .setHttp2ClearTextEnabled(false)
+                        .setPerFrameWebSocketCompressionSupported(false)
+                        .setPerMessageWebSocketCompressionSupported(false);
         return context.vertx().createHttpServer(options).requestHandler(handler).listen();
     }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -26,6 +26,8 @@
 import io.vanillapoint.entry.settings.EntrySettings;
 import io.vanillapoint.entry.traffic.CallerHandler;
 import io.vanillapoint.entry.traffic.EntryContext;
+import io.vanillapoint.entry.traffic.LoopLag;
+import io.vanillapoint.entry.traffic.ReadGate;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -68,6 +70,7 @@
     private final RelayHandler relays;
     private final EntryListeners listeners;
     private final Promise<Void> stopped = Promise.promise();
+    private final LoopLag lag;
     private boolean refusing;
 
     /**
@@ -104,10 +107,12 @@
                 new PublicationBoard(
                         platform.published(), pool, log, clock, this::publicationTaken);
         HttpClient vms = vmClient();
+        lag = new LoopLag(tuning.flushMillis(), now());
         EntryContext context =
                 new EntryContext(
                         vertx,
                         clock,
+                        new ReadGate(vertx, clock, lag),
                         log,
                         metrics,
                         platform.requests(),
@@ -217,9 +222,7 @@
     }
 
     private void tick() {
-        if (fleet.self().state() == MemberState.STARTING && board.publication().isPresent()) {
-            state(MemberState.READY, "configuration known");
-        }
+        lag.tick(now());
         retries.vms(fleet.members().size() + 1);
         pool.prune(now());
         log.flush();
@@ -272,12 +275,20 @@
     private void publicationTaken(GatewayPublication publication) {
         long now = now();
         grants.configure(publication.customers(), fleet.heardShare(now), now);
+        if (fleet.self().state() == MemberState.STARTING) {
+            state(MemberState.READY, "configuration known");
+        }
     }
 
     private FleetReport report() {
         long now = now();
         return fleet.report(
-                now, board.revision(), grants.uses(), pool.uses(), sessions.report(now));
+                now,
+                board.revision(),
+                grants.uses(),
+                pool.uses(),
+                sessions.report(now),
+                control.readsStore());
     }
 
     private HttpClient upstreamClient() {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
@@ -2,6 +2,7 @@
 
 import io.vanillapoint.core.fleet.FleetReport;
 import io.vanillapoint.core.fleet.FleetTiming;
+import io.vanillapoint.core.fleet.StoreReaders;
 import io.vanillapoint.entry.port.PublishedSource;
 import io.vanillapoint.entry.traffic.EntryContext;
 import io.vanillapoint.wire.FleetCodec;
@@ -38,10 +39,16 @@
             Supplier<FleetReport> reports,
             Consumer<FleetReport> heard) {
         this.board = board;
-        sync = new StoreSync(context.vertx(), source, board, context.log(), context.clock());
+        sync =
+                new StoreSync(
+                        context.vertx(),
+                        source,
+                        board,
+                        context.log(),
+                        context.clock(),
+                        () -> StoreReaders.reads(context.fleet(), context.clock().getAsLong()));
         copy =
                 new StoreCopy(
-                        context.vertx(),
                         context.fleet(),
                         board,
                         sync,
@@ -58,7 +65,13 @@
                         context.clock(),
                         context.peerPort(),
                         reports,
-                        heard);
+                        report -> {
+                            heard.accept(report);
+                            if (report.publishedRevision() > board.revision()) {
+                                copy.look();
+                            }
+                        },
+                        copy::look);
     }
 
     /**
@@ -78,7 +91,6 @@
      */
     public Future<Void> start(List<String> seeds) {
         sync.start();
-        copy.start();
         return link.start(seeds);
     }
 
@@ -100,6 +112,15 @@
         return Math.max(0, sync.lostMillis());
     }
 
+    /**
+     * Tells whether the platform's store has answered this VM itself lately.
+     *
+     * @return false if it is away or if other VMs read it for this one
+     */
+    public boolean readsStore() {
+        return sync.answered();
+    }
+
     /** Tells all VMs at once that this one's state has changed. */
     public void announce() {
         link.sendAll();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryTuning.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryTuning.java
@@ -20,5 +20,5 @@
         long reserveMillis,
         long flushMillis) {
     /** For platforms that give eight seconds to stop. */
-    public static final EntryTuning DEFAULT = new EntryTuning(1, 700, 2_000, 2_800, 250, 100);
+    public static final EntryTuning DEFAULT = new EntryTuning(2, 700, 2_000, 2_800, 250, 200);
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
@@ -43,6 +43,7 @@
     private final int port;
     private final Supplier<FleetReport> reports;
     private final Consumer<FleetReport> heard;
+    private final Runnable beaten;
     private final Map<String, MemberState> logged = new HashMap<>();
     private final Set<String> suspected = new HashSet<>();
     private List<String> seeds;
@@ -57,7 +58,8 @@
             LongSupplier clock,
             int port,
             Supplier<FleetReport> reports,
-            Consumer<FleetReport> heard) {
+            Consumer<FleetReport> heard,
+            Runnable beaten) {
         this.vertx = vertx;
         this.fleet = fleet;
         this.timing = timing;
@@ -67,6 +69,7 @@
         this.port = port;
         this.reports = reports;
         this.heard = heard;
+        this.beaten = beaten;
         this.seeds = List.of();
     }
 
@@ -100,6 +103,7 @@
         long now = clock.getAsLong();
         fleet.prune(now);
         logSuspects(now);
+        beaten.run();
         if (fleet.members().isEmpty()) {
             sendAll();
             return;
@@ -127,9 +131,7 @@
     private void receive(DatagramPacket packet) {
         try {
             FleetReport report = codec.report(packet.data().getBytes());
-            boolean first =
-                    fleet.members().stream()
-                            .noneMatch(member -> member.info().vm().equals(report.self().vm()));
+            boolean first = !fleet.knows(report.self().vm());
             heard.accept(report);
             logState(report.self());
             if (first) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopy.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopy.java
@@ -7,7 +7,6 @@
 import io.vanillapoint.core.fleet.Member;
 import io.vanillapoint.core.published.StoredDelta;
 import io.vanillapoint.wire.FleetCodec;
-import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
@@ -27,10 +26,8 @@
     /** The own watch usually brings a change within this time of the first VM that has it. */
     private static final long BEHIND_MILLIS = 150;
 
-    private static final long LOOK_MILLIS = 100;
     private static final long TIMEOUT_MILLIS = 800;
 
-    private final Vertx vertx;
     private final FleetView fleet;
     private final PublicationBoard board;
     private final StoreSync sync;
@@ -42,7 +39,6 @@
     private boolean copying;
 
     StoreCopy(
-            Vertx vertx,
             FleetView fleet,
             PublicationBoard board,
             StoreSync sync,
@@ -50,7 +46,6 @@
             EventSink log,
             LongSupplier clock,
             int port) {
-        this.vertx = vertx;
         this.fleet = fleet;
         this.board = board;
         this.sync = sync;
@@ -60,11 +55,8 @@
         this.port = port;
     }
 
-    void start() {
-        vertx.setPeriodic(LOOK_MILLIS, nothing -> look());
-    }
-
-    private void look() {
+    /** Looks whether another VM knows more; to be called with each heartbeat. */
+    void look() {
         long now = clock.getAsLong();
         Optional<Member> ahead = fleet.ahead(board.revision(), now);
         if (ahead.isEmpty()) {
@@ -74,7 +66,8 @@
         if (behindSinceMillis < 0) {
             behindSinceMillis = now;
         }
-        if (!copying && now - behindSinceMillis >= BEHIND_MILLIS) {
+        long patience = sync.answered() ? BEHIND_MILLIS : 0;
+        if (!copying && now - behindSinceMillis >= patience) {
             copy(ahead.get());
         }
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
@@ -5,19 +5,27 @@
 import io.vanillapoint.entry.port.PublishedSource;
 import io.vanillapoint.entry.port.StoreException;
 import io.vertx.core.Vertx;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 /**
  * Keeps the board up to date from the platform's store: one listing, then one watch after the
  * other.
  *
- * <p>Invariant: at most one call to the store is under way. A store that is down is asked again
- * with a pause that grows to its limit. Confined to one event loop.
+ * <p>Invariants: at most one call to the store is under way; once the board is filled, calls are
+ * made only while it is this VM's turn to read. A store that is down is asked again with a pause
+ * that grows to its limit. Confined to one event loop.
  */
 final class StoreSync {
     /** Longest wait of one watch: a connection that has gone silent is noticed after it. */
     private static final long WATCH_MILLIS = 3_000;
 
+    /** A watch that was answered in time is followed by the next one within this time. */
+    private static final long ANSWERED_MILLIS = WATCH_MILLIS + 1_000;
+
+    /** Time between two looks whether it has become this VM's turn to read. */
+    private static final long TURN_MILLIS = 300;
+
     private static final long FIRST_PAUSE_MILLIS = 200;
     private static final long LONGEST_PAUSE_MILLIS = 1_000;
 
@@ -26,33 +34,45 @@
     private final PublicationBoard board;
     private final EventSink log;
     private final LongSupplier clock;
+    private final BooleanSupplier turn;
     private boolean listed;
     private boolean waiting;
     private long lostAtMillis = -1;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long watchSinceMillis;
+    private long answeredAtMillis = -ANSWERED_MILLIS;
 
     StoreSync(
             Vertx vertx,
             PublishedSource source,
             PublicationBoard board,
             EventSink log,
-            LongSupplier clock) {
+            LongSupplier clock,
+            BooleanSupplier turn) {
         this.vertx = vertx;
         this.source = source;
         this.board = board;
         this.log = log;
         this.clock = clock;
+        this.turn = turn;
     }
 
     void start() {
-        if (listed) {
+        if (!listed) {
+            list();
+        } else if (turn.getAsBoolean()) {
             watch();
         } else {
-            list();
+            lostAtMillis = -1;
+            vertx.setTimer(TURN_MILLIS, nothing -> start());
         }
     }
 
+    /** Tells whether the store has answered within the time of a watch. */
+    boolean answered() {
+        return lostAtMillis < 0 && clock.getAsLong() - answeredAtMillis < ANSWERED_MILLIS;
+    }
+
     /** The board was filled from another VM: a watch can go on from there. */
     void boardFilled() {
         listed = true;
@@ -77,7 +97,7 @@
                             listed = true;
                             board.replace(listing.result());
                             regained();
-                            watch();
+                            start();
                         });
     }
 
@@ -94,7 +114,7 @@
                             }
                             board.merge(changes.result(), "watch");
                             regained();
-                            watch();
+                            start();
                         });
     }
 
@@ -112,6 +132,7 @@
     }
 
     private void regained() {
+        answeredAtMillis = clock.getAsLong();
         pauseMillis = FIRST_PAUSE_MILLIS;
         if (lostAtMillis >= 0) {
             long lost = clock.getAsLong() - lostAtMillis;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EntryContext.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EntryContext.java
@@ -17,6 +17,7 @@
  *
  * @param vertx timers
  * @param clock steady time in milliseconds
+ * @param gate holds work back on a VM that is behind
  * @param log where decisions are recorded
  * @param metrics counters
  * @param format headers of the platform
@@ -32,6 +33,7 @@
 public record EntryContext(
         Vertx vertx,
         LongSupplier clock,
+        ReadGate gate,
         EventSink log,
         EntryMetrics metrics,
         RequestFormat format,
--- /dev/null
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReadGate.java
@@ -0,0 +1,46 @@
+package io.vanillapoint.entry.traffic;
+
+import io.vertx.core.Vertx;
+import java.util.function.LongSupplier;
+
+/**
+ * Holds work back on a VM that is behind until all that had arrived before it was read.
+ *
+ * <p>The end of a connection is read one turn of the event loop after the request that came on it,
+ * so a loop that is seconds behind would send on requests whose callers have long left. Confined to
+ * one event loop.
+ */
+public final class ReadGate {
+    /** A timer, unlike a task, runs after the next look for bytes that have arrived. */
+    private static final long NEXT_LOOK_MILLIS = 1;
+
+    private final Vertx vertx;
+    private final LongSupplier clock;
+    private final LoopLag lag;
+
+    /**
+     * Creates a gate.
+     *
+     * @param vertx timers
+     * @param clock steady time in milliseconds
+     * @param lag tells whether the loop is behind
+     */
+    public ReadGate(Vertx vertx, LongSupplier clock, LoopLag lag) {
+        this.vertx = vertx;
+        this.clock = clock;
+        this.lag = lag;
+    }
+
+    /**
+     * Runs work now, or on a VM that is behind after the next look.
+     *
+     * @param work what to run; it has to see for itself whether it is still wanted
+     */
+    public void pass(Runnable work) {
+        if (lag.behind(clock.getAsLong())) {
+            vertx.setTimer(NEXT_LOOK_MILLIS, nothing -> work.run());
+        } else {
+            work.run();
+        }
+    }
+}
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -200,17 +200,17 @@
     }
 
     /**
-     * Places the request after all that has already arrived. On a VM that is behind, the end of the
-     * caller's connection may stand in line behind the event that leads here.
+     * Places the request after all that has already arrived: the end of the caller's connection may
+     * stand in line behind the event that leads here.
      */
     private void later() {
-        context.vertx()
-                .runOnContext(
-                        nothing -> {
-                            if (!done && !callerGone) {
-                                next();
-                            }
-                        });
+        context.vertx().runOnContext(nothing -> context.gate().pass(this::nextIfWanted));
+    }
+
+    private void nextIfWanted() {
+        if (!done && !callerGone) {
+            next();
+        }
     }
 
     private void next() {
@@ -270,7 +270,8 @@
                         plan.urgency(),
                         resumeAfter(),
                         local.cacheSource().map(UpstreamReplica::endpoint));
-        UpstreamAttempt sending = new UpstreamAttempt(context.format(), call, id(), this);
+        UpstreamAttempt sending =
+                new UpstreamAttempt(context.format(), context.gate(), call, id(), this);
         attempt = sending;
         RequestOptions options =
                 new RequestOptions()
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
@@ -16,6 +16,7 @@
  */
 final class UpstreamAttempt implements Attempt {
     private final RequestFormat format;
+    private final ReadGate gate;
     private final UpstreamCall call;
     private final String requestId;
     private final AttemptListener listener;
@@ -24,8 +25,13 @@
     private boolean done;
 
     UpstreamAttempt(
-            RequestFormat format, UpstreamCall call, String requestId, AttemptListener listener) {
+            RequestFormat format,
+            ReadGate gate,
+            UpstreamCall call,
+            String requestId,
+            AttemptListener listener) {
         this.format = format;
+        this.gate = gate;
         this.call = call;
         this.requestId = requestId;
         this.listener = listener;
@@ -38,7 +44,7 @@
                             if (connected.failed()) {
                                 fail(AttemptEnd.NOT_SENT, connected.cause());
                             } else {
-                                send(connected.result(), body);
+                                gate.pass(() -> send(connected.result(), body));
                             }
                         });
     }
--- /dev/null
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/ReadGateTest.java
@@ -0,0 +1,80 @@
+package io.vanillapoint.entry.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Work on a loop that is behind. */
+class ReadGateTest {
+    private static final long INTERVAL = 200;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final LoopLag lag = new LoopLag(INTERVAL, 0);
+
+    @AfterEach
+    void close() throws Exception {
+        vertx.close().await(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void loopWhoseTicksComeInTimeIsNotBehind() {
+        for (long now = INTERVAL; now < 10_000; now += INTERVAL + 20) {
+            lag.tick(now);
+            assertThat(lag.behind(now + INTERVAL), is(false));
+        }
+    }
+
+    @Test
+    void loopIsBehindWhileItsTickIsLateAndASecondAfterwards() {
+        assertThat(lag.behind(INTERVAL + 100), is(true));
+        lag.tick(2_000);
+        lag.tick(2_000);
+        assertThat(lag.behind(2_100), is(true));
+        for (long now = 2_200; now <= 3_200; now += INTERVAL) {
+            lag.tick(now);
+        }
+        assertThat(lag.behind(3_200), is(false));
+    }
+
+    @Test
+    void workOnALoopInGoodOrderRunsAtOnce() throws Exception {
+        assertThat(order(INTERVAL), contains("work", "read"));
+    }
+
+    @Test
+    void workOnALoopThatIsBehindWaitsForWhatHasArrived() throws Exception {
+        assertThat(order(5_000), contains("read", "work"));
+    }
+
+    /** Passes work through a gate, with another event standing in line behind it. */
+    private List<String> order(long now) throws Exception {
+        List<String> order = new ArrayList<>();
+        Promise<Void> worked = Promise.promise();
+        Promise<Void> read = Promise.promise();
+        vertx.runOnContext(
+                nothing -> {
+                    ReadGate gate = new ReadGate(vertx, () -> now, lag);
+                    gate.pass(
+                            () -> {
+                                order.add("work");
+                                worked.complete();
+                            });
+                    vertx.runOnContext(
+                            unused -> {
+                                order.add("read");
+                                read.complete();
+                            });
+                });
+        worked.future().await(10, TimeUnit.SECONDS);
+        read.future().await(10, TimeUnit.SECONDS);
+        return order;
+    }
+}
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -117,6 +117,7 @@
         return new EntryContext(
                 vertx,
                 () -> System.nanoTime() / 1_000_000,
+                new ReadGate(vertx, () -> 0, new LoopLag(200, 0)),
                 log,
                 new EntryMetrics(),
                 new NoFormat(),
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
@@ -77,6 +77,7 @@
             reads.add(new TSessionRead(read.session(), read.upstream(), (int) read.ageMillis()));
         }
         message.setReads(reads);
+        message.setReadsStore(report.readsStore());
         message.setOthers(report.others().stream().map(FleetCodec::member).toList());
         return write(message);
     }
@@ -121,6 +122,7 @@
                                                     read.getUpstream(),
                                                     read.getAgeMillis()))
                             .toList(),
+                    message.isReadsStore(),
                     message.getOthers().stream().map(FleetCodec::member).toList());
         } catch (RuntimeException e) {
             throw bad(e.toString());
