Count the wait of unread requests against their deadline; count failed connections

Ruled out: the callers' ends being lost (they are read in the next turn). Change: what the loop is behind counts against the deadline of a request that is read now; the time handed to a replica is worked out when the connection stands, and nothing is sent if none is left. Tests: waitOfUnreadRequestsIsKnownOnlyWhileTheLoopIsBehind, requestWhoseTimeIsUpWhenTheConnectionStandsIsNotSent.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
@@ -32,6 +32,24 @@
         others = List.copyOf(others);
     }
 
+    /**
+     * The same report without the reads of sessions, which are outdated before they have reached
+     * all VMs of other regions in turn.
+     *
+     * @return a copy that names no reads
+     */
+    public FleetReport withoutReads() {
+        return new FleetReport(
+                self,
+                sequence,
+                publishedRevision,
+                customers,
+                upstreams,
+                List.of(),
+                readsStore,
+                others);
+    }
+
     /**
      * The same report without what changes slowly, for links on which each byte is paid for.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/HeartbeatPlan.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/HeartbeatPlan.java
@@ -53,13 +53,13 @@
     }
 
     /**
-     * Addresses for the round that begins now.
+     * VMs of the round that begins now.
      *
      * @param view the fleet
      * @param nowMillis steady time
-     * @return IP addresses
+     * @return to whom heartbeats go
      */
-    public List<String> next(FleetView view, long nowMillis) {
+    public Round next(FleetView view, long nowMillis) {
         List<String> near = new ArrayList<>();
         List<String> far = new ArrayList<>();
         view.members().stream()
@@ -69,12 +69,13 @@
                         vm ->
                                 (vm.region().equals(view.self().region()) ? near : far)
                                         .add(vm.host()));
-        List<String> hosts = new ArrayList<>(turn(near, regionTurn++, REGION_FANOUT));
+        List<String> others = List.of();
         if (nowMillis - otherSentAtMillis >= timing.otherIntervalMillis()) {
             otherSentAtMillis = nowMillis;
-            hosts.addAll(turn(far, otherTurn++, OTHER_FANOUT));
+            others = turn(far, otherTurn++, OTHER_FANOUT);
         }
-        return hosts;
+        boolean inTurn = otherRounds(far.size()) > 1;
+        return new Round(turn(near, regionTurn++, REGION_FANOUT), others, inTurn);
     }
 
     private static List<String> turn(List<String> hosts, int turn, int fanout) {
@@ -89,4 +90,24 @@
     private static int rounds(int others, int fanout) {
         return Math.max(1, (others + fanout - 1) / fanout);
     }
+
+    /**
+     * To whom heartbeats go at once. Immutable.
+     *
+     * @param near IP addresses of VMs of the own region
+     * @param others IP addresses of VMs of other regions
+     * @param othersInTurn true if VMs of other regions are reached in several rounds
+     */
+    public record Round(List<String> near, List<String> others, boolean othersInTurn) {
+        /**
+         * All addresses.
+         *
+         * @return new list
+         */
+        public List<String> all() {
+            List<String> hosts = new ArrayList<>(near);
+            hosts.addAll(others);
+            return hosts;
+        }
+    }
 }
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
@@ -137,7 +137,7 @@
         HeartbeatPlan plan = new HeartbeatPlan(FleetTiming.DEFAULT);
         Set<String> reached = new HashSet<>();
         for (long now = 0; now < 20_000; now += FleetTiming.DEFAULT.regionIntervalMillis()) {
-            List<String> round = plan.next(view, now);
+            List<String> round = plan.next(view, now).all();
             assertThat(round.size(), lessThanOrEqualTo(13));
             reached.addAll(round);
         }
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/StoreReadersTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/StoreReadersTest.java
@@ -79,7 +79,7 @@
             for (FleetView from : views.values()) {
                 if (up(from)) {
                     FleetReport report = report(from);
-                    for (String to : plans.get(from.self().vm()).next(from, now)) {
+                    for (String to : plans.get(from.self().vm()).next(from, now).all()) {
                         deliver(report, to);
                     }
                 }
--- a/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
@@ -68,7 +68,7 @@
     }
 
     List<String> heartbeatTargets(long now) {
-        return plan.next(view, now);
+        return plan.next(view, now).all();
     }
 
     FleetReport report(long now) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
@@ -6,6 +6,7 @@
 import io.vanillapoint.entry.control.EntryControl;
 import io.vanillapoint.entry.control.EntryTuning;
 import io.vanillapoint.entry.control.PublicationBoard;
+import io.vanillapoint.entry.log.ConnectionFailures;
 import io.vanillapoint.entry.port.EntryFormat;
 import io.vanillapoint.entry.port.EntryQuestion;
 import io.vanillapoint.entry.relay.RelayHandler;
@@ -44,6 +45,7 @@
     private final EntryControl control;
     private final CallerHandler callers;
     private final RelayHandler relays;
+    private final ConnectionFailures failures;
     private long startedAtMillis;
 
     EntryListeners(
@@ -63,29 +65,32 @@
         this.control = control;
         this.callers = callers;
         this.relays = relays;
+        failures = new ConnectionFailures(context.metrics());
     }
 
     /** Opens all listeners. */
     Future<Void> start() {
         startedAtMillis = context.clock().getAsLong();
         List<Future<?>> listening = new ArrayList<>();
-        listening.add(serve(settings.callers(), callers::handle));
+        listening.add(serve(settings.callers(), "caller", callers::handle));
         settings.readiness()
                 .filter(endpoint -> !endpoint.equals(settings.callers()))
-                .ifPresent(endpoint -> listening.add(serve(endpoint, this::question)));
+                .ifPresent(endpoint -> listening.add(serve(endpoint, "question", this::question)));
         settings.directory()
                 .filter(endpoint -> !endpoint.equals(settings.readiness().orElse(null)))
-                .ifPresent(endpoint -> listening.add(serve(endpoint, this::question)));
-        listening.add(serve(new Endpoint(settings.host(), settings.peerPort()), this::peerRequest));
+                .ifPresent(endpoint -> listening.add(serve(endpoint, "question", this::question)));
+        Endpoint peers = new Endpoint(settings.host(), settings.peerPort());
+        listening.add(serve(peers, "vm", this::peerRequest));
         listening.add(
                 serve(
                         new Endpoint(settings.host(), settings.metricsPort()),
+                        "metrics",
                         request -> answer(request, OK, Buffer.buffer(context.metrics().text()))));
         return Future.all(listening).mapEmpty();
     }
 
     /** Without protocols that no caller speaks: each costs time on every connection and message. */
-    private Future<?> serve(Endpoint endpoint, Handler<HttpServerRequest> handler) {
+    private Future<?> serve(Endpoint endpoint, String peer, Handler<HttpServerRequest> handler) {
         HttpServerOptions options =
                 new HttpServerOptions()
                         .setHost(endpoint.host())
@@ -96,7 +101,11 @@
                         .setHttp2ClearTextEnabled(false)
                         .setPerFrameWebSocketCompressionSupported(false)
                         .setPerMessageWebSocketCompressionSupported(false);
-        return context.vertx().createHttpServer(options).requestHandler(handler).listen();
+        return context.vertx()
+                .createHttpServer(options)
+                .connectionHandler(connection -> failures.watch(connection, peer))
+                .requestHandler(handler)
+                .listen();
     }
 
     private void question(HttpServerRequest request) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -18,6 +18,7 @@
 import io.vanillapoint.entry.control.EntryTuning;
 import io.vanillapoint.entry.control.PublicationBoard;
 import io.vanillapoint.entry.control.RetryAllowance;
+import io.vanillapoint.entry.log.ConnectionFailures;
 import io.vanillapoint.entry.log.DecisionLog;
 import io.vanillapoint.entry.log.EntryMetrics;
 import io.vanillapoint.entry.log.LineWriter;
@@ -291,11 +292,20 @@
                 control.readsStore());
     }
 
+    private HttpClient client(HttpClientOptions options, PoolOptions connections, String peer) {
+        ConnectionFailures failures = new ConnectionFailures(metrics);
+        return vertx.httpClientBuilder()
+                .with(options)
+                .with(connections)
+                .withConnectHandler(connection -> failures.watch(connection, peer))
+                .build();
+    }
+
     private HttpClient upstreamClient() {
         HttpClientOptions options = new HttpClientOptions().setKeepAlive(false).setTcpNoDelay(true);
         PoolOptions connections =
                 new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setEventLoopSize(1);
-        return vertx.createHttpClient(options, connections);
+        return client(options, connections, "upstream");
     }
 
     private HttpClient vmClient() {
@@ -305,6 +315,6 @@
                         .setKeepAliveTimeout(VM_IDLE_SECONDS)
                         .setConnectTimeout(VM_CONNECT_MILLIS);
         PoolOptions connections = new PoolOptions().setHttp1MaxSize(VM_CONNECTIONS);
-        return vertx.createHttpClient(options, connections);
+        return client(options, connections, "vm");
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
@@ -111,7 +111,15 @@
         boolean full = ++beats % BEATS_PER_FULL_REPORT == 0;
         FleetReport report = full ? reports.get() : reports.get().withoutOthers();
         Buffer datagram = Buffer.buffer(codec.encode(report));
-        plan.next(fleet, now).forEach(host -> send(datagram, host));
+        HeartbeatPlan.Round round = plan.next(fleet, now);
+        round.near().forEach(host -> send(datagram, host));
+        if (!round.others().isEmpty()) {
+            Buffer toOthers =
+                    round.othersInTurn()
+                            ? Buffer.buffer(codec.encode(report.withoutReads()))
+                            : datagram;
+            round.others().forEach(host -> send(toOthers, host));
+        }
         if (full) {
             seeds.stream()
                     .filter(seed -> !seed.equals(fleet.self().host()))
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/UpstreamCall.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/UpstreamCall.java
@@ -25,4 +25,15 @@
         long remainingMillis,
         OptionalInt urgency,
         OptionalLong lastEventId,
-        Optional<Endpoint> cacheSource) {}
+        Optional<Endpoint> cacheSource) {
+    /**
+     * The same call with another time to work.
+     *
+     * @param millis how long the upstream may work
+     * @return a copy
+     */
+    public UpstreamCall withRemainingMillis(long millis) {
+        return new UpstreamCall(
+                headers, replica, customer, millis, urgency, lastEventId, cacheSource);
+    }
+}
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
@@ -131,11 +131,11 @@
 
     private void read(HttpClientResponse answered) {
         response = answered;
+        answered.exceptionHandler(error -> fail(AttemptEnd.LOST, error.getMessage(), 0));
         if (done) {
             return;
         }
         FrameReader frames = new FrameReader(this::take);
-        answered.exceptionHandler(error -> fail(AttemptEnd.LOST, error.getMessage(), 0));
         answered.endHandler(
                 nothing -> fail(AttemptEnd.LOST, "relay ended without the end of the answer", 0));
         answered.handler(
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
@@ -135,7 +135,7 @@
                         service.get(),
                         customer,
                         now,
-                        now + relayed.remainingMillis(),
+                        now + relayed.remainingMillis() - context.gate().unreadMillis(),
                         true);
         boolean allowed = plan.allowedIn(context.fleet().self().region());
         return allowed ? Optional.of(plan) : Optional.empty();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
@@ -185,7 +185,7 @@
                         service.get(),
                         keyNeeded ? customer : Optional.empty(),
                         receivedAt,
-                        receivedAt + wait,
+                        receivedAt + wait - context.gate().unreadMillis(),
                         false);
         if (takeTokens(plan, sink, now)) {
             run(plan, request, sink);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/LoopLag.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/LoopLag.java
@@ -16,6 +16,7 @@
     private final long intervalMillis;
     private long tickedAtMillis;
     private long behindUntilMillis = Long.MIN_VALUE;
+    private long lastDelayMillis;
 
     /**
      * Starts to measure.
@@ -34,7 +35,8 @@
      * @param nowMillis steady time
      */
     public void tick(long nowMillis) {
-        if (late(nowMillis)) {
+        lastDelayMillis = delay(nowMillis);
+        if (lastDelayMillis >= BEHIND_MILLIS) {
             behindUntilMillis = nowMillis + MEMORY_MILLIS;
         }
         tickedAtMillis = nowMillis;
@@ -47,10 +49,20 @@
      * @return true if bytes may have waited for their turn
      */
     public boolean behind(long nowMillis) {
-        return nowMillis < behindUntilMillis || late(nowMillis);
+        return nowMillis < behindUntilMillis || delay(nowMillis) >= BEHIND_MILLIS;
     }
 
-    private boolean late(long nowMillis) {
-        return nowMillis - tickedAtMillis - intervalMillis >= BEHIND_MILLIS;
+    /**
+     * Time for which bytes wait for their turn, as the last two ticks show it.
+     *
+     * @param nowMillis steady time
+     * @return milliseconds, 0 or more
+     */
+    public long delayMillis(long nowMillis) {
+        return Math.max(lastDelayMillis, delay(nowMillis));
+    }
+
+    private long delay(long nowMillis) {
+        return Math.max(0, nowMillis - tickedAtMillis - intervalMillis);
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReadGate.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReadGate.java
@@ -31,6 +31,17 @@
         this.lag = lag;
     }
 
+    /**
+     * Time for which a request that is read now has probably waited unread; its sender counts it
+     * against the time that it gives.
+     *
+     * @return milliseconds, 0 on a VM that is not behind
+     */
+    public long unreadMillis() {
+        long now = clock.getAsLong();
+        return lag.behind(now) ? lag.delayMillis(now) : 0;
+    }
+
     /**
      * Runs work now, or on a VM that is behind after the next look.
      *
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -266,12 +266,13 @@
                         plan.envelope().headers(),
                         replica.id(),
                         plan.customer().map(CustomerSpec::name),
-                        plan.deadlineMillis() - now - WAY_BACK_MILLIS,
+                        remainingMillis(),
                         plan.urgency(),
                         resumeAfter(),
                         local.cacheSource().map(UpstreamReplica::endpoint));
         UpstreamAttempt sending =
-                new UpstreamAttempt(context.format(), context.gate(), call, id(), this);
+                new UpstreamAttempt(
+                        context.format(), context.gate(), call, this::remainingMillis, id(), this);
         attempt = sending;
         RequestOptions options =
                 new RequestOptions()
@@ -306,7 +307,7 @@
                         plan.route().name(),
                         plan.service().name(),
                         plan.customer().map(CustomerSpec::name),
-                        (int) (plan.deadlineMillis() - now - WAY_BACK_MILLIS),
+                        (int) remainingMillis(),
                         plan.method(),
                         plan.uri(),
                         relayHeaders(),
@@ -570,6 +571,11 @@
         return context.clock().getAsLong();
     }
 
+    /** What a replica may take, less the way back to the caller. */
+    private long remainingMillis() {
+        return plan.deadlineMillis() - now() - WAY_BACK_MILLIS;
+    }
+
     private long elapsed() {
         return now() - plan.receivedAtMillis();
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
+import java.util.function.LongSupplier;
 
 /**
  * Sends a request to a replica on a connection of its own, so that no answer to another request can
@@ -18,6 +19,7 @@
     private final RequestFormat format;
     private final ReadGate gate;
     private final UpstreamCall call;
+    private final LongSupplier remainingMillis;
     private final String requestId;
     private final AttemptListener listener;
     private HttpClientRequest request;
@@ -28,11 +30,13 @@
             RequestFormat format,
             ReadGate gate,
             UpstreamCall call,
+            LongSupplier remainingMillis,
             String requestId,
             AttemptListener listener) {
         this.format = format;
         this.gate = gate;
         this.call = call;
+        this.remainingMillis = remainingMillis;
         this.requestId = requestId;
         this.listener = listener;
     }
@@ -73,11 +77,13 @@
 
     private void send(HttpClientRequest connected, Buffer body) {
         request = connected;
-        if (done) {
+        long remaining = remainingMillis.getAsLong();
+        if (done || remaining <= 0) {
+            // The request's own timer tells the caller that its time is up.
             connected.reset();
             return;
         }
-        format.writeCall(call, connected.headers());
+        format.writeCall(call.withRemainingMillis(remaining), connected.headers());
         connected
                 .response()
                 .onComplete(
@@ -97,6 +103,7 @@
 
     private void read(HttpClientResponse answered) {
         response = answered;
+        answered.exceptionHandler(error -> fail(AttemptEnd.LOST, error));
         if (done) {
             return;
         }
@@ -107,7 +114,6 @@
             request.reset();
             return;
         }
-        answered.exceptionHandler(error -> fail(AttemptEnd.LOST, error));
         answered.handler(
                 data -> {
                     if (!done) {
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/ReadGateTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/ReadGateTest.java
@@ -44,6 +44,21 @@
         assertThat(lag.behind(3_200), is(false));
     }
 
+    @Test
+    void delayIsThatOfTheLastTicks() {
+        assertThat(lag.delayMillis(INTERVAL + 50), is(50L));
+        lag.tick(2_000);
+        assertThat(lag.delayMillis(2_050), is(1_800L));
+        lag.tick(2_200);
+        assertThat(lag.delayMillis(2_300), is(0L));
+    }
+
+    @Test
+    void waitOfUnreadRequestsIsKnownOnlyWhileTheLoopIsBehind() {
+        assertThat(new ReadGate(vertx, () -> INTERVAL + 50, lag).unreadMillis(), is(0L));
+        assertThat(new ReadGate(vertx, () -> INTERVAL + 900, lag).unreadMillis(), is(900L));
+    }
+
     @Test
     void workOnALoopInGoodOrderRunsAtOnce() throws Exception {
         assertThat(order(INTERVAL), contains("work", "read"));
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -36,7 +36,9 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -47,6 +49,7 @@
     private static final ServiceSpec SERVICE = new ServiceSpec("s", 10, 0, 0, Optional.empty());
 
     private final Vertx vertx = Vertx.vertx();
+    private LongSupplier clock = () -> System.nanoTime() / 1_000_000;
     private final RecordingLog log = new RecordingLog();
     private final RecordingSink sink = new RecordingSink();
     private final UpstreamPool pool = new UpstreamPool(Map.of(ZONE, REGION));
@@ -80,6 +83,23 @@
         assertThat(sink.seen(), is("refuse 503 all_replicas_busy not run"));
     }
 
+    @Test
+    void requestWhoseTimeIsUpWhenTheConnectionStandsIsNotSent() throws Exception {
+        AtomicInteger received = new AtomicInteger();
+        int port =
+                vertx.createHttpServer()
+                        .requestHandler(request -> received.incrementAndGet())
+                        .listen(0, "127.0.0.1")
+                        .await(10, TimeUnit.SECONDS)
+                        .actualPort();
+        publish(port);
+        // The clock stands still until the replica is chosen, then jumps beyond the deadline.
+        clock = () -> log.codes().contains(EventCode.PLACED) ? 10_000 : 0;
+        play(RouteKind.AT_MOST_ONCE, run -> {});
+        assertThat(sink.seen(), is("refuse 504 timeout"));
+        assertThat(received.get(), is(0));
+    }
+
     private void play(RouteKind kind, Consumer<RequestRun> then) throws Exception {
         Promise<Void> ended = Promise.promise();
         vertx.runOnContext(
@@ -96,11 +116,15 @@
 
     private void publish() {
         // Port 1 of the loopback address has no listener.
+        publish(1);
+    }
+
+    private void publish(int port) {
         UpstreamReplica replica =
                 new UpstreamReplica(
                         "i-1",
                         "s",
-                        new Endpoint("127.0.0.1", 1),
+                        new Endpoint("127.0.0.1", port),
                         ZONE,
                         6,
                         ReplicaState.READY,
@@ -116,7 +140,7 @@
         SessionLocations sessions = new SessionLocations();
         return new EntryContext(
                 vertx,
-                () -> System.nanoTime() / 1_000_000,
+                () -> clock.getAsLong(),
                 new ReadGate(vertx, () -> 0, new LoopLag(200, 0)),
                 log,
                 new EntryMetrics(),
@@ -131,7 +155,7 @@
                 17_600);
     }
 
-    private static RequestPlan plan(RouteKind kind) {
+    private RequestPlan plan(RouteKind kind) {
         RouteSpec route =
                 new RouteSpec(
                         "r",
@@ -158,7 +182,7 @@
                         OptionalLong.empty(),
                         OptionalLong.empty(),
                         List.of());
-        long now = System.nanoTime() / 1_000_000;
+        long now = clock.getAsLong();
         return new RequestPlan(
                 envelope,
                 "POST",
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/testing/Gateway.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/testing/Gateway.java
@@ -25,6 +25,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.StringJoiner;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Daemons in this process on real sockets, with a platform and upstreams that the test scripts.
@@ -41,6 +42,7 @@
                     + "{\"name\":\"open\",\"openToAll\":true}]}";
 
     private final Vertx vertx = Vertx.vertx();
+    private final AtomicInteger answersBegun = new AtomicInteger();
     private final HttpClient client =
             vertx.createHttpClient(
                     new HttpClientOptions().setKeepAlive(false),
@@ -202,6 +204,11 @@
                 .recover(error -> Future.succeededFuture(new Answer(0, null, "", false)));
     }
 
+    /** Answers whose head has reached a caller. */
+    public int answersBegun() {
+        return answersBegun.get();
+    }
+
     /** A chat request for model m. */
     public Answer chat(String vm, int maxTokens, boolean stream) {
         return call(vm, "POST", "/v1/chat/completions", chatBody("hello", maxTokens, stream));
@@ -232,10 +239,14 @@
         }
     }
 
-    private static Future<Answer> send(HttpClientRequest request, String body) {
+    private Future<Answer> send(HttpClientRequest request, String body) {
         Promise<Answer> promise = Promise.promise();
         request.send(Buffer.buffer(body))
-                .onSuccess(response -> read(response, promise))
+                .onSuccess(
+                        response -> {
+                            answersBegun.incrementAndGet();
+                            read(response, promise);
+                        })
                 .onFailure(promise::tryFail);
         return promise.future();
     }
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/ForwardingTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/ForwardingTest.java
@@ -76,9 +76,7 @@
                 request -> request.response().setChunked(true).write("part"));
         twoRegions("\"a\":1,\"b\":1").start();
         Future<Answer> answer = gateway.callLater("a-1", "GET", READ, "");
-        Await.until(
-                "the other region runs it",
-                () -> Await.result(gateway.daemon("b-1").status()).running() == 1);
+        Await.until("the answer has begun", () -> gateway.answersBegun() == 1);
         gateway.killVm("b-1");
         assertThat(Await.result(answer).whole(), is(false));
     }
