--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/ReadGateTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/ReadGateTest.java
@@ -69,6 +69,43 @@
         assertThat(order(5_000), contains("read", "work"));
     }
 
+    @Test
+    void loopThatIsBehindLooksForBytesBetweenAnyTwoPiecesOfWork() throws Exception {
+        List<String> order = new ArrayList<>();
+        Promise<Void> done = Promise.promise();
+        vertx.runOnContext(
+                nothing -> {
+                    ReadGate gate = new ReadGate(vertx, () -> 5_000, lag);
+                    gate.pass(
+                            () -> {
+                                order.add("first");
+                                vertx.runOnContext(unused -> order.add("read"));
+                            });
+                    gate.pass(
+                            () -> {
+                                order.add("second");
+                                done.complete();
+                            });
+                });
+        done.future().await(10, TimeUnit.SECONDS);
+        assertThat(order, contains("first", "read", "second"));
+    }
+
+    @Test
+    void workThatFailsHoldsUpNoOther() throws Exception {
+        Promise<Void> done = Promise.promise();
+        vertx.runOnContext(
+                nothing -> {
+                    ReadGate gate = new ReadGate(vertx, () -> 5_000, lag);
+                    gate.pass(
+                            () -> {
+                                throw new IllegalStateException("work of the test that fails");
+                            });
+                    gate.pass(done::complete);
+                });
+        done.future().await(10, TimeUnit.SECONDS);
+    }
+
     /** Passes work through a gate, with another event standing in line behind it. */
     private List<String> order(long now) throws Exception {
         List<String> order = new ArrayList<>();
