--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -109,7 +109,7 @@
                 new PublicationBoard(
                         platform.published(), pool, log, clock, this::publicationTaken);
         HttpClient vms = vmClient();
-        lag = new LoopLag(tuning.flushMillis(), now());
+        lag = new LoopLag(tuning.tickMillis(), now());
         EntryContext context =
                 new EntryContext(
                         vertx,
@@ -182,7 +182,7 @@
                             self.region(),
                             self.zone(),
                             self.incarnation());
-                    vertx.setPeriodic(tuning.flushMillis(), unused -> tick());
+                    vertx.setPeriodic(tuning.tickMillis(), unused -> tick());
                     listeners
                             .start()
                             .compose(done -> control.start(settings.seeds()))
@@ -251,7 +251,7 @@
         long startedAt = now();
         vertx.setTimer(tuning.acceptMillis(), nothing -> refusing = true);
         vertx.setPeriodic(
-                tuning.flushMillis(),
+                tuning.tickMillis(),
                 timer -> {
                     long elapsed = now() - startedAt;
                     boolean idle = callers.running() + relays.running() == 0;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryTuning.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryTuning.java
@@ -10,7 +10,8 @@
  *     directory answers
  * @param acceptMillis time after the order to stop from which new requests are refused
  * @param reserveMillis time kept back before the process would be killed
- * @param flushMillis time between two batches of log lines
+ * @param tickMillis time between two ticks, which hand on log lines and measure how late the loop
+ *     is
  */
 public record EntryTuning(
         int directorySeconds,
@@ -18,7 +19,7 @@
         long settleMillis,
         long acceptMillis,
         long reserveMillis,
-        long flushMillis) {
+        long tickMillis) {
     /** For platforms that give eight seconds to stop. */
     public static final EntryTuning DEFAULT = new EntryTuning(2, 700, 2_000, 2_800, 250, 200);
 }
