A look without work is no error; attempts share their error listener

Change: the look takes what is there; UpstreamAttempt and RelayAttempt share HttpAttempt with one listener for errors. Test: workThatPassesMoreWorkLeavesNoLookWithoutWork failed before.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopy.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopy.java
@@ -28,6 +28,7 @@
 
     private static final long TIMEOUT_MILLIS = 800;
 
+    private final FleetCodec codec = new FleetCodec();
     private final FleetView fleet;
     private final PublicationBoard board;
     private final StoreSync sync;
@@ -101,7 +102,7 @@
 
     private void take(String vm, Buffer body) {
         try {
-            StoredDelta delta = new FleetCodec().delta(body.getBytes());
+            StoredDelta delta = codec.delta(body.getBytes());
             int items = board.merge(delta, vm);
             log.record(EventCode.STORE_COPIED, vm, delta.revision(), items);
             sync.boardFilled();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
@@ -66,7 +66,7 @@
             watch();
         } else {
             reads(false);
-            lostAtMillis = -1;
+            found();
             vertx.setTimer(TURN_MILLIS, nothing -> start());
         }
     }
@@ -144,6 +144,11 @@
     private void regained() {
         answeredAtMillis = clock.getAsLong();
         pauseMillis = FIRST_PAUSE_MILLIS;
+        found();
+    }
+
+    /** The store answers again, this VM or those that now read it. */
+    private void found() {
         if (lostAtMillis >= 0) {
             long lost = clock.getAsLong() - lostAtMillis;
             lostAtMillis = -1;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
@@ -13,8 +13,8 @@
 import io.vanillapoint.core.message.PeerMessage;
 import io.vanillapoint.core.message.RelayRequest;
 import io.vanillapoint.entry.port.RequestFormat;
-import io.vanillapoint.entry.traffic.Attempt;
 import io.vanillapoint.entry.traffic.AttemptListener;
+import io.vanillapoint.entry.traffic.HttpAttempt;
 import io.vanillapoint.wire.FleetCodec;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -27,7 +27,9 @@
 import java.util.function.LongConsumer;
 
 /** Sends a request to a VM of another region. Confined to one event loop. */
-public final class RelayAttempt implements Attempt {
+public final class RelayAttempt extends HttpAttempt {
+    private static final FleetCodec CODEC = new FleetCodec();
+
     static final String PATH = "/relay";
 
     /** A round trip between regions, a lost packet and a busy VM at the other side. */
@@ -35,13 +37,9 @@
 
     private final Vertx vertx;
     private final RequestFormat format;
-    private final AttemptListener listener;
     private final LongConsumer arrival;
-    private HttpClientRequest request;
-    private HttpClientResponse response;
     private long arrivalTimer = -1;
     private long sentAtNanos;
-    private boolean done;
 
     /**
      * Creates an attempt.
@@ -53,9 +51,9 @@
      */
     public RelayAttempt(
             Vertx vertx, RequestFormat format, AttemptListener listener, LongConsumer arrival) {
+        super(listener);
         this.vertx = vertx;
         this.format = format;
-        this.listener = listener;
         this.arrival = arrival;
     }
 
@@ -86,32 +84,14 @@
     }
 
     @Override
-    public void cancel() {
-        done = true;
+    protected void released() {
         stopTimer();
-        if (request != null) {
-            request.reset();
-        }
-    }
-
-    @Override
-    public void pause() {
-        if (response != null) {
-            response.pause();
-        }
-    }
-
-    @Override
-    public void resume() {
-        if (response != null) {
-            response.resume();
-        }
     }
 
     private void send(HttpClientRequest connected, RelayRequest relayed) {
-        request = connected;
-        if (done) {
-            connected.reset();
+        sending(connected);
+        if (done()) {
+            reset();
             return;
         }
         sentAtNanos = System.nanoTime();
@@ -126,13 +106,12 @@
                                 read(answered.result());
                             }
                         });
-        connected.end(Buffer.buffer(new FleetCodec().encode(relayed)));
+        connected.end(Buffer.buffer(CODEC.encode(relayed)));
     }
 
     private void read(HttpClientResponse answered) {
-        response = answered;
-        answered.exceptionHandler(error -> fail(AttemptEnd.LOST, error.getMessage(), 0));
-        if (done) {
+        answered(answered);
+        if (done()) {
             return;
         }
         FrameReader frames = new FrameReader(this::take);
@@ -144,13 +123,13 @@
                         frames.read(data);
                     } catch (VanillapointException e) {
                         fail(AttemptEnd.LOST, e.getMessage(), 0);
-                        request.reset();
+                        reset();
                     }
                 });
     }
 
     private void take(PeerMessage message) {
-        if (done) {
+        if (done()) {
             return;
         }
         if (message instanceof ForwardCredit) {
@@ -161,12 +140,11 @@
             for (HeaderField header : head.headers()) {
                 headers.add(header.name(), header.value());
             }
-            listener.head(format.answer(head.status(), headers));
+            listener().head(format.answer(head.status(), headers));
         } else if (message instanceof ForwardData data) {
-            listener.data(Buffer.buffer(data.bytes()));
+            listener().data(Buffer.buffer(data.bytes()));
         } else if (message instanceof ForwardEnd) {
-            done = true;
-            listener.end();
+            succeed();
         } else if (message instanceof ForwardFailure failure) {
             fail(end(failure), failure.message(), failure.retryAfterMillis());
         }
@@ -183,7 +161,7 @@
     private void silent() {
         arrivalTimer = -1;
         fail(AttemptEnd.LOST, "connection to the VM is silent", 0);
-        request.reset();
+        reset();
     }
 
     private void stopTimer() {
@@ -192,12 +170,4 @@
             arrivalTimer = -1;
         }
     }
-
-    private void fail(AttemptEnd end, String cause, long retryAfterMillis) {
-        if (!done) {
-            done = true;
-            stopTimer();
-            listener.failed(end, String.valueOf(cause), retryAfterMillis);
-        }
-    }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReadGate.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReadGate.java
@@ -72,9 +72,11 @@
     private void runNext() {
         looking = false;
         try {
-            do {
-                waiting.remove().run();
-            } while (!waiting.isEmpty() && !behind());
+            Runnable next = waiting.poll();
+            while (next != null) {
+                next.run();
+                next = behind() ? null : waiting.poll();
+            }
         } finally {
             if (!waiting.isEmpty()) {
                 lookFirst();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
@@ -15,16 +15,12 @@
  * Sends a request to a replica on a connection of its own, so that no answer to another request can
  * stand where this one's is expected. Confined to one event loop.
  */
-final class UpstreamAttempt implements Attempt {
+final class UpstreamAttempt extends HttpAttempt {
     private final RequestFormat format;
     private final ReadGate gate;
     private final UpstreamCall call;
     private final LongSupplier remainingMillis;
     private final String requestId;
-    private final AttemptListener listener;
-    private HttpClientRequest request;
-    private HttpClientResponse response;
-    private boolean done;
 
     UpstreamAttempt(
             RequestFormat format,
@@ -33,12 +29,12 @@
             LongSupplier remainingMillis,
             String requestId,
             AttemptListener listener) {
+        super(listener);
         this.format = format;
         this.gate = gate;
         this.call = call;
         this.remainingMillis = remainingMillis;
         this.requestId = requestId;
-        this.listener = listener;
     }
 
     void start(HttpClient client, RequestOptions target, Buffer body) {
@@ -46,41 +42,19 @@
                 .onComplete(
                         connected -> {
                             if (connected.failed()) {
-                                fail(AttemptEnd.NOT_SENT, connected.cause());
+                                fail(AttemptEnd.NOT_SENT, connected.cause().getMessage(), 0);
                             } else {
                                 gate.pass(() -> send(connected.result(), body));
                             }
                         });
     }
 
-    @Override
-    public void cancel() {
-        done = true;
-        if (request != null) {
-            request.reset();
-        }
-    }
-
-    @Override
-    public void pause() {
-        if (response != null) {
-            response.pause();
-        }
-    }
-
-    @Override
-    public void resume() {
-        if (response != null) {
-            response.resume();
-        }
-    }
-
     private void send(HttpClientRequest connected, Buffer body) {
-        request = connected;
+        sending(connected);
         long remaining = remainingMillis.getAsLong();
-        if (done || remaining <= 0) {
+        if (done() || remaining <= 0) {
             // The request's own timer tells the caller that its time is up.
-            connected.reset();
+            reset();
             return;
         }
         format.writeCall(call.withRemainingMillis(remaining), connected.headers());
@@ -89,7 +63,7 @@
                 .onComplete(
                         answered -> {
                             if (answered.failed()) {
-                                fail(AttemptEnd.LOST, answered.cause());
+                                fail(AttemptEnd.LOST, answered.cause().getMessage(), 0);
                             } else {
                                 read(answered.result());
                             }
@@ -102,38 +76,24 @@
     }
 
     private void read(HttpClientResponse answered) {
-        response = answered;
-        answered.exceptionHandler(error -> fail(AttemptEnd.LOST, error));
-        if (done) {
+        answered(answered);
+        if (done()) {
             return;
         }
         AnswerEnvelope answer = format.answer(answered.statusCode(), answered.headers());
         boolean otherRequest = answer.requestId().filter(id -> !id.equals(requestId)).isPresent();
         if (otherRequest || (answer.success() && !answer.signed())) {
-            fail(AttemptEnd.GARBLED, new IllegalStateException("answer to another request"));
-            request.reset();
+            fail(AttemptEnd.GARBLED, "answer to another request", 0);
+            reset();
             return;
         }
         answered.handler(
                 data -> {
-                    if (!done) {
-                        listener.data(data);
-                    }
-                });
-        answered.endHandler(
-                nothing -> {
-                    if (!done) {
-                        done = true;
-                        listener.end();
+                    if (!done()) {
+                        listener().data(data);
                     }
                 });
-        listener.head(answer);
-    }
-
-    private void fail(AttemptEnd end, Throwable cause) {
-        if (!done) {
-            done = true;
-            listener.failed(end, String.valueOf(cause.getMessage()), 0);
-        }
+        answered.endHandler(nothing -> succeed());
+        listener().head(answer);
     }
 }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/ReadGateTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/ReadGateTest.java
@@ -91,6 +91,26 @@
         assertThat(order, contains("first", "read", "second"));
     }
 
+    /** A loop may catch up between two pieces of work; a second look then finds nothing to run. */
+    @Test
+    void workThatPassesMoreWorkLeavesNoLookWithoutWork() throws Exception {
+        List<Throwable> errors = new ArrayList<>();
+        vertx.exceptionHandler(errors::add);
+        long[] now = {5_000};
+        Promise<Void> done = Promise.promise();
+        vertx.runOnContext(
+                nothing -> {
+                    ReadGate gate = new ReadGate(vertx, () -> now[0], lag);
+                    gate.pass(
+                            () -> {
+                                gate.pass(() -> vertx.setTimer(50, late -> done.complete()));
+                                now[0] = INTERVAL;
+                            });
+                });
+        done.future().await(10, TimeUnit.SECONDS);
+        assertThat(errors, is(List.of()));
+    }
+
     @Test
     void workThatFailsHoldsUpNoOther() throws Exception {
         Promise<Void> done = Promise.promise();
