Heartbeats leave out customers of whom a VM has admitted nothing

Ruled out: a receiver that needs the entry. A missing entry counts as nothing spent, the time set aside for a silent VM only lowers what it spent, and levels that were only heard of need not be heard again. Change: a customer is named from its first admission on, also after tokens were given back.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/grant/GrantMeter.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/grant/GrantMeter.java
@@ -94,6 +94,7 @@
         }
         account.level -= tokens;
         account.admitted += tokens;
+        account.used = true;
         return new GrantVerdict(true, (long) account.level, 0);
     }
 
@@ -132,15 +133,20 @@
     }
 
     /**
-     * What this VM knows of each customer's tokens, for the heartbeat.
+     * What this VM knows of customers' tokens, for the heartbeat. Customers of whom it has never
+     * admitted a request are left out: most VMs of a large fleet stand by, and know of them only
+     * what they heard.
      *
      * @return new map
      */
     public Map<String, CustomerUse> uses() {
         Map<String, CustomerUse> uses = new HashMap<>();
         accounts.forEach(
-                (name, account) ->
-                        uses.put(name, new CustomerUse(account.admitted, (long) account.level)));
+                (name, account) -> {
+                    if (account.used) {
+                        uses.put(name, new CustomerUse(account.admitted, (long) account.level));
+                    }
+                });
         return uses;
     }
 
@@ -159,6 +165,7 @@
         private double level;
         private long atMillis;
         private long admitted;
+        private boolean used;
 
         /** Tokens of requests that were told when to come back; pays off at the rate. */
         private double promised;
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantMeterTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantMeterTest.java
@@ -1,6 +1,8 @@
 package io.vanillapoint.core.grant;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
@@ -44,6 +46,23 @@
         assertThat(meter.take(customer, 1, 1, 1_000).admitted(), is(true));
     }
 
+    @Test
+    void vmThatStandsByReportsNoCustomers() {
+        meter.take(customer, 0, 1, 0);
+        GrantMeter standby = new GrantMeter(new GrantTolerance(0));
+        standby.configure(List.of(customer), 1, 0);
+        standby.spentElsewhere(List.of(new CustomerSpend("c", 5_000, 0, 1_000)), 1, 1_000);
+        assertThat(standby.uses().keySet(), is(empty()));
+        assertThat(meter.uses().keySet(), contains("c"));
+    }
+
+    @Test
+    void whatWasGivenBackIsReported() {
+        meter.take(customer, 500, 1, 0);
+        meter.giveBack(customer, 500);
+        assertThat(meter.uses().get("c").tokens(), is(0L));
+    }
+
     @Test
     void customerWithoutALimitIsNeverRefused() {
         CustomerSpec free =
