The largest VMs of a region carry its requests while they can

Ruled out: compile thresholds, smaller timers (docs/DECISIONS.md). Change: VMs say their capacity (settings) and their load (LoadMeter); the directory and relays name the largest VMs that carry the load at half of their processor time, four at least, in proportion to their capacity (TrafficVms). Where all VMs are alike and few, all are named as before. Also: warnings of libraries without room and failed connections to the store are counted; FleetReport has a builder.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.core.fleet;
 
 import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.core.fleet.TrafficVms.VmLoad;
 import io.vanillapoint.core.hash.Rendezvous;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -10,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Which entry VMs exist, learnt from heartbeats alone.
@@ -34,6 +36,7 @@
     private MemberInfo self;
     private int nearMembers;
     private long sequence;
+    private int selfLoad;
 
     /**
      * Creates a view that knows only this VM.
@@ -86,36 +89,26 @@
     }
 
     /**
-     * Builds the next heartbeat.
+     * Sets what the requests of this VM need.
+     *
+     * @param milliCores thousandths of a core
+     */
+    public void selfLoad(int milliCores) {
+        selfLoad = milliCores;
+    }
+
+    /**
+     * Starts the next heartbeat.
      *
      * @param nowMillis steady time
-     * @param publishedRevision revision of the platform's store that this VM has reached
-     * @param customers what this VM knows of each customer's tokens
-     * @param upstreams what is outstanding by upstream
-     * @param reads sessions that engines have read for this VM lately
-     * @param readsStore true if the platform's store has answered this VM itself lately
-     * @return the report
+     * @return a report that says what this view knows
      */
-    public FleetReport report(
-            long nowMillis,
-            long publishedRevision,
-            Map<String, CustomerUse> customers,
-            Map<String, UpstreamUse> upstreams,
-            List<SessionRead> reads,
-            boolean readsStore) {
+    public FleetReport.Builder nextReport(long nowMillis) {
         List<HeardMember> others = new ArrayList<>();
         for (Member member : members.values()) {
             others.add(new HeardMember(member.info(), nowMillis - member.heardAtMillis()));
         }
-        return new FleetReport(
-                self,
-                ++sequence,
-                publishedRevision,
-                customers,
-                upstreams,
-                reads,
-                readsStore,
-                others);
+        return FleetReport.builder(self, ++sequence).load(selfLoad).others(others);
     }
 
     /**
@@ -200,32 +193,31 @@
     }
 
     /**
-     * VMs that callers may be sent to: those of the caller's region, else of the regions in which
-     * its requests may be processed, else all.
+     * VMs that callers may be sent to: those that carry the requests of the caller's region, else
+     * of the regions in which its requests may be processed, else of all.
      *
      * @param region region of the caller, may be unknown to the fleet
      * @param homes regions in which the caller's requests may be processed, empty for all
      * @param nowMillis steady time
-     * @return IP addresses in no special order, empty if no VM takes requests
+     * @return VMs in no special order, empty if no VM takes requests
      */
-    public List<String> hostsFor(RegionId region, Set<RegionId> homes, long nowMillis) {
-        List<MemberInfo> ready = takingRequests(nowMillis);
-        List<String> near = hosts(ready.stream().filter(vm -> vm.region().equals(region)).toList());
+    public List<MemberInfo> callerVms(RegionId region, Set<RegionId> homes, long nowMillis) {
+        List<VmLoad> ready = takingRequests(nowMillis);
+        List<VmLoad> near = in(ready, vm -> vm.region().equals(region));
         if (!near.isEmpty()) {
-            return near;
+            return TrafficVms.carrying(near);
         }
-        List<String> home =
-                hosts(ready.stream().filter(vm -> homes.contains(vm.region())).toList());
-        return home.isEmpty() ? hosts(ready) : home;
+        List<VmLoad> home = in(ready, vm -> homes.contains(vm.region()));
+        return TrafficVms.carrying(home.isEmpty() ? ready : home);
     }
 
     /**
-     * VMs of another region that take requests. Where some have been heard within the last moment,
-     * the others are left out: a cut shows there first.
+     * VMs of another region that take requests from this one. Where some have been heard within the
+     * last moment, the others are left out: a cut shows there first.
      *
      * @param region region to reach
      * @param nowMillis steady time
-     * @return the VMs, suspected ones left out
+     * @return the VMs that carry requests, suspected ones left out
      */
     public List<MemberInfo> relays(RegionId region, long nowMillis) {
         List<Member> taking =
@@ -233,11 +225,12 @@
                         .filter(member -> relays(member, region, nowMillis))
                         .toList();
         boolean anyHeard = taking.stream().anyMatch(member -> hears(member, nowMillis));
-        return taking.stream()
-                .filter(member -> !anyHeard || hears(member, nowMillis))
-                .sorted(Comparator.comparing(member -> member.info().vm()))
-                .map(Member::info)
-                .toList();
+        List<VmLoad> ready =
+                taking.stream()
+                        .filter(member -> !anyHeard || hears(member, nowMillis))
+                        .map(member -> new VmLoad(member.info(), member.load()))
+                        .toList();
+        return TrafficVms.carrying(ready);
     }
 
     /**
@@ -424,21 +417,21 @@
         }
     }
 
-    private List<MemberInfo> takingRequests(long nowMillis) {
-        List<MemberInfo> ready = new ArrayList<>();
+    private List<VmLoad> takingRequests(long nowMillis) {
+        List<VmLoad> ready = new ArrayList<>();
         if (self.state().takesRequests()) {
-            ready.add(self);
+            ready.add(new VmLoad(self, selfLoad));
         }
         for (Member member : members.values()) {
             if (member.info().state().takesRequests() && alive(member, nowMillis)) {
-                ready.add(member.info());
+                ready.add(new VmLoad(member.info(), member.load()));
             }
         }
         return ready;
     }
 
-    private static List<String> hosts(List<MemberInfo> vms) {
-        return vms.stream().map(MemberInfo::host).toList();
+    private static List<VmLoad> in(List<VmLoad> vms, Predicate<MemberInfo> wanted) {
+        return vms.stream().filter(vm -> wanted.test(vm.vm())).toList();
     }
 
     private static List<CustomerSpend> spends(
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/LoadMeter.java
@@ -0,0 +1,67 @@
+package io.vanillapoint.core.fleet;
+
+/**
+ * Estimates the processor time that the requests of a VM need.
+ *
+ * <p>Counts requests instead of reading the processor's clock: a VM whose code is still cold would
+ * look busy with few requests, and one without a turn would look idle. Invariant: the estimate
+ * rises at once and falls only after {@link #MEMORY_MILLIS}, so that VMs which were called in do
+ * not leave between two waves of requests. Confined to one thread.
+ */
+public final class LoadMeter {
+    /**
+     * Processor time of a request on a VM that has just started, in milliseconds of a core: what
+     * the users' bench charges for one while the code is being compiled (docs/DECISIONS.md).
+     */
+    static final int REQUEST_MILLIS = 10;
+
+    /** Time over which requests are counted: longer than the pauses between them on small VMs. */
+    private static final long WINDOW_MILLIS = 2_000;
+
+    private static final int WINDOWS = 5;
+
+    /** Time for which the highest count is remembered, longer than callers keep an answer. */
+    static final long MEMORY_MILLIS = WINDOW_MILLIS * WINDOWS;
+
+    private final int[] counts = new int[WINDOWS];
+    private long window;
+
+    /**
+     * Counts a request.
+     *
+     * @param nowMillis steady time
+     */
+    public void request(long nowMillis) {
+        advance(nowMillis);
+        counts[index(window)]++;
+    }
+
+    /**
+     * Processor time that requests need.
+     *
+     * @param nowMillis steady time
+     * @return thousandths of a core
+     */
+    public int milliCores(long nowMillis) {
+        advance(nowMillis);
+        int most = 0;
+        for (int count : counts) {
+            most = Math.max(most, count);
+        }
+        return (int) (most * REQUEST_MILLIS * MemberInfo.ONE_CORE / WINDOW_MILLIS);
+    }
+
+    private void advance(long nowMillis) {
+        long now = Math.floorDiv(nowMillis, WINDOW_MILLIS);
+        if (now - window >= WINDOWS) {
+            window = now - WINDOWS;
+        }
+        while (window < now) {
+            counts[index(++window)] = 0;
+        }
+    }
+
+    private static int index(long window) {
+        return (int) Math.floorMod(window, (long) WINDOWS);
+    }
+}
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
@@ -16,6 +16,7 @@
     private long avoidUntilMillis = Long.MIN_VALUE;
     private long publishedRevision;
     private boolean readsStore;
+    private int load;
     private Map<String, CustomerUse> customers = Map.of();
     private Map<String, UpstreamUse> counted = Map.of();
 
@@ -47,6 +48,11 @@
         return readsStore;
     }
 
+    /** Thousandths of a core that the VM's requests need, as it said last. */
+    int load() {
+        return load;
+    }
+
     /** What the VM has outstanding at upstreams and is part of the sum over all VMs. */
     Map<String, UpstreamUse> counted() {
         return counted;
@@ -97,6 +103,7 @@
         sequence = report.sequence();
         publishedRevision = report.publishedRevision();
         readsStore = report.readsStore();
+        load = report.load();
         customers = report.customers();
         heardAtMillis = nowMillis;
         directAtMillis = nowMillis;
@@ -110,6 +117,7 @@
         if (heard.info().incarnation() > info.incarnation()) {
             info = heard.info();
             sequence = -1;
+            load = 0;
             customers = Map.of();
             heardAtMillis = at;
         } else if (at > heardAtMillis) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/MemberInfo.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/MemberInfo.java
@@ -10,11 +10,29 @@
  * @param host IP address
  * @param region region
  * @param zone availability zone
+ * @param capacity processor time that the VM has, in thousandths of a core, above 0
  * @param incarnation start of its process in milliseconds since 1970, larger after a restart
  * @param state life cycle
  */
 public record MemberInfo(
-        String vm, String host, RegionId region, ZoneId zone, long incarnation, MemberState state) {
+        String vm,
+        String host,
+        RegionId region,
+        ZoneId zone,
+        int capacity,
+        long incarnation,
+        MemberState state) {
+    /** A VM of one core. */
+    public static final int ONE_CORE = 1_000;
+
+    /** Checks the capacity. */
+    public MemberInfo {
+        if (capacity <= 0) {
+            throw new IllegalArgumentException(
+                    "expected capacity of " + vm + " above 0, found " + capacity);
+        }
+    }
+
     /**
      * The same VM in another state.
      *
@@ -22,6 +40,6 @@
      * @return a copy
      */
     public MemberInfo withState(MemberState newState) {
-        return new MemberInfo(vm, host, region, zone, incarnation, newState);
+        return new MemberInfo(vm, host, region, zone, capacity, incarnation, newState);
     }
 }
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
@@ -33,58 +33,44 @@
     void callersAreSentToTheirRegion() {
         view.receive(report(vm("w2", WEST, 1, MemberState.READY), 1), NOW);
         view.receive(report(vm("e1", EAST, 1, MemberState.READY), 1), NOW);
-        assertThat(view.hostsFor(WEST, Set.of(), NOW), containsInAnyOrder("w1-host", "w2-host"));
-        assertThat(view.hostsFor(EAST, Set.of(), NOW), contains("e1-host"));
+        assertThat(hosts(WEST, Set.of(), NOW), containsInAnyOrder("w1-host", "w2-host"));
+        assertThat(hosts(EAST, Set.of(), NOW), contains("e1-host"));
     }
 
     @Test
     void callersOfARegionWithoutVmsAreSentToTheirHomes() {
         view.receive(report(vm("e1", EAST, 1, MemberState.READY), 1), NOW);
-        assertThat(view.hostsFor(NORTH, Set.of(NORTH, EAST), NOW), contains("e1-host"));
-        assertThat(
-                view.hostsFor(NORTH, Set.of(NORTH), NOW), containsInAnyOrder("w1-host", "e1-host"));
+        assertThat(hosts(NORTH, Set.of(NORTH, EAST), NOW), contains("e1-host"));
+        assertThat(hosts(NORTH, Set.of(NORTH), NOW), containsInAnyOrder("w1-host", "e1-host"));
     }
 
     @Test
     void silentAndDrainingVmsAreNotNamed() {
         view.receive(report(vm("e1", EAST, 1, MemberState.READY), 1), NOW);
         view.receive(report(vm("e2", EAST, 1, MemberState.DRAINING), 1), NOW);
-        assertThat(view.hostsFor(EAST, Set.of(), NOW + 1_900), contains("e1-host"));
-        assertThat(view.hostsFor(EAST, Set.of(), NOW + 2_100), contains("w1-host"));
+        assertThat(hosts(EAST, Set.of(), NOW + 1_900), contains("e1-host"));
+        assertThat(hosts(EAST, Set.of(), NOW + 2_100), contains("w1-host"));
     }
 
     @Test
     void vmThatWasHeardOfThroughOthersIsNamedUntilItsOwnSilence() {
         HeardMember heard = new HeardMember(vm("e2", EAST, 1, MemberState.READY), 1_500);
         FleetReport report =
-                new FleetReport(
-                        vm("e1", EAST, 1, MemberState.READY),
-                        1,
-                        0,
-                        Map.of(),
-                        Map.of(),
-                        List.of(),
-                        false,
-                        List.of(heard));
+                FleetReport.builder(vm("e1", EAST, 1, MemberState.READY), 1)
+                        .others(List.of(heard))
+                        .build();
         view.receive(report, NOW);
-        assertThat(
-                view.hostsFor(EAST, Set.of(), NOW + 100), containsInAnyOrder("e1-host", "e2-host"));
-        assertThat(view.hostsFor(EAST, Set.of(), NOW + 600), contains("e1-host"));
+        assertThat(hosts(EAST, Set.of(), NOW + 100), containsInAnyOrder("e1-host", "e2-host"));
+        assertThat(hosts(EAST, Set.of(), NOW + 600), contains("e1-host"));
     }
 
     @Test
     void requestsAreRelayedToVmsThatAreHeardThemselves() {
         HeardMember heard = new HeardMember(vm("e2", EAST, 1, MemberState.READY), 100);
         FleetReport report =
-                new FleetReport(
-                        vm("e1", EAST, 1, MemberState.READY),
-                        1,
-                        0,
-                        Map.of(),
-                        Map.of(),
-                        List.of(),
-                        false,
-                        List.of(heard));
+                FleetReport.builder(vm("e1", EAST, 1, MemberState.READY), 1)
+                        .others(List.of(heard))
+                        .build();
         view.receive(report, NOW);
         assertThat(view.relays(EAST, NOW).size(), is(1));
         assertThat(view.relays(EAST, NOW + 1_500).size(), is(2));
@@ -94,7 +80,7 @@
     void reportOfAnEarlierLifeChangesNothing() {
         view.receive(report(vm("e1", EAST, 2, MemberState.READY), 1), NOW);
         view.receive(report(vm("e1", EAST, 1, MemberState.DRAINING), 9), NOW);
-        assertThat(view.hostsFor(EAST, Set.of(), NOW), contains("e1-host"));
+        assertThat(hosts(EAST, Set.of(), NOW), contains("e1-host"));
     }
 
     @Test
@@ -104,15 +90,9 @@
         assertThat(view.members(), is(empty()));
         HeardMember heard = new HeardMember(vm("e1", EAST, 1, MemberState.GONE), 2_000);
         FleetReport other =
-                new FleetReport(
-                        vm("e2", EAST, 1, MemberState.READY),
-                        1,
-                        0,
-                        Map.of(),
-                        Map.of(),
-                        List.of(),
-                        false,
-                        List.of(heard));
+                FleetReport.builder(vm("e2", EAST, 1, MemberState.READY), 1)
+                        .others(List.of(heard))
+                        .build();
         view.receive(other, NOW + 2_200);
         assertThat(view.members().size(), is(1));
     }
@@ -165,15 +145,10 @@
             if (random.nextInt(3) > 0 && now / 5_000 % 2 == name.hashCode() % 2) {
                 UpstreamUse use = new UpstreamUse(random.nextInt(9), random.nextInt(900));
                 FleetReport report =
-                        new FleetReport(
-                                vm(name, WEST, 1 + now / 20_000, MemberState.READY),
-                                now,
-                                0,
-                                Map.of(),
-                                Map.of("u" + random.nextInt(2), use),
-                                List.of(),
-                                false,
-                                List.of());
+                        FleetReport.builder(
+                                        vm(name, WEST, 1 + now / 20_000, MemberState.READY), now)
+                                .upstreams(Map.of("u" + random.nextInt(2), use))
+                                .build();
                 view.receive(report, now);
                 last.put(name, report);
                 heardAt.put(name, now);
@@ -196,13 +171,18 @@
         assertThat(alone.heardShare(NOW), is(1.0 / 6));
     }
 
+    private List<String> hosts(RegionId region, Set<RegionId> homes, long now) {
+        return view.callerVms(region, homes, now).stream().map(MemberInfo::host).toList();
+    }
+
     private static FleetReport report(MemberInfo vm, long sequence) {
-        return new FleetReport(vm, sequence, 0, Map.of(), Map.of(), List.of(), false, List.of());
+        return FleetReport.builder(vm, sequence).build();
     }
 
     private static MemberInfo vm(
             String name, RegionId region, long incarnation, MemberState state) {
         ZoneId zone = new ZoneId(region + "-a");
-        return new MemberInfo(name, name + "-host", region, zone, incarnation, state);
+        return new MemberInfo(
+                name, name + "-host", region, zone, MemberInfo.ONE_CORE, incarnation, state);
     }
 }
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/StoreReadersTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/StoreReadersTest.java
@@ -33,7 +33,14 @@
         for (int i = 0; i < VMS; i++) {
             String name = "w" + i;
             MemberInfo info =
-                    new MemberInfo(name, name, WEST, new ZoneId("west-a"), 1, MemberState.READY);
+                    new MemberInfo(
+                            name,
+                            name,
+                            WEST,
+                            new ZoneId("west-a"),
+                            MemberInfo.ONE_CORE,
+                            1,
+                            MemberState.READY);
             views.put(name, new FleetView(info, FleetTiming.DEFAULT, VMS));
             plans.put(name, new HeartbeatPlan(FleetTiming.DEFAULT));
         }
@@ -95,7 +102,7 @@
 
     private FleetReport report(FleetView from) {
         boolean answered = reads(from) && !refused.contains(from.self().vm());
-        return from.report(now, 0, Map.of(), Map.of(), List.of(), answered);
+        return from.nextReport(now).store(0, answered).build();
     }
 
     private List<String> readers() {
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/TrafficVmsTest.java
@@ -0,0 +1,120 @@
+package io.vanillapoint.core.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.in;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.fleet.TrafficVms.VmLoad;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+
+/** Which VMs carry a region's requests, on a region of four large and twenty small VMs. */
+class TrafficVmsTest {
+    private static final int LARGE = 1_500;
+    private static final int SMALL = 360;
+
+    /** What the regions' quiet days need: 250 requests a second of 10 ms. */
+    private static final int QUIET = 2_500;
+
+    @Test
+    void largeVmsCarryAQuietDay() {
+        List<MemberInfo> carrying = TrafficVms.carrying(region(4, 20, QUIET));
+        assertThat(capacities(carrying), is(List.of(LARGE, LARGE, LARGE, LARGE)));
+    }
+
+    @Test
+    void smallOnesAreCalledInWhenTheLoadRises() {
+        List<MemberInfo> carrying = TrafficVms.carrying(region(4, 20, 2 * QUIET));
+        assertThat(carrying.size(), greaterThan(8));
+        assertThat(
+                (double) carrying.stream().mapToInt(MemberInfo::capacity).sum(),
+                greaterThanOrEqualTo(2 * QUIET / TrafficVms.TARGET_USE));
+    }
+
+    @Test
+    void allCarryALoadThatIsBeyondThem() {
+        assertThat(TrafficVms.carrying(region(4, 20, 100_000)), hasSize(24));
+    }
+
+    @Test
+    void allOfASmallDeploymentCarryItsRequests() {
+        assertThat(TrafficVms.carrying(region(0, 3, 0)), hasSize(3));
+        assertThat(TrafficVms.carrying(region(0, 4, 0)), hasSize(4));
+    }
+
+    @Test
+    void equalVmsAreTakenFromAllZonesInTurn() {
+        Map<ZoneId, Long> zones =
+                TrafficVms.carrying(region(0, 20, 0)).stream()
+                        .collect(Collectors.groupingBy(MemberInfo::zone, Collectors.counting()));
+        assertThat(zones.values(), everyItem(is(2L)));
+        assertThat(zones.keySet(), hasSize(2));
+    }
+
+    @Test
+    void othersCarryTheRequestsOfVmsThatAreLost() {
+        List<VmLoad> ready = region(0, 20, 0);
+        List<MemberInfo> before = TrafficVms.carrying(ready);
+        List<VmLoad> left = ready.stream().filter(vm -> !before.contains(vm.vm())).toList();
+        assertThat(TrafficVms.carrying(left), hasSize(TrafficVms.SMALLEST));
+        assertThat(TrafficVms.carrying(left), everyItem(not(in(before))));
+    }
+
+    @Test
+    void callersUseVmsInProportionToTheirCapacity() {
+        List<MemberInfo> carrying = TrafficVms.carrying(region(4, 20, 100_000));
+        Random random = new Random(1);
+        Map<Integer, Double> uses = new HashMap<>();
+        int draws = 20_000;
+        for (int i = 0; i < draws; i++) {
+            List<MemberInfo> named = TrafficVms.sample(carrying, random::nextDouble);
+            double each = 1.0 / named.size() / draws;
+            named.forEach(vm -> uses.merge(vm.capacity(), each, Double::sum));
+        }
+        double largeShare = 4.0 * LARGE / (4 * LARGE + 20 * SMALL);
+        assertThat(uses.get(LARGE), closeTo(largeShare, 0.03));
+    }
+
+    @Test
+    void equalVmsAreAllNamed() {
+        List<MemberInfo> carrying = TrafficVms.carrying(region(0, 4, 0));
+        assertThat(TrafficVms.sample(carrying, () -> 0.999), is(carrying));
+        assertThat(TrafficVms.sample(List.of(), () -> 0.5), hasSize(0));
+    }
+
+    private static List<Integer> capacities(List<MemberInfo> vms) {
+        return vms.stream().map(MemberInfo::capacity).toList();
+    }
+
+    private static List<VmLoad> region(int large, int small, int load) {
+        List<VmLoad> vms = new ArrayList<>();
+        for (int i = 0; i < large + small; i++) {
+            ZoneId zone = new ZoneId(i % 2 == 0 ? "west-a" : "west-b");
+            int capacity = i < large ? LARGE : SMALL;
+            MemberInfo info =
+                    new MemberInfo(
+                            "vm" + i,
+                            "host" + i,
+                            new RegionId("west"),
+                            zone,
+                            capacity,
+                            1,
+                            MemberState.READY);
+            vms.add(new VmLoad(info, load / (large + small)));
+        }
+        return vms;
+    }
+}
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleet.java
@@ -14,7 +14,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.LongSummaryStatistics;
-import java.util.Map;
 import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Random;
@@ -216,6 +215,7 @@
                             "10.0.0." + index,
                             new RegionId("r" + region),
                             new ZoneId("z" + region),
+                            MemberInfo.ONE_CORE,
                             incarnation,
                             MemberState.READY);
             view = new FleetView(self, FleetTiming.DEFAULT, SMALLEST_FLEET);
@@ -232,7 +232,7 @@
             if (far) {
                 nextFar = now + FleetTiming.DEFAULT.otherIntervalMillis();
             }
-            FleetReport report = view.report(now, 0, meter.uses(), Map.of(), List.of(), false);
+            FleetReport report = view.nextReport(now).customers(meter.uses()).build();
             for (Vm other : vms) {
                 boolean send = other != this && (far || other.region == region);
                 if (send && !cutPairs.contains(pair(this, other)) && random.nextInt(100) != 0) {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
@@ -59,16 +59,7 @@
         publish("engine-e0", "engines", EAST_A, ReplicaState.READY, 0);
         publish("plain-w", "plain", WEST_A, ReplicaState.READY, 0);
         publish("plain-e", "plain", EAST_A, ReplicaState.READY, 0);
-        FleetReport report =
-                new FleetReport(
-                        vm("east-1", EAST, EAST_A),
-                        1,
-                        0,
-                        Map.of(),
-                        Map.of(),
-                        List.of(),
-                        false,
-                        List.of());
+        FleetReport report = FleetReport.builder(vm("east-1", EAST, EAST_A), 1).build();
         fleet.receive(report, NOW);
     }
 
@@ -240,6 +231,7 @@
     }
 
     private static MemberInfo vm(String name, RegionId region, ZoneId zone) {
-        return new MemberInfo(name, "10.0.0.9", region, zone, 1, MemberState.READY);
+        return new MemberInfo(
+                name, "10.0.0.9", region, zone, MemberInfo.ONE_CORE, 1, MemberState.READY);
     }
 }
--- a/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
@@ -33,7 +33,8 @@
         this.name = name;
         this.region = region;
         this.random = random;
-        MemberInfo self = new MemberInfo(name, name, region, zone, 1, MemberState.READY);
+        MemberInfo self =
+                new MemberInfo(name, name, region, zone, MemberInfo.ONE_CORE, 1, MemberState.READY);
         view = new FleetView(self, FleetTiming.DEFAULT, SMALLEST_FLEET);
         pool = new UpstreamPool(zones);
         chooser = new ReplicaChooser(pool, view, PlacementWeights.DEFAULT, sessions);
@@ -72,7 +73,7 @@
     }
 
     FleetReport report(long now) {
-        return view.report(now, 0, Map.of(), pool.uses(), sessions.report(now), false);
+        return view.nextReport(now).upstreams(pool.uses()).reads(sessions.report(now)).build();
     }
 
     void hear(FleetReport report, long now) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
@@ -3,6 +3,8 @@
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.model.Endpoint;
 import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.core.fleet.LoadMeter;
+import io.vanillapoint.core.fleet.TrafficVms;
 import io.vanillapoint.entry.control.EntryControl;
 import io.vanillapoint.entry.control.EntryTuning;
 import io.vanillapoint.entry.control.PublicationBoard;
@@ -22,6 +24,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Listeners of an entry VM: callers, the platform's questions, other VMs, metrics.
@@ -45,6 +48,7 @@
     private final EntryControl control;
     private final CallerHandler callers;
     private final RelayHandler relays;
+    private final LoadMeter load;
     private final ConnectionFailures failures;
     private long startedAtMillis;
 
@@ -56,7 +60,8 @@
             PublicationBoard board,
             EntryControl control,
             CallerHandler callers,
-            RelayHandler relays) {
+            RelayHandler relays,
+            LoadMeter load) {
         this.context = context;
         this.settings = settings;
         this.format = format;
@@ -65,6 +70,7 @@
         this.control = control;
         this.callers = callers;
         this.relays = relays;
+        this.load = load;
         failures = new ConnectionFailures(context.metrics());
     }
 
@@ -72,7 +78,7 @@
     Future<Void> start() {
         startedAtMillis = context.clock().getAsLong();
         List<Future<?>> listening = new ArrayList<>();
-        listening.add(serve(settings.callers(), "caller", callers::handle));
+        listening.add(serve(settings.callers(), "caller", this::callerRequest));
         settings.readiness()
                 .filter(endpoint -> !endpoint.equals(settings.callers()))
                 .ifPresent(endpoint -> listening.add(serve(endpoint, "question", this::question)));
@@ -124,8 +130,11 @@
         Set<RegionId> homes =
                 board.publication().map(known -> known.homes(directory.host())).orElse(Set.of());
         List<String> addresses =
-                context.fleet().hostsFor(directory.region(), homes, now).stream()
-                        .map(host -> new Endpoint(host, settings.callers().port()).toString())
+                TrafficVms.sample(
+                                context.fleet().callerVms(directory.region(), homes, now),
+                                ThreadLocalRandom.current()::nextDouble)
+                        .stream()
+                        .map(vm -> new Endpoint(vm.host(), settings.callers().port()).toString())
                         .toList();
         if (addresses.isEmpty() || !settled(now)) {
             answer(request, UNAVAILABLE, Buffer.buffer());
@@ -142,8 +151,14 @@
         answer(request, OK, format.directory(addresses, tuning.directorySeconds()));
     }
 
+    private void callerRequest(HttpServerRequest request) {
+        load.request(context.clock().getAsLong());
+        callers.handle(request);
+    }
+
     private void peerRequest(HttpServerRequest request) {
         if (request.path().equals(RelayHandler.path())) {
+            load.request(context.clock().getAsLong());
             relays.handle(request);
         } else if (request.path().equals(EntryControl.publishedPath())) {
             answer(request, OK, control.published(request.getParam("after")));
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -5,6 +5,7 @@
 import io.vanillapoint.core.fleet.FleetReport;
 import io.vanillapoint.core.fleet.FleetTiming;
 import io.vanillapoint.core.fleet.FleetView;
+import io.vanillapoint.core.fleet.LoadMeter;
 import io.vanillapoint.core.fleet.MemberInfo;
 import io.vanillapoint.core.fleet.MemberState;
 import io.vanillapoint.core.grant.GrantMeter;
@@ -30,10 +31,12 @@
 import io.vanillapoint.entry.traffic.LoopLag;
 import io.vanillapoint.entry.traffic.ReadGate;
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.PoolOptions;
 import java.util.List;
 import java.util.function.LongSupplier;
@@ -72,6 +75,7 @@
     private final EntryListeners listeners;
     private final Promise<Void> stopped = Promise.promise();
     private final LoopLag lag;
+    private final LoadMeter load = new LoadMeter();
     private long behindSinceMillis = -1;
     private boolean refusing;
 
@@ -93,15 +97,7 @@
         this.vertx = vertx;
         this.settings = settings;
         log = new DecisionLog(settings.vm(), System::currentTimeMillis, writer);
-        MemberInfo self =
-                new MemberInfo(
-                        settings.vm(),
-                        settings.host(),
-                        settings.region(),
-                        settings.zone(),
-                        incarnation,
-                        MemberState.STARTING);
-        fleet = new FleetView(self, FleetTiming.DEFAULT, settings.smallestFleet());
+        fleet = new FleetView(self(incarnation), FleetTiming.DEFAULT, settings.smallestFleet());
         pool = new UpstreamPool(settings.zones());
         grants = new GrantMeter(new GrantTolerance(settings.quotaSlackTokens()));
         retries = new RetryAllowance(settings.retries());
@@ -134,7 +130,7 @@
                 new EntryControl(
                         context,
                         board,
-                        platform.source(vertx, settings.store()),
+                        platform.source(vertx, settings.store(), watched("store")),
                         this::report,
                         this::heard);
         listeners =
@@ -146,11 +142,24 @@
                         board,
                         control,
                         callers,
-                        relays);
-        showBeliefs();
+                        relays,
+                        load);
+        showBeliefs(writer);
     }
 
-    private void showBeliefs() {
+    private MemberInfo self(long incarnation) {
+        return new MemberInfo(
+                settings.vm(),
+                settings.host(),
+                settings.region(),
+                settings.zone(),
+                settings.capacity(),
+                incarnation,
+                MemberState.STARTING);
+    }
+
+    private void showBeliefs(LineWriter writer) {
+        metrics.gauge("log.library_warnings_left_out", writer::leftOut);
         metrics.gauge("fleet.members", () -> fleet.members().size());
         metrics.gauge("fleet.heard_percent", () -> Math.round(100 * fleet.heardShare(now())));
         metrics.gauge("publication.revision", board::revision);
@@ -160,6 +169,7 @@
         metrics.gauge("store.lost_ms", control::storeLostMillis);
         metrics.gauge("replicas.known", () -> pool.replicas().size());
         metrics.gauge("loop.delay_ms", () -> lag.delayMillis(now()));
+        metrics.gauge("requests.load_millicores", () -> load.milliCores(now()));
         metrics.gauge("requests.running", () -> callers.running() + relays.running());
     }
 
@@ -297,24 +307,28 @@
 
     private FleetReport report() {
         long now = now();
-        return fleet.report(
-                now,
-                board.revision(),
-                grants.uses(),
-                pool.uses(),
-                sessions.report(now),
-                control.readsStore());
+        fleet.selfLoad(lag.behind(now) ? settings.capacity() : load.milliCores(now));
+        return fleet.nextReport(now)
+                .store(board.revision(), control.readsStore())
+                .customers(grants.uses())
+                .upstreams(pool.uses())
+                .reads(sessions.report(now))
+                .build();
     }
 
     private HttpClient client(HttpClientOptions options, PoolOptions connections, String peer) {
-        ConnectionFailures failures = new ConnectionFailures(metrics);
         return vertx.httpClientBuilder()
                 .with(options)
                 .with(connections)
-                .withConnectHandler(connection -> failures.watch(connection, peer))
+                .withConnectHandler(watched(peer))
                 .build();
     }
 
+    private Handler<HttpConnection> watched(String peer) {
+        ConnectionFailures failures = new ConnectionFailures(metrics);
+        return connection -> failures.watch(connection, peer);
+    }
+
     private HttpClient upstreamClient() {
         HttpClientOptions options = new HttpClientOptions().setKeepAlive(false).setTcpNoDelay(true);
         PoolOptions connections =
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/log/AsyncLineWriter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/log/AsyncLineWriter.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Writes batches of lines to standard output on a thread of its own, so that an output that nobody
@@ -25,6 +26,7 @@
     private final BlockingQueue<Runnable> batches = new ArrayBlockingQueue<>(MOST_BATCHES);
     private final OutputStream out = new FileOutputStream(FileDescriptor.out);
     private final Thread thread = new Thread(this::run, "decision-log");
+    private final AtomicLong leftOut = new AtomicLong();
     private boolean failed;
 
     /** Starts the thread. */
@@ -38,10 +40,17 @@
         return batches.offer(() -> write(lines));
     }
 
-    /** Runs other work of the log on its thread; work for which there is no room is left out. */
+    /** Runs other work of the log on its thread; work for which there is no room is counted. */
     @Override
     public void execute(Runnable work) {
-        batches.offer(work);
+        if (!batches.offer(work)) {
+            leftOut.incrementAndGet();
+        }
+    }
+
+    @Override
+    public long leftOut() {
+        return leftOut.get();
     }
 
     /** Waits a moment for the last lines to be written. */
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/log/LineWriter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/log/LineWriter.java
@@ -9,4 +9,13 @@
      * @return false if there was no room and the batch was left out
      */
     boolean offer(String lines);
+
+    /**
+     * Warnings of libraries for which there was no room.
+     *
+     * @return number since the start
+     */
+    default long leftOut() {
+        return 0;
+    }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/settings/EntrySettings.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/settings/EntrySettings.java
@@ -3,6 +3,7 @@
 import io.vanillapoint.api.model.Endpoint;
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.fleet.MemberInfo;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -31,6 +32,7 @@
     private final long graceMillis;
     private final RetryBounds retries;
     private final double quotaSlackTokens;
+    private final int capacity;
 
     private EntrySettings(Builder builder) {
         vm = Objects.requireNonNull(builder.vm, "vm");
@@ -47,6 +49,7 @@
         graceMillis = builder.graceMillis;
         retries = Objects.requireNonNull(builder.retries, "retries");
         quotaSlackTokens = builder.quotaSlackTokens;
+        capacity = builder.capacity;
         if (!zones.containsKey(zone)) {
             throw new IllegalArgumentException(
                     "expected zone " + zone + " among " + zones.keySet());
@@ -216,6 +219,15 @@
         return quotaSlackTokens;
     }
 
+    /**
+     * Processor time that the VM has.
+     *
+     * @return thousandths of a core, one core if the platform does not say
+     */
+    public int capacity() {
+        return capacity;
+    }
+
     /** Collects settings. Not safe for use by several threads. */
     public static final class Builder {
         private String vm;
@@ -232,6 +244,7 @@
         private long graceMillis;
         private RetryBounds retries;
         private double quotaSlackTokens;
+        private int capacity = MemberInfo.ONE_CORE;
 
         private Builder() {}
 
@@ -250,6 +263,7 @@
             graceMillis = settings.graceMillis;
             retries = settings.retries;
             quotaSlackTokens = settings.quotaSlackTokens;
+            capacity = settings.capacity;
         }
 
         /**
@@ -370,6 +384,17 @@
             return this;
         }
 
+        /**
+         * Sets the processor time that the VM has.
+         *
+         * @param milliCores thousandths of a core
+         * @return this
+         */
+        public Builder capacity(int milliCores) {
+            capacity = milliCores;
+            return this;
+        }
+
         /**
          * Makes the settings.
          *
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -6,6 +6,7 @@
 import io.vanillapoint.core.attempt.AttemptHistory;
 import io.vanillapoint.core.attempt.AttemptRules;
 import io.vanillapoint.core.fleet.MemberInfo;
+import io.vanillapoint.core.fleet.TrafficVms;
 import io.vanillapoint.core.message.HeaderField;
 import io.vanillapoint.core.message.RelayRequest;
 import io.vanillapoint.core.published.CustomerSpec;
@@ -25,6 +26,7 @@
 import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * One admitted request until its answer has ended.
@@ -286,7 +288,10 @@
     }
 
     private void sendRelay(Placement.Relay relay, long now) {
-        List<MemberInfo> vms = context.fleet().relays(relay.region(), now);
+        List<MemberInfo> vms =
+                TrafficVms.sample(
+                        context.fleet().relays(relay.region(), now),
+                        ThreadLocalRandom.current()::nextDouble);
         MemberInfo vm = vms.get(Math.floorMod(id().hashCode() + history.sent(), vms.size()));
         RegionId region = relay.region();
         use = null;
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -135,7 +135,9 @@
     }
 
     private EntryContext context() {
-        MemberInfo self = new MemberInfo("vm", "127.0.0.1", REGION, ZONE, 1, MemberState.READY);
+        MemberInfo self =
+                new MemberInfo(
+                        "vm", "127.0.0.1", REGION, ZONE, MemberInfo.ONE_CORE, 1, MemberState.READY);
         FleetView fleet = new FleetView(self, FleetTiming.DEFAULT, 1);
         SessionLocations sessions = new SessionLocations();
         return new EntryContext(
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
@@ -78,6 +78,7 @@
         }
         message.setReads(reads);
         message.setReadsStore(report.readsStore());
+        message.setLoad(report.load());
         message.setOthers(report.others().stream().map(FleetCodec::member).toList());
         return write(message);
     }
@@ -108,22 +109,22 @@
                                             use.getUpstream(),
                                             new UpstreamUse(
                                                     use.getRequests(), use.getPromptTokens())));
-            return new FleetReport(
-                    member(message.getSender()).info(),
-                    message.getSequence(),
-                    message.getPublishedRevision(),
-                    customers,
-                    upstreams,
-                    message.getReads().stream()
-                            .map(
-                                    read ->
-                                            new SessionRead(
-                                                    read.getSession(),
-                                                    read.getUpstream(),
-                                                    read.getAgeMillis()))
-                            .toList(),
-                    message.isReadsStore(),
-                    message.getOthers().stream().map(FleetCodec::member).toList());
+            return FleetReport.builder(member(message.getSender()).info(), message.getSequence())
+                    .load(message.getLoad())
+                    .store(message.getPublishedRevision(), message.isReadsStore())
+                    .customers(customers)
+                    .upstreams(upstreams)
+                    .reads(
+                            message.getReads().stream()
+                                    .map(
+                                            read ->
+                                                    new SessionRead(
+                                                            read.getSession(),
+                                                            read.getUpstream(),
+                                                            read.getAgeMillis()))
+                                    .toList())
+                    .others(message.getOthers().stream().map(FleetCodec::member).toList())
+                    .build();
         } catch (RuntimeException e) {
             throw bad(e.toString());
         }
@@ -219,7 +220,8 @@
                 info.zone().value(),
                 info.incarnation(),
                 info.state().ordinal(),
-                heard.ageMillis());
+                heard.ageMillis(),
+                info.capacity());
     }
 
     private static HeardMember member(TFleetMember member) {
@@ -229,6 +231,7 @@
                         member.getHost(),
                         new RegionId(member.getRegion()),
                         new ZoneId(member.getZone()),
+                        member.getCapacity(),
                         member.getIncarnation(),
                         MemberState.values()[member.getState()]);
         return new HeardMember(info, member.getAgeMillis());
--- a/vanillapoint-wire/src/main/thrift/peer.thrift
+++ b/vanillapoint-wire/src/main/thrift/peer.thrift
@@ -69,7 +69,7 @@
 /** A VM as another VM knows it. State: 0 starting, 1 ready, 2 draining, 3 gone. */
 struct TFleetMember {
   1: string vm, 2: string host, 3: string region, 4: string zone, 5: i64 incarnation, 6: i32 state,
-  7: i64 ageMillis
+  7: i64 ageMillis, 8: i32 capacity
 }
 struct TCustomerUse { 1: string customer, 2: i64 tokens, 3: i64 level }
 struct TUpstreamUse { 1: string upstream, 2: i32 requests, 3: i64 promptTokens }
@@ -77,7 +77,7 @@
 struct TFleetReport {
   1: TFleetMember sender, 2: i64 sequence, 3: i64 publishedRevision, 4: list<TCustomerUse> customers,
   5: list<TUpstreamUse> upstreams, 6: list<TFleetMember> others, 7: list<TSessionRead> reads,
-  8: bool readsStore
+  8: bool readsStore, 9: i32 load
 }
 struct TStoredItem { 1: string key, 2: i64 revision, 3: bool removed, 4: binary value }
 struct TStoredDelta { 1: i64 revision, 2: list<TStoredItem> items }
--- /dev/null
+++ b/vanillapoint-wire/src/test/java/io/vanillapoint/wire/FleetCodecTest.java
@@ -0,0 +1,83 @@
+package io.vanillapoint.wire;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.fleet.CustomerUse;
+import io.vanillapoint.core.fleet.FleetReport;
+import io.vanillapoint.core.fleet.HeardMember;
+import io.vanillapoint.core.fleet.MemberInfo;
+import io.vanillapoint.core.fleet.MemberState;
+import io.vanillapoint.core.fleet.SessionRead;
+import io.vanillapoint.core.fleet.UpstreamUse;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Heartbeats as bytes. */
+class FleetCodecTest {
+    private final FleetCodec codec = new FleetCodec();
+    private final FleetReport report =
+            FleetReport.builder(vm("vm-1", MemberState.READY), 7)
+                    .load(450)
+                    .store(42, true)
+                    .customers(Map.of("c", new CustomerUse(5, -3)))
+                    .upstreams(Map.of("u", new UpstreamUse(2, 900)))
+                    .reads(List.of(new SessionRead(9, "u", 30)))
+                    .others(List.of(new HeardMember(vm("vm-2", MemberState.DRAINING), 150)))
+                    .build();
+
+    @Test
+    void reportComesBackAsItWasSent() {
+        assertThat(codec.report(codec.encode(report)), is(report));
+    }
+
+    @Test
+    void shorterReportsSayTheRest() {
+        FleetReport read = codec.report(codec.encode(report.withoutOthers().withoutReads()));
+        assertThat(read.others(), is(List.of()));
+        assertThat(read.reads(), is(List.of()));
+        assertThat(read.load(), is(report.load()));
+        assertThat(read.customers(), is(report.customers()));
+    }
+
+    @Test
+    void tornReportIsRefusedAsAWhole() {
+        byte[] bytes = codec.encode(report);
+        for (int length = 0; length < bytes.length; length++) {
+            byte[] torn = Arrays.copyOf(bytes, length);
+            VanillapointException error =
+                    assertThrows(VanillapointException.class, () -> codec.report(torn));
+            assertThat(error.code(), is(ErrorCode.BAD_MESSAGE));
+        }
+    }
+
+    @Test
+    void vmWithoutCapacityIsRefused() {
+        IllegalArgumentException error =
+                assertThrows(
+                        IllegalArgumentException.class,
+                        () ->
+                                new MemberInfo(
+                                        "vm-1",
+                                        "10.0.0.1",
+                                        new RegionId("west"),
+                                        new ZoneId("west-a"),
+                                        0,
+                                        1,
+                                        MemberState.READY));
+        assertThat(error.getMessage(), containsString("vm-1"));
+    }
+
+    private static MemberInfo vm(String name, MemberState state) {
+        return new MemberInfo(
+                name, "10.0.0.1", new RegionId("west"), new ZoneId("west-a"), 360, 5, state);
+    }
+}
