--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
@@ -56,15 +56,6 @@
         return new Builder(this).reads(List.of()).build();
     }
 
-    /**
-     * The same report without what changes slowly, for links on which each byte is paid for.
-     *
-     * @return a copy that names no other VMs
-     */
-    public FleetReport withoutOthers() {
-        return new Builder(this).others(List.of()).build();
-    }
-
     /** Collects what a report says. Not safe for use by several threads. */
     public static final class Builder {
         private final MemberInfo self;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -37,6 +37,7 @@
     private int nearMembers;
     private long sequence;
     private int selfLoad;
+    private long membersVersion;
 
     /**
      * Creates a view that knows only this VM.
@@ -69,6 +70,11 @@
         return members.values();
     }
 
+    /** Rises when a VM has come or gone. */
+    long membersVersion() {
+        return membersVersion;
+    }
+
     /**
      * Tells whether a VM is part of the fleet.
      *
@@ -97,18 +103,36 @@
         selfLoad = milliCores;
     }
 
+    /**
+     * What the requests of this VM need.
+     *
+     * @return thousandths of a core
+     */
+    public int selfLoad() {
+        return selfLoad;
+    }
+
     /**
      * Starts the next heartbeat.
      *
+     * @return a report that says what this view knows of this VM
+     */
+    public FleetReport.Builder nextReport() {
+        return FleetReport.builder(self, ++sequence).load(selfLoad);
+    }
+
+    /**
+     * All other VMs, for heartbeats that name them.
+     *
      * @param nowMillis steady time
-     * @return a report that says what this view knows
+     * @return new list
      */
-    public FleetReport.Builder nextReport(long nowMillis) {
-        List<HeardMember> others = new ArrayList<>();
+    public List<HeardMember> heardMembers(long nowMillis) {
+        List<HeardMember> heard = new ArrayList<>(members.size());
         for (Member member : members.values()) {
-            others.add(new HeardMember(member.info(), nowMillis - member.heardAtMillis()));
+            heard.add(new HeardMember(member.info(), nowMillis - member.heardAtMillis()));
         }
-        return FleetReport.builder(self, ++sequence).load(selfLoad).others(others);
+        return heard;
     }
 
     /**
@@ -127,7 +151,7 @@
         if (member == null) {
             member = new Member(report.self(), nowMillis);
             members.put(report.self().vm(), member);
-            countNear();
+            membersChanged();
             takeReport(member, report, nowMillis);
             return List.of();
         }
@@ -154,15 +178,15 @@
                 member.counted(Map.of());
             }
         }
-        members.values()
-                .removeIf(
-                        member -> {
-                            long silent = nowMillis - member.heardAtMillis();
-                            boolean ended = member.info().state() == MemberState.GONE;
-                            return silent > timing.forgetMillis()
-                                    || (ended && silent > timing.suspectMillis());
-                        });
-        countNear();
+        if (members.values().removeIf(member -> forgotten(member, nowMillis))) {
+            membersChanged();
+        }
+    }
+
+    private boolean forgotten(Member member, long nowMillis) {
+        long silent = nowMillis - member.heardAtMillis();
+        boolean ended = member.info().state() == MemberState.GONE;
+        return silent > timing.forgetMillis() || (ended && silent > timing.suspectMillis());
     }
 
     /**
@@ -367,7 +391,8 @@
                 : HeartbeatPlan.otherRounds(members.size() - nearMembers);
     }
 
-    private void countNear() {
+    private void membersChanged() {
+        membersVersion++;
         nearMembers = (int) members.values().stream().filter(this::near).count();
     }
 
@@ -411,7 +436,7 @@
         }
         if (known == null) {
             members.put(info.vm(), new Member(info, nowMillis - heard.ageMillis()));
-            countNear();
+            membersChanged();
         } else {
             known.hear(heard, nowMillis);
         }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/HeartbeatPlan.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/HeartbeatPlan.java
@@ -2,14 +2,19 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * To whom the next heartbeat goes.
  *
- * <p>Invariant: a VM sends to at most a fixed number of VMs at once, however many there are, and
- * reaches each of them within the same number of rounds; so a VM's own cost stays flat from nine
- * VMs to hundreds while news takes longer. Confined to one thread.
+ * <p>Load pattern: customers spend their tokens, and engines are filled, through the few VMs of a
+ * large fleet that carry requests; what these have heard of each other seconds ago is outdated.
+ * Invariants: a VM sends to at most a fixed number of VMs at once, however many there are, and
+ * reaches each of them within the same number of rounds, so a VM's own cost stays flat from nine
+ * VMs to hundreds while news takes longer; VMs that carry requests also reach each other in turn,
+ * so in every round while they are few. Confined to one thread.
  */
 public final class HeartbeatPlan {
     /** VMs of the own region in one round: all of them on small deployments. */
@@ -18,7 +23,12 @@
     /** VMs of other regions in one round. */
     private static final int OTHER_FANOUT = 8;
 
+    /** Load in thousandths of a core from which a VM carries requests: five of them a second. */
+    private static final int CARRYING_LOAD = 5 * LoadMeter.REQUEST_MILLIS;
+
     private final FleetTiming timing;
+    private List<Member> ordered = List.of();
+    private long orderedAt = -1;
     private int regionTurn;
     private int otherTurn;
     private long otherSentAtMillis = Long.MIN_VALUE / 2;
@@ -60,37 +70,65 @@
      * @return to whom heartbeats go
      */
     public Round next(FleetView view, long nowMillis) {
-        List<String> near = new ArrayList<>();
-        List<String> far = new ArrayList<>();
-        view.members().stream()
-                .map(Member::info)
-                .sorted(Comparator.comparing(MemberInfo::vm))
-                .forEach(
-                        vm ->
-                                (vm.region().equals(view.self().region()) ? near : far)
-                                        .add(vm.host()));
+        Targets near = new Targets();
+        Targets far = new Targets();
+        boolean carries = view.selfLoad() >= CARRYING_LOAD;
+        for (Member member : ordered(view)) {
+            boolean local = member.info().region().equals(view.self().region());
+            boolean partner = carries && member.load() >= CARRYING_LOAD;
+            (local ? near : far).add(member.info().host(), partner);
+        }
         List<String> others = List.of();
         if (nowMillis - otherSentAtMillis >= timing.otherIntervalMillis()) {
             otherSentAtMillis = nowMillis;
-            others = turn(far, otherTurn++, OTHER_FANOUT);
+            others = far.turn(otherTurn++, OTHER_FANOUT);
         }
-        boolean inTurn = otherRounds(far.size()) > 1;
-        return new Round(turn(near, regionTurn++, REGION_FANOUT), others, inTurn);
+        boolean inTurn = otherRounds(far.all.size()) > 1;
+        return new Round(near.turn(regionTurn++, REGION_FANOUT), others, inTurn);
     }
 
-    private static List<String> turn(List<String> hosts, int turn, int fanout) {
-        int rounds = rounds(hosts.size(), fanout);
-        List<String> chosen = new ArrayList<>();
-        for (int i = turn % rounds; i < hosts.size(); i += rounds) {
-            chosen.add(hosts.get(i));
+    /** Sorts only after a VM has come or gone: a beat is short and frequent. */
+    private List<Member> ordered(FleetView view) {
+        if (orderedAt != view.membersVersion()) {
+            orderedAt = view.membersVersion();
+            ordered = new ArrayList<>(view.members());
+            ordered.sort(Comparator.comparing(member -> member.info().vm()));
         }
-        return chosen;
+        return ordered;
     }
 
     private static int rounds(int others, int fanout) {
         return Math.max(1, (others + fanout - 1) / fanout);
     }
 
+    /** VMs of which some are due. */
+    private static final class Targets {
+        private final List<String> all = new ArrayList<>();
+        private final List<String> partners = new ArrayList<>();
+
+        void add(String host, boolean partner) {
+            all.add(host);
+            if (partner) {
+                partners.add(host);
+            }
+        }
+
+        List<String> turn(int turn, int fanout) {
+            Set<String> due = new LinkedHashSet<>(turn(all, turn, fanout));
+            due.addAll(turn(partners, turn, fanout));
+            return List.copyOf(due);
+        }
+
+        private static List<String> turn(List<String> hosts, int turn, int fanout) {
+            int rounds = rounds(hosts.size(), fanout);
+            List<String> chosen = new ArrayList<>();
+            for (int i = turn % rounds; i < hosts.size(); i += rounds) {
+                chosen.add(hosts.get(i));
+            }
+            return chosen;
+        }
+    }
+
     /**
      * To whom heartbeats go at once. Immutable.
      *
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
@@ -124,6 +124,29 @@
         assertThat(reached.size(), is(370));
     }
 
+    /** Four VMs of each region carry requests, one of them this one; the other 372 stand by. */
+    @Test
+    void vmsThatCarryRequestsReachEachOtherInEveryRound() {
+        Set<String> partners = new HashSet<>();
+        for (int i = 0; i < 370; i++) {
+            RegionId region = i % 3 == 0 ? WEST : i % 3 == 1 ? EAST : NORTH;
+            MemberInfo vm = vm("vm" + i, region, 1, MemberState.READY);
+            boolean carries = i < 11;
+            view.receive(FleetReport.builder(vm, 1).load(carries ? 600 : 5).build(), 0);
+            if (carries) {
+                partners.add(vm.host());
+            }
+        }
+        HeartbeatPlan plan = new HeartbeatPlan(FleetTiming.DEFAULT);
+        assertThat(plan.next(view, 0).all().size(), lessThanOrEqualTo(13));
+        view.selfLoad(600);
+        for (long now = 400; now < 20_000; now += FleetTiming.DEFAULT.otherIntervalMillis()) {
+            List<String> round = plan.next(view, now).all();
+            assertThat(round.containsAll(partners), is(true));
+            assertThat(round.size(), lessThanOrEqualTo(2 * 13));
+        }
+    }
+
     @Test
     void vmThatARequestCouldNotReachIsPassedOverForAWhile() {
         view.receive(report(vm("e1", EAST, 1, MemberState.READY), 1), NOW);
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleet.java
@@ -232,7 +232,11 @@
             if (far) {
                 nextFar = now + FleetTiming.DEFAULT.otherIntervalMillis();
             }
-            FleetReport report = view.nextReport(now).customers(meter.uses()).build();
+            FleetReport report =
+                    view.nextReport()
+                            .others(view.heardMembers(now))
+                            .customers(meter.uses())
+                            .build();
             for (Vm other : vms) {
                 boolean send = other != this && (far || other.region == region);
                 if (send && !cutPairs.contains(pair(this, other)) && random.nextInt(100) != 0) {
--- a/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
@@ -73,7 +73,11 @@
     }
 
     FleetReport report(long now) {
-        return view.nextReport(now).upstreams(pool.uses()).reads(sessions.report(now)).build();
+        return view.nextReport()
+                .others(view.heardMembers(now))
+                .upstreams(pool.uses())
+                .reads(sessions.report(now))
+                .build();
     }
 
     void hear(FleetReport report, long now) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -294,7 +294,9 @@
         long now = now();
         List<CustomerSpend> spends = fleet.receive(report, now);
         sessions.heard(report.reads(), now);
-        grants.spentElsewhere(spends, fleet.heardShare(now), now);
+        if (!spends.isEmpty()) {
+            grants.spentElsewhere(spends, fleet.heardShare(now), now);
+        }
     }
 
     private void publicationTaken(GatewayPublication publication) {
@@ -305,10 +307,11 @@
         }
     }
 
-    private FleetReport report() {
+    private FleetReport report(boolean namesOthers) {
         long now = now();
         fleet.selfLoad(lag.behind(now) ? settings.capacity() : load.milliCores(now));
-        return fleet.nextReport(now)
+        return fleet.nextReport()
+                .others(namesOthers ? fleet.heardMembers(now) : List.of())
                 .store(board.revision(), control.readsStore())
                 .customers(grants.uses())
                 .upstreams(pool.uses())
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
@@ -10,7 +10,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.List;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.function.Function;
 
 /**
  * Membership and the copy of the store, as one part that is started together. Confined to one event
@@ -29,14 +29,14 @@
      * @param context what requests share
      * @param board what is published
      * @param source the platform's store
-     * @param reports makes heartbeats
+     * @param reports makes heartbeats; true for one that names all VMs
      * @param heard takes heartbeats of other VMs
      */
     public EntryControl(
             EntryContext context,
             PublicationBoard board,
             PublishedSource source,
-            Supplier<FleetReport> reports,
+            Function<Boolean, FleetReport> reports,
             Consumer<FleetReport> heard) {
         this.board = board;
         sync =
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
@@ -22,8 +22,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 
 /**
  * Heartbeats between VMs as datagrams: no connection that could go silent stands between them.
@@ -33,6 +33,9 @@
     /** Every few seconds a report names all VMs, so that new and cut-off ones find each other. */
     private static final int BEATS_PER_FULL_REPORT = 12;
 
+    /** VMs that are named as often as that; more VMs hear of each other from more senders. */
+    private static final int VMS_PER_FULL_REPORT = 16;
+
     private final Vertx vertx;
     private final FleetView fleet;
     private final FleetTiming timing;
@@ -41,7 +44,7 @@
     private final EventSink log;
     private final LongSupplier clock;
     private final int port;
-    private final Supplier<FleetReport> reports;
+    private final Function<Boolean, FleetReport> reports;
     private final Consumer<FleetReport> heard;
     private final Runnable beaten;
     private final Map<String, MemberState> logged = new HashMap<>();
@@ -57,7 +60,7 @@
             EventSink log,
             LongSupplier clock,
             int port,
-            Supplier<FleetReport> reports,
+            Function<Boolean, FleetReport> reports,
             Consumer<FleetReport> heard,
             Runnable beaten) {
         this.vertx = vertx;
@@ -108,14 +111,14 @@
             sendAll();
             return;
         }
-        boolean full = ++beats % BEATS_PER_FULL_REPORT == 0;
-        FleetReport report = full ? reports.get() : reports.get().withoutOthers();
+        boolean full = ++beats % beatsPerFullReport() == 0;
+        FleetReport report = reports.apply(full);
         Buffer datagram = Buffer.buffer(codec.encode(report));
         HeartbeatPlan.Round round = plan.next(fleet, now);
         round.near().forEach(host -> send(datagram, host));
         if (!round.others().isEmpty()) {
             Buffer toOthers =
-                    round.othersInTurn()
+                    round.othersInTurn() && !report.reads().isEmpty()
                             ? Buffer.buffer(codec.encode(report.withoutReads()))
                             : datagram;
             round.others().forEach(host -> send(toOthers, host));
@@ -127,8 +130,12 @@
         }
     }
 
+    private int beatsPerFullReport() {
+        return BEATS_PER_FULL_REPORT * (1 + fleet.members().size() / VMS_PER_FULL_REPORT);
+    }
+
     private Buffer datagram() {
-        return Buffer.buffer(codec.encode(reports.get()));
+        return Buffer.buffer(codec.encode(reports.apply(true)));
     }
 
     private void send(Buffer datagram, String host) {
--- a/vanillapoint-wire/src/test/java/io/vanillapoint/wire/FleetCodecTest.java
+++ b/vanillapoint-wire/src/test/java/io/vanillapoint/wire/FleetCodecTest.java
@@ -40,9 +40,9 @@
     }
 
     @Test
-    void shorterReportsSayTheRest() {
-        FleetReport read = codec.report(codec.encode(report.withoutOthers().withoutReads()));
-        assertThat(read.others(), is(List.of()));
+    void reportWithoutReadsSaysTheRest() {
+        FleetReport read = codec.report(codec.encode(report.withoutReads()));
+        assertThat(read.others(), is(report.others()));
         assertThat(read.reads(), is(List.of()));
         assertThat(read.load(), is(report.load()));
         assertThat(read.customers(), is(report.customers()));
