A heartbeat is started with the VM's load; its source is a type of its own

Reading the diff as a newcomer: making a report changed the view behind its back, and the source of reports was a function of an unnamed flag. No change of behaviour.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -95,16 +95,7 @@
     }
 
     /**
-     * Sets what the requests of this VM need.
-     *
-     * @param milliCores thousandths of a core
-     */
-    public void selfLoad(int milliCores) {
-        selfLoad = milliCores;
-    }
-
-    /**
-     * What the requests of this VM need.
+     * What the requests of this VM need, as its last heartbeat says.
      *
      * @return thousandths of a core
      */
@@ -115,9 +106,11 @@
     /**
      * Starts the next heartbeat.
      *
+     * @param load thousandths of a core that the requests of this VM need now
      * @return a report that says what this view knows of this VM
      */
-    public FleetReport.Builder nextReport() {
+    public FleetReport.Builder nextReport(int load) {
+        selfLoad = load;
         return FleetReport.builder(self, ++sequence).load(selfLoad);
     }
 
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
@@ -139,7 +139,7 @@
         }
         HeartbeatPlan plan = new HeartbeatPlan(FleetTiming.DEFAULT);
         assertThat(plan.next(view, 0).all().size(), lessThanOrEqualTo(13));
-        view.selfLoad(600);
+        view.nextReport(600);
         for (long now = 400; now < 20_000; now += FleetTiming.DEFAULT.otherIntervalMillis()) {
             List<String> round = plan.next(view, now).all();
             assertThat(round.containsAll(partners), is(true));
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleet.java
@@ -233,7 +233,7 @@
                 nextFar = now + FleetTiming.DEFAULT.otherIntervalMillis();
             }
             FleetReport report =
-                    view.nextReport()
+                    view.nextReport(0)
                             .others(view.heardMembers(now))
                             .customers(meter.uses())
                             .build();
--- a/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
@@ -73,7 +73,7 @@
     }
 
     FleetReport report(long now) {
-        return view.nextReport()
+        return view.nextReport(0)
                 .others(view.heardMembers(now))
                 .upstreams(pool.uses())
                 .reads(sessions.report(now))
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -309,8 +309,8 @@
 
     private FleetReport report(boolean namesOthers) {
         long now = now();
-        fleet.selfLoad(lag.behind(now) ? settings.capacity() : load.milliCores(now));
-        return fleet.nextReport()
+        int needed = lag.behind(now) ? settings.capacity() : load.milliCores(now);
+        return fleet.nextReport(needed)
                 .others(namesOthers ? fleet.heardMembers(now) : List.of())
                 .store(board.revision(), control.readsStore())
                 .customers(grants.uses())
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
@@ -10,7 +10,6 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.List;
 import java.util.function.Consumer;
-import java.util.function.Function;
 
 /**
  * Membership and the copy of the store, as one part that is started together. Confined to one event
@@ -29,14 +28,14 @@
      * @param context what requests share
      * @param board what is published
      * @param source the platform's store
-     * @param reports makes heartbeats; true for one that names all VMs
+     * @param reports makes heartbeats
      * @param heard takes heartbeats of other VMs
      */
     public EntryControl(
             EntryContext context,
             PublicationBoard board,
             PublishedSource source,
-            Function<Boolean, FleetReport> reports,
+            ReportSource reports,
             Consumer<FleetReport> heard) {
         this.board = board;
         sync =
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
@@ -22,7 +22,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import java.util.function.LongSupplier;
 
 /**
@@ -44,7 +43,7 @@
     private final EventSink log;
     private final LongSupplier clock;
     private final int port;
-    private final Function<Boolean, FleetReport> reports;
+    private final ReportSource reports;
     private final Consumer<FleetReport> heard;
     private final Runnable beaten;
     private final Map<String, MemberState> logged = new HashMap<>();
@@ -60,7 +59,7 @@
             EventSink log,
             LongSupplier clock,
             int port,
-            Function<Boolean, FleetReport> reports,
+            ReportSource reports,
             Consumer<FleetReport> heard,
             Runnable beaten) {
         this.vertx = vertx;
@@ -112,7 +111,7 @@
             return;
         }
         boolean full = ++beats % beatsPerFullReport() == 0;
-        FleetReport report = reports.apply(full);
+        FleetReport report = reports.next(full);
         Buffer datagram = Buffer.buffer(codec.encode(report));
         HeartbeatPlan.Round round = plan.next(fleet, now);
         round.near().forEach(host -> send(datagram, host));
@@ -135,7 +134,7 @@
     }
 
     private Buffer datagram() {
-        return Buffer.buffer(codec.encode(reports.apply(true)));
+        return Buffer.buffer(codec.encode(reports.next(true)));
     }
 
     private void send(Buffer datagram, String host) {
