--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelaySink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelaySink.java
@@ -9,8 +9,8 @@
 import io.vanillapoint.core.message.ForwardHead;
 import io.vanillapoint.core.message.HeaderField;
 import io.vanillapoint.core.message.PeerMessage;
-import io.vanillapoint.entry.traffic.AnswerSink;
 import io.vanillapoint.entry.traffic.Refusal;
+import io.vanillapoint.entry.traffic.ResponseSink;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
@@ -21,13 +21,12 @@
  * arrived, so that a connection that has gone silent is told from a slow upstream. Confined to the
  * connection's event loop.
  */
-final class RelaySink implements AnswerSink {
-    private final HttpServerResponse response;
+final class RelaySink extends ResponseSink {
     private final FrameWriter frames = new FrameWriter();
     private long bytes;
 
     RelaySink(HttpServerResponse response) {
-        this.response = response;
+        super(response);
         response.setChunked(true);
         send(new ForwardCredit(0, 0));
     }
@@ -64,20 +63,6 @@
         fail(code, refusal.reason(), state, refusal.retryAfterMillis());
     }
 
-    @Override
-    public boolean full() {
-        return !gone() && response.writeQueueFull();
-    }
-
-    @Override
-    public void onDrain(Runnable action) {
-        response.drainHandler(
-                nothing -> {
-                    response.drainHandler(null);
-                    action.run();
-                });
-    }
-
     private void fail(ErrorCode code, String reason, RunState state, long retryAfterMillis) {
         send(new ForwardFailure(0, code, reason, state, retryAfterMillis));
         close();
@@ -85,17 +70,13 @@
 
     private void send(PeerMessage message) {
         if (!gone()) {
-            response.write(frames.frame(message));
+            response().write(frames.frame(message));
         }
     }
 
     private void close() {
         if (!gone()) {
-            response.end();
+            response().end();
         }
     }
-
-    private boolean gone() {
-        return response.ended() || response.closed();
-    }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerSink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerSink.java
@@ -4,23 +4,21 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
 import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 
 /** Answers a caller over HTTP. Confined to the connection's event loop. */
-final class CallerSink implements AnswerSink {
+final class CallerSink extends ResponseSink {
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final HttpServerRequest request;
-    private final HttpServerResponse response;
     private final BooleanSupplier closing;
 
     CallerSink(HttpServerRequest request, BooleanSupplier closing) {
+        super(request.response());
         this.request = request;
-        this.response = request.response();
         this.closing = closing;
     }
 
@@ -29,12 +27,12 @@
         if (gone()) {
             return;
         }
-        response.setStatusCode(status);
-        headers.forEach(header -> response.headers().add(header.name(), header.value()));
+        response().setStatusCode(status);
+        headers.forEach(header -> response().headers().add(header.name(), header.value()));
         if (length.isPresent()) {
-            response.putHeader(HttpHeaders.CONTENT_LENGTH, Long.toString(length.getAsLong()));
+            response().putHeader(HttpHeaders.CONTENT_LENGTH, Long.toString(length.getAsLong()));
         } else {
-            response.setChunked(true);
+            response().setChunked(true);
         }
         announceClose();
     }
@@ -42,14 +40,14 @@
     @Override
     public void write(Buffer data) {
         if (!gone()) {
-            response.write(data);
+            response().write(data);
         }
     }
 
     @Override
     public void end() {
         if (!gone()) {
-            response.end();
+            response().end();
         }
     }
 
@@ -63,38 +61,21 @@
         if (gone()) {
             return;
         }
-        response.setStatusCode(refusal.status());
+        response().setStatusCode(refusal.status());
         if (refusal.retryAfterMillis() > 0) {
             double seconds = refusal.retryAfterMillis() / MILLIS_PER_SECOND;
-            response.putHeader(
-                    HttpHeaders.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", seconds));
+            response()
+                    .putHeader(
+                            HttpHeaders.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", seconds));
         }
-        response.putHeader(HttpHeaders.CONTENT_TYPE, "application/json");
+        response().putHeader(HttpHeaders.CONTENT_TYPE, "application/json");
         announceClose();
-        response.end("{\"error\":\"" + refusal.reason() + "\"}");
-    }
-
-    @Override
-    public boolean full() {
-        return !gone() && response.writeQueueFull();
-    }
-
-    @Override
-    public void onDrain(Runnable action) {
-        response.drainHandler(
-                nothing -> {
-                    response.drainHandler(null);
-                    action.run();
-                });
-    }
-
-    private boolean gone() {
-        return response.ended() || response.closed();
+        response().end("{\"error\":\"" + refusal.reason() + "\"}");
     }
 
     private void announceClose() {
         if (closing.getAsBoolean()) {
-            response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
+            response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
         }
     }
 }
