A heartbeat without spends costs no sum over all VMs; VMs are ranked once

FleetView worked out the time set aside for a sender by a walk over all VMs with each heartbeat, also where the report names no customer and the figure is not used, as most do in a large fleet. TrafficVms hashed a VM's name again with each comparison of its sorting and kept a map keyed by whole VMs; each VM now carries its place. Same order, same decisions.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -155,12 +155,17 @@
         }
         boolean restarted = report.self().incarnation() != member.info().incarnation();
         Map<String, CustomerUse> before = restarted ? Map.of() : member.customers();
-        long silentMillis = hears(member, nowMillis) ? 0 : nowMillis - member.directAtMillis();
-        double setAside = (double) silentMillis / knownVms();
+        boolean spent = !report.customers().isEmpty();
+        double setAside = spent ? setAsideMillis(member, nowMillis) : 0;
         takeReport(member, report, nowMillis);
         return spends(before, report.customers(), setAside);
     }
 
+    private double setAsideMillis(Member member, long nowMillis) {
+        long silentMillis = hears(member, nowMillis) ? 0 : nowMillis - member.directAtMillis();
+        return (double) silentMillis / knownVms();
+    }
+
     /**
      * Forgets VMs that have been silent for long or have ended.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/TrafficVms.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/TrafficVms.java
@@ -31,6 +31,11 @@
 
     private static final String RANK = "traffic VMs";
 
+    private static final Comparator<Ranked> LARGEST_FIRST =
+            Comparator.comparingInt((Ranked ranked) -> ranked.vm.capacity())
+                    .reversed()
+                    .thenComparingLong(Ranked::place);
+
     private TrafficVms() {}
 
     /**
@@ -72,27 +77,20 @@
 
     /** Largest first; among equal ones, the first of each zone before the second of any. */
     private static List<MemberInfo> ranked(List<VmLoad> ready) {
-        List<MemberInfo> bySize =
+        List<Ranked> bySize =
                 ready.stream()
                         .map(VmLoad::vm)
-                        .sorted(
-                                Comparator.comparingInt(MemberInfo::capacity)
-                                        .reversed()
-                                        .thenComparingLong(TrafficVms::rank))
+                        .map(vm -> new Ranked(vm, Rendezvous.weight(RANK, vm.vm())))
+                        .sorted(LARGEST_FIRST)
                         .toList();
         Map<ZoneId, Integer> places = new HashMap<>();
-        Map<MemberInfo, Integer> placeInZone = new HashMap<>();
-        bySize.forEach(vm -> placeInZone.put(vm, places.merge(vm.zone(), 1, Integer::sum)));
-        return bySize.stream()
-                .sorted(
-                        Comparator.comparingInt(MemberInfo::capacity)
-                                .reversed()
-                                .thenComparing(placeInZone::get))
-                .toList();
-    }
-
-    private static long rank(MemberInfo vm) {
-        return Rendezvous.weight(RANK, vm.vm());
+        List<Ranked> zonesInTurn = new ArrayList<>();
+        for (Ranked ranked : bySize) {
+            MemberInfo vm = ranked.vm();
+            zonesInTurn.add(new Ranked(vm, places.merge(vm.zone(), 1, Integer::sum)));
+        }
+        zonesInTurn.sort(LARGEST_FIRST);
+        return zonesInTurn.stream().map(Ranked::vm).toList();
     }
 
     /**
@@ -102,4 +100,7 @@
      * @param load thousandths of a core
      */
     public record VmLoad(MemberInfo vm, int load) {}
+
+    /** A VM with its place among VMs of the same size. */
+    private record Ranked(MemberInfo vm, long place) {}
 }
