--- a/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/LikelyCause.java
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/LikelyCause.java
@@ -87,9 +87,7 @@
                             failed ->
                                     "failed with "
                                             + failed.text("reason")
-                                            + story.last(EventCode.ATTEMPT_ENDED)
-                                                    .map(LikelyCause::attempt)
-                                                    .orElse("")
+                                            + lastAttempt(story)
                                             + leaving(story));
         }
     },
@@ -105,9 +103,7 @@
                                             + ", first bytes after "
                                             + answered.text("first_ms")
                                             + " ms"
-                                            + story.last(EventCode.ATTEMPT_ENDED)
-                                                    .map(LikelyCause::attempt)
-                                                    .orElse("")
+                                            + lastAttempt(story)
                                             + story.learnt(EventCode.STORE_LOST)
                                                     .map(lost -> "; the store was lost")
                                                     .orElse(""));
@@ -138,14 +134,18 @@
 
     abstract Optional<String> explain(RequestStory story);
 
-    private static String attempt(Decision ended) {
-        return " after "
-                + ended.text("end")
-                + " at "
-                + ended.text("target")
-                + " ("
-                + ended.text("cause")
-                + ")";
+    private static String lastAttempt(RequestStory story) {
+        return story.last(EventCode.ATTEMPT_ENDED)
+                .map(
+                        ended ->
+                                " after "
+                                        + ended.text("end")
+                                        + " at "
+                                        + ended.text("target")
+                                        + " ("
+                                        + ended.text("cause")
+                                        + ")")
+                .orElse("");
     }
 
     private static String leaving(RequestStory story) {
