--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleetTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleetTest.java
@@ -23,36 +23,14 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void boundHoldsUnderRandomFaults(long seed) {
-        GrantFleet fleet = new GrantFleet(seed, VMS, RATE);
-        Random random = new Random(seed * 31);
-        fleet.run(5_000, hot(random), MEAN_TOKENS);
-        for (int round = 0; round < 8; round++) {
-            disturb(fleet, random);
-            fleet.run(1_000 + random.nextInt(6_000), hot(random), MEAN_TOKENS);
-            fleet.healAll();
-            fleet.run(random.nextInt(4_000), hot(random), MEAN_TOKENS);
-        }
-        assertThat(
-                fleet.worstPart(),
-                describedAs("part of the bound, seed %0", lessThanOrEqualTo(1.0), seed));
+        assertBoundHolds(new GrantFleet(seed, VMS, RATE), seed, 8);
     }
 
     /** Most VMs of a large fleet stand by and hear of spends seconds later. */
     @ParameterizedTest
     @MethodSource("fewSeeds")
     void boundHoldsInALargeFleetWhoseRequestsAreCarriedByFewVms(long seed) {
-        GrantFleet fleet = new GrantFleet(seed, MANY_VMS, CARRIERS, RATE);
-        Random random = new Random(seed * 31);
-        fleet.run(5_000, hot(random), MEAN_TOKENS);
-        for (int round = 0; round < 4; round++) {
-            disturb(fleet, random);
-            fleet.run(1_000 + random.nextInt(6_000), hot(random), MEAN_TOKENS);
-            fleet.healAll();
-            fleet.run(random.nextInt(4_000), hot(random), MEAN_TOKENS);
-        }
-        assertThat(
-                fleet.worstPart(),
-                describedAs("part of the bound, seed %0", lessThanOrEqualTo(1.0), seed));
+        assertBoundHolds(new GrantFleet(seed, MANY_VMS, CARRIERS, RATE), seed, 4);
     }
 
     @ParameterizedTest
@@ -79,6 +57,20 @@
         assertThat(fleet.spreadOfLevels(), lessThanOrEqualTo(RATE / 8));
     }
 
+    private static void assertBoundHolds(GrantFleet fleet, long seed, int rounds) {
+        Random random = new Random(seed * 31);
+        fleet.run(5_000, hot(random), MEAN_TOKENS);
+        for (int round = 0; round < rounds; round++) {
+            disturb(fleet, random);
+            fleet.run(1_000 + random.nextInt(6_000), hot(random), MEAN_TOKENS);
+            fleet.healAll();
+            fleet.run(random.nextInt(4_000), hot(random), MEAN_TOKENS);
+        }
+        assertThat(
+                fleet.worstPart(),
+                describedAs("part of the bound, seed %0", lessThanOrEqualTo(1.0), seed));
+    }
+
     private static double admittedAsZonesPeakInTurn(GrantFleet fleet) {
         double usual = RATE / 1.8;
         fleet.run(5_000, new double[] {usual * 0.8, usual * 0.1, usual * 0.1}, MEAN_TOKENS);
