Log what retries and placements rest on

The record could not tell whether a process that had just started spent more than its part, and whether a replica's entry said that it drains when a request was placed there. A line for each retry that is asked for (service, granted, what is left, VMs assumed); a placement names the state of the replica's entry and its age; a copy of the store names the revision that it started from. Counters of retries granted and refused.

The allowance for retries moves to the core, where a fleet can be played in virtual time.

--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -95,7 +95,7 @@
     /** The platform's store answers again. */
     STORE_REGAINED(2106, EventLevel.INFO, "store regained", "revision", "lost_ms"),
     /** Another VM knew more of the store than this one. */
-    STORE_COPIED(2107, EventLevel.INFO, "store copied", "from", "revision", "items"),
+    STORE_COPIED(2107, EventLevel.INFO, "store copied", "from", "after", "revision", "items"),
     /** A VM began to read the platform's store itself, or leaves that to others of its region. */
     STORE_READER(2108, EventLevel.INFO, "store reader", "reads", "revision"),
     /** A VM was heard of for the first time or in another state. */
@@ -137,7 +137,9 @@
             "uncached",
             "expected_ms",
             "elapsed_ms",
-            "cache_source"),
+            "cache_source",
+            "entry",
+            "entry_age_ms"),
     /** A request is sent to a VM of another region. */
     RELAYED(
             2304,
@@ -187,6 +189,8 @@
     DENIED(2310, EventLevel.INFO, "denied", "request", "status", "reason", "version"),
     /** A request of a VM of another region is run here. */
     RELAY_ACCEPTED(2311, EventLevel.INFO, "relay accepted", "request", "route", "remaining_ms"),
+    /** A request asked for a retry out of the budget that all VMs share. */
+    RETRY_ASKED(2312, EventLevel.INFO, "retry", "request", "service", "granted", "left", "vms"),
     /** A replica can't be reached. */
     REPLICA_UNREACHABLE(2401, EventLevel.WARN, "replica unreachable", "replica", "cause"),
     /** Log lines were left out to bound their number. */
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/RetryAllowance.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/retry/RetryAllowance.java
@@ -1,7 +1,5 @@
-package io.vanillapoint.entry.control;
+package io.vanillapoint.core.retry;
 
-import io.vanillapoint.core.retry.RetryBudget;
-import io.vanillapoint.entry.settings.RetryBounds;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -68,6 +66,26 @@
         return budget(service, nowMillis).takeRetry(nowMillis);
     }
 
+    /**
+     * Retries that this VM may make now.
+     *
+     * @param service name of the service
+     * @param nowMillis steady time
+     * @return number, a fraction is kept for later
+     */
+    public double left(String service, long nowMillis) {
+        return budget(service, nowMillis).left(nowMillis);
+    }
+
+    /**
+     * VMs that share the bounds as far as this one knows.
+     *
+     * @return number, this VM included
+     */
+    public int vms() {
+        return vms;
+    }
+
     private RetryBudget budget(String service, long nowMillis) {
         return budgets.computeIfAbsent(service, unused -> create(nowMillis));
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/settings/RetryBounds.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/retry/RetryBounds.java
@@ -1,4 +1,4 @@
-package io.vanillapoint.entry.settings;
+package io.vanillapoint.core.retry;
 
 /**
  * How many retries all VMs together may send to one service in one window. Immutable.
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/retry/RetryBudget.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/retry/RetryBudget.java
@@ -45,13 +45,23 @@
      * @return true if it may be made
      */
     public boolean takeRetry(long nowMillis) {
-        double inflow = (nowMillis - atMillis) * retriesPerSecond / MILLIS_PER_SECOND;
-        budget = Math.min(cap, budget + Math.max(0, inflow));
-        atMillis = Math.max(atMillis, nowMillis);
-        if (budget < 1) {
+        if (left(nowMillis) < 1) {
             return false;
         }
         budget -= 1;
         return true;
     }
+
+    /**
+     * Retries that may be made now.
+     *
+     * @param nowMillis time
+     * @return number, a fraction is kept for later
+     */
+    public double left(long nowMillis) {
+        double inflow = (nowMillis - atMillis) * retriesPerSecond / MILLIS_PER_SECOND;
+        budget = Math.min(cap, budget + Math.max(0, inflow));
+        atMillis = Math.max(atMillis, nowMillis);
+        return budget;
+    }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -23,6 +23,7 @@
     private long coldUntilMillis;
     private long leavingSinceMillis = Long.MAX_VALUE;
     private long removedAtMillis = Long.MAX_VALUE;
+    private long changedAtMillis;
     private int requests;
     private long promptTokens;
     private double failureShare;
@@ -37,6 +38,7 @@
         this.coldGate = new ColdStartGate(nowMillis);
         this.cached = new CachedParts(cacheTokens);
         this.coldUntilMillis = nowMillis + info.coldMillis();
+        this.changedAtMillis = nowMillis;
         noteState(nowMillis);
     }
 
@@ -58,6 +60,24 @@
         return region;
     }
 
+    /**
+     * What the replica's entry in the store says as far as this VM knows, for the log.
+     *
+     * @return the published state, or REMOVED
+     */
+    public String entryState() {
+        return removedAtMillis == Long.MAX_VALUE ? info.state().name() : "REMOVED";
+    }
+
+    /**
+     * When this VM learnt of the last change of the replica's entry.
+     *
+     * @return steady time in milliseconds
+     */
+    public long changedAtMillis() {
+        return changedAtMillis;
+    }
+
     /**
      * What this VM has outstanding here.
      *
@@ -193,10 +213,12 @@
         info = newer;
         removedAtMillis = Long.MAX_VALUE;
         coldUntilMillis = nowMillis + newer.coldMillis();
+        changedAtMillis = nowMillis;
         noteState(nowMillis);
     }
 
     void removed(long nowMillis) {
+        changedAtMillis = nowMillis;
         removedAtMillis = Math.min(removedAtMillis, nowMillis);
         leavingSinceMillis = Math.min(leavingSinceMillis, nowMillis);
     }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/RetryAllowanceTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/retry/RetryAllowanceTest.java
@@ -1,10 +1,9 @@
-package io.vanillapoint.entry.control;
+package io.vanillapoint.core.retry;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
-import io.vanillapoint.entry.settings.RetryBounds;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopy.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopy.java
@@ -103,8 +103,9 @@
     private void take(String vm, Buffer body) {
         try {
             StoredDelta delta = codec.delta(body.getBytes());
+            long before = board.revision();
             int items = board.merge(delta, vm);
-            log.record(EventCode.STORE_COPIED, vm, delta.revision(), items);
+            log.record(EventCode.STORE_COPIED, vm, before, delta.revision(), items);
             sync.boardFilled();
         } catch (VanillapointException e) {
             log.record(EventCode.PEER_BAD_FRAME, vm, e.getMessage());
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -12,6 +12,7 @@
 import io.vanillapoint.core.published.CustomerSpec;
 import io.vanillapoint.core.published.RouteKind;
 import io.vanillapoint.core.published.UpstreamReplica;
+import io.vanillapoint.core.retry.RetryAllowance;
 import io.vanillapoint.core.upstream.Placement;
 import io.vanillapoint.core.upstream.PlacementQuery;
 import io.vanillapoint.core.upstream.ReplicaTracker;
@@ -262,7 +263,9 @@
                         local.uncachedTokens(),
                         local.expectedMillis(),
                         now - plan.receivedAtMillis(),
-                        local.cacheSource().map(UpstreamReplica::id).orElse(""));
+                        local.cacheSource().map(UpstreamReplica::id).orElse(""),
+                        local.replica().entryState(),
+                        now - local.replica().changedAtMillis());
         UpstreamCall call =
                 new UpstreamCall(
                         plan.envelope().headers(),
@@ -374,8 +377,7 @@
             return false;
         }
         Placement placement = context.chooser().choose(query(now), now);
-        if (placement instanceof Placement.Refuse
-                || !context.retries().take(plan.service().name(), now)) {
+        if (placement instanceof Placement.Refuse || !retryGranted(now)) {
             return false;
         }
         attempt.cancel();
@@ -406,8 +408,7 @@
                 !callerGone
                         && AttemptRules.mayTryAgain(plan.route(), history, end)
                         && (!history.mayHaveRun() || !onlyOnce())
-                        && (!AttemptRules.countsAsRetry(end)
-                                || context.retries().take(plan.service().name(), now()));
+                        && (!AttemptRules.countsAsRetry(end) || retryGranted(now()));
         logEnd(end, cause, again ? "again" : "over");
         if (again) {
             events.restart();
@@ -417,6 +418,22 @@
         }
     }
 
+    private boolean retryGranted(long now) {
+        String service = plan.service().name();
+        RetryAllowance retries = context.retries();
+        boolean granted = retries.take(service, now);
+        context.log()
+                .record(
+                        EventCode.RETRY_ASKED,
+                        id(),
+                        service,
+                        granted,
+                        retries.left(service, now),
+                        retries.vms());
+        context.metrics().count(granted ? "retries_granted" : "retries_refused");
+        return granted;
+    }
+
     /** A relayed request runs on one replica only; the VM that relayed it decides on others. */
     private boolean onlyOnce() {
         return plan.relayed();
