Reproduce too many retries, requests to replicas that had left, and a quota over its bound

The tests played fleets in which each process was handed what a fresh one cannot know: the number of VMs (RetryAllowanceTest), every other VM at once (GrantFleet), a table that never restarts (PublishedTableTest). Members now find each other from their seeds in virtual time (VirtualMembers, one copy for retries and quota), and processes start fresh.

--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/VirtualMembers.java
@@ -0,0 +1,250 @@
+package io.vanillapoint.core.fleet;
+
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.ZoneId;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Entry VMs that find each other by heartbeats in virtual time: delay and loss, cuts, kills, frozen
+ * VMs. A process that starts knows its seeds alone, as on the users' VMs.
+ */
+public final class VirtualMembers {
+    /** Least number of VMs that settings with three zones tell. */
+    public static final int SMALLEST_FLEET = 6;
+
+    /** Time between two steps in milliseconds. */
+    public static final long STEP_MILLIS = 20;
+
+    private static final long REGION_DELAY_MILLIS = 1;
+    private static final long FAR_DELAY_MILLIS = 56;
+    private static final int BEATS_PER_FULL_REPORT = 12;
+    private static final int VMS_PER_FULL_REPORT = 16;
+    private static final int LOST_OF_A_HUNDRED = 1;
+
+    private final Random random;
+    private final Listener listener;
+    private final List<Node> nodes = new ArrayList<>();
+    private final Set<Long> cutPairs = new HashSet<>();
+    private final PriorityQueue<Mail> mail = new PriorityQueue<>();
+    private long now = 1_000;
+    private int nextMail;
+
+    /**
+     * Starts all VMs.
+     *
+     * @param random seeded
+     * @param vmsByRegion number of VMs of each region
+     * @param listener hears of starts and heartbeats
+     */
+    public VirtualMembers(Random random, int[] vmsByRegion, Listener listener) {
+        this.random = random;
+        this.listener = listener;
+        for (int region = 0; region < vmsByRegion.length; region++) {
+            for (int i = 0; i < vmsByRegion[region]; i++) {
+                nodes.add(new Node(nodes.size(), region, i == 0));
+            }
+        }
+        nodes.forEach(Node::start);
+    }
+
+    /** All VMs, by region. */
+    public List<Node> nodes() {
+        return nodes;
+    }
+
+    /** Steady time in milliseconds. */
+    public long now() {
+        return now;
+    }
+
+    /** Lets one step of time pass. */
+    public void step() {
+        now += STEP_MILLIS;
+        while (!mail.isEmpty() && mail.peek().at <= now) {
+            Mail next = mail.poll();
+            if (next.to.up()) {
+                next.to.receive(next.report);
+            }
+        }
+        nodes.forEach(Node::beat);
+    }
+
+    /** Cuts or restores the way from one VM to another. */
+    public void cut(Node one, Node other, boolean cut) {
+        if (cut) {
+            cutPairs.add(pair(one, other));
+        } else {
+            cutPairs.remove(pair(one, other));
+        }
+    }
+
+    /** Restores all ways. */
+    public void healAll() {
+        cutPairs.clear();
+    }
+
+    private static long pair(Node one, Node other) {
+        return one.index * 1_000L + other.index;
+    }
+
+    private void send(Node from, Node to, FleetReport report) {
+        if (to == from
+                || cutPairs.contains(pair(from, to))
+                || random.nextInt(100) < LOST_OF_A_HUNDRED) {
+            return;
+        }
+        long delay = to.region == from.region ? REGION_DELAY_MILLIS : FAR_DELAY_MILLIS;
+        mail.add(new Mail(now + delay, nextMail++, to, report));
+    }
+
+    /** What a test adds to the VMs. */
+    public interface Listener {
+        /** A process starts with a fresh view. */
+        void started(Node node);
+
+        /** A heartbeat is about to be sent. */
+        default void fill(Node node, FleetReport.Builder report) {}
+
+        /** A heartbeat has arrived. */
+        default void heard(Node node, List<CustomerSpend> spends) {}
+
+        /** Thousandths of a core that the requests of a VM need. */
+        default int load(Node node) {
+            return 0;
+        }
+    }
+
+    /** A heartbeat on its way. */
+    private record Mail(long at, int order, Node to, FleetReport report)
+            implements Comparable<Mail> {
+        @Override
+        public int compareTo(Mail other) {
+            return at != other.at
+                    ? Long.compare(at, other.at)
+                    : Integer.compare(order, other.order);
+        }
+    }
+
+    /** One VM. */
+    public final class Node {
+        private final int index;
+        private final int region;
+        private final boolean seed;
+        private FleetView view;
+        private HeartbeatPlan plan;
+        private long incarnation;
+        private long startedAt;
+        private long downUntil;
+        private long frozenUntil;
+        private long nextBeat;
+        private int beats;
+
+        private Node(int index, int region, boolean seed) {
+            this.index = index;
+            this.region = region;
+            this.seed = seed;
+        }
+
+        /** Place among all VMs. */
+        public int index() {
+            return index;
+        }
+
+        /** Number of its region. */
+        public int region() {
+            return region;
+        }
+
+        /** What the process knows of the others. */
+        public FleetView view() {
+            return view;
+        }
+
+        /** Steady time at which its process started. */
+        public long startedAt() {
+            return startedAt;
+        }
+
+        /** Ends the process; the next one starts after a while. */
+        public void kill(long millis) {
+            downUntil = now + millis;
+            start();
+        }
+
+        /** Stops the process for a while. */
+        public void freeze(long millis) {
+            frozenUntil = now + millis;
+        }
+
+        /** Tells whether the process runs. */
+        public boolean up() {
+            return now >= downUntil && now >= frozenUntil;
+        }
+
+        private void start() {
+            incarnation++;
+            startedAt = Math.max(now, downUntil);
+            MemberInfo self =
+                    new MemberInfo(
+                            "vm-" + index,
+                            host(),
+                            new RegionId("r" + region),
+                            new ZoneId("z" + region),
+                            MemberInfo.ONE_CORE,
+                            incarnation,
+                            MemberState.READY);
+            view = new FleetView(self, FleetTiming.DEFAULT, SMALLEST_FLEET);
+            plan = new HeartbeatPlan(FleetTiming.DEFAULT);
+            beats = 0;
+            nextBeat = startedAt;
+            listener.started(this);
+        }
+
+        private void receive(FleetReport report) {
+            boolean first = !view.knows(report.self().vm());
+            listener.heard(this, view.receive(report, now));
+            if (first) {
+                nodes.stream()
+                        .filter(node -> node.host().equals(report.self().host()))
+                        .forEach(node -> send(this, node, report(true)));
+            }
+        }
+
+        private void beat() {
+            if (!up() || now < nextBeat) {
+                return;
+            }
+            nextBeat = now + FleetTiming.DEFAULT.regionIntervalMillis();
+            view.prune(now);
+            int each = BEATS_PER_FULL_REPORT * (1 + view.members().size() / VMS_PER_FULL_REPORT);
+            boolean alone = view.members().isEmpty();
+            boolean full = alone || ++beats % each == 0;
+            FleetReport report = report(full);
+            Set<String> hosts = new LinkedHashSet<>();
+            if (!alone) {
+                hosts.addAll(plan.next(view, now).all());
+            }
+            for (Node other : nodes) {
+                if ((full && other.seed) || hosts.contains(other.host())) {
+                    send(this, other, report);
+                }
+            }
+        }
+
+        private FleetReport report(boolean namesOthers) {
+            FleetReport.Builder next = view.nextReport(listener.load(this));
+            listener.fill(this, next);
+            return next.others(namesOthers ? view.heardMembers(now) : List.of()).build();
+        }
+
+        private String host() {
+            return "10.0.0." + index;
+        }
+    }
+}
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/published/PublishedTableTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/published/PublishedTableTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -40,7 +41,21 @@
         assertThat(changed.stream().map(StoredItem::key).toList(), is(List.of("gone")));
     }
 
+    @Tag("known-red")
+    @Test
+    void removalReachesATableThatCopiesFromOneThatStartedAfterIt() {
+        PublishedTable behind = new PublishedTable();
+        behind.replace(List.of(item("gone", 3, "v"), item("kept", 4, "v")), 5);
+        PublishedTable fresh = new PublishedTable();
+        fresh.replace(List.of(item("kept", 4, "v"), item("new", 9, "v")), 9);
+        List<StoredItem> changed = behind.merge(fresh.since(behind.revision()));
+        assertThat(
+                changed.stream().map(item -> item.key() + " " + item.removed()).sorted().toList(),
+                is(List.of("gone true", "new false")));
+    }
+
     /** Some tables watch the store, with gaps and listings; the others copy from each other. */
+    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
     void allCopiesEndWithTheStoreAndNoneEverGoesBack(long seed) {
@@ -60,6 +75,10 @@
                 case 1 -> copy.watch(store);
                 default -> copy.copyFrom(copies.get(random.nextInt(copies.size())));
             }
+            copy.assertKeepsNoKeyThatItsRevisionHasRemoved(store);
+            if (random.nextInt(40) == 0) {
+                copies.set(random.nextInt(copies.size()), new Copy());
+            }
         }
         Copy last = copies.get(0);
         last.watch(store);
@@ -129,6 +148,19 @@
             return live;
         }
 
+        void assertKeepsNoKeyThatItsRevisionHasRemoved(Store store) {
+            Map<String, StoredItem> last = new TreeMap<>();
+            store.history.stream()
+                    .filter(item -> item.revision() <= table.revision())
+                    .forEach(item -> last.put(item.key(), item));
+            for (StoredItem item : last.values()) {
+                StoredItem known = seen.get(item.key());
+                boolean kept = known != null && !known.removed();
+                boolean stale = kept && known.revision() <= item.revision();
+                assertThat(item.key() + " is kept", item.removed() && stale, is(false));
+            }
+        }
+
         private void note(List<StoredItem> changed) {
             for (StoredItem item : changed) {
                 StoredItem before = seen.put(item.key(), item);
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/retry/RetryFleetTest.java
@@ -0,0 +1,109 @@
+package io.vanillapoint.core.retry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.describedAs;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.vanillapoint.core.fleet.VirtualMembers;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Retries of all VMs to one service, summed over VMs whose processes start knowing their seeds. */
+class RetryFleetTest {
+    private static final double EVERY_REQUEST_FAILS = 1;
+
+    /** Requests a second; retries; as on the users' deployments. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @CsvSource({"2,25,52", "3,24,58", "26,250,192"})
+    void processesThatStartTogetherKeepTheBudgetOfAll(int vmsOfARegion, int rate, double slack) {
+        RetryFleet fleet = fleet(1, vmsOfARegion, slack);
+        fleet.run(20_000, rate, EVERY_REQUEST_FAILS);
+        fleet.members.nodes().forEach(vm -> vm.kill(1_000 + 50L * vm.index()));
+        fleet.run(15_000, rate, EVERY_REQUEST_FAILS);
+        assertThat(fleet.worstPart(), lessThanOrEqualTo(1.0));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"2,25,52", "3,24,58", "26,250,192"})
+    void processThatIsKilledAgainAndAgainKeepsTheBudgetOfAll(
+            int vmsOfARegion, int rate, double slack) {
+        RetryFleet fleet = fleet(2, vmsOfARegion, slack);
+        fleet.run(20_000, rate, EVERY_REQUEST_FAILS);
+        for (int kill = 0; kill < 8; kill++) {
+            fleet.members.nodes().get(0).kill(700);
+            fleet.run(2_000, rate, EVERY_REQUEST_FAILS);
+        }
+        assertThat(fleet.worstPart(), lessThanOrEqualTo(1.0));
+    }
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void budgetHoldsWhileVmsAreKilledAndCut(long seed) {
+        Random random = new Random(seed);
+        RetryFleet fleet = fleet(seed, 2 + random.nextInt(3), 52);
+        fleet.run(random.nextInt(15_000), 40, EVERY_REQUEST_FAILS);
+        for (int round = 0; round < 6; round++) {
+            double failing = random.nextDouble();
+            disturb(fleet, random);
+            fleet.run(500 + random.nextInt(6_000), 10 + random.nextInt(80), failing);
+            fleet.members.healAll();
+            fleet.run(random.nextInt(3_000), 10 + random.nextInt(80), failing);
+        }
+        assertThat(
+                fleet.worstPart(),
+                describedAs("part of the budget, seed %0", lessThanOrEqualTo(1.0), seed));
+    }
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @CsvSource({"2,25,52", "26,250,192"})
+    void fewFailuresAreAllRetriedOnceVmsHaveRunForAWhile(int vmsOfARegion, int rate, double slack) {
+        RetryFleet fleet = fleet(3, vmsOfARegion, slack);
+        fleet.run(30_000, rate, 0.1);
+        fleet.resetCounts();
+        fleet.run(30_000, rate, 0.1);
+        assertThat(fleet.retriedPart(), greaterThan(0.95));
+    }
+
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, 200);
+    }
+
+    private static RetryFleet fleet(long seed, int vmsOfARegion, double slack) {
+        RetryBounds bounds = new RetryBounds(0.2, slack, RetryFleet.WINDOW_MILLIS);
+        return new RetryFleet(seed, new int[] {vmsOfARegion, vmsOfARegion, vmsOfARegion}, bounds);
+    }
+
+    private static void disturb(RetryFleet fleet, Random random) {
+        switch (random.nextInt(3)) {
+            case 0 -> fleet.members.nodes().forEach(vm -> killSome(vm, random));
+            case 1 -> cutRegion(fleet, random.nextInt(3));
+            default -> {
+                cutRegion(fleet, random.nextInt(3));
+                fleet.members.nodes().forEach(vm -> killSome(vm, random));
+            }
+        }
+    }
+
+    private static void killSome(VirtualMembers.Node vm, Random random) {
+        if (random.nextInt(10) < 6) {
+            vm.kill(200 + random.nextInt(3_000));
+        }
+    }
+
+    private static void cutRegion(RetryFleet fleet, int region) {
+        for (VirtualMembers.Node one : fleet.members.nodes()) {
+            for (VirtualMembers.Node other : fleet.members.nodes()) {
+                boolean across = (one.region() == region) != (other.region() == region);
+                fleet.members.cut(one, other, across);
+            }
+        }
+    }
+}
