--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/settings/EntrySettings.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/settings/EntrySettings.java
@@ -4,6 +4,7 @@
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.api.model.ZoneId;
 import io.vanillapoint.core.fleet.MemberInfo;
+import io.vanillapoint.core.retry.RetryBounds;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
