A process that starts no longer spends the retries of the whole fleet

Cause: an allowance started as if its VM were alone, with 0.4 of the whole slack at once, filled up again each time it heard of one more VM, and a restart forgot what the process before had spent. In fleets of more than 20 VMs each VM kept one retry at least, whatever the slack. RetryAllowanceTest handed each fresh allowance the number of VMs. Class: what a fresh process does not know is taken for the state of the world. Fix: retries are counted in a sliding window against the requests that the same process took; a share of the slack is spent only by a process that has run for a whole window and has heard of VMs of all regions. The sum over processes then holds however often they start (argument in the class).

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -414,7 +414,24 @@
         return member.info().region().equals(self.region());
     }
 
-    private int knownVms() {
+    /**
+     * Tells whether VMs of regions have been heard of, directly or through others.
+     *
+     * @param regions the regions
+     * @return false if there is one without any known VM
+     */
+    public boolean knowsVmsOf(Collection<RegionId> regions) {
+        return regions.stream()
+                .allMatch(
+                        region -> region.equals(self.region()) || regionSizes.containsKey(region));
+    }
+
+    /**
+     * VMs of the fleet as far as this one knows, itself included.
+     *
+     * @return number, at least what the settings tell
+     */
+    public int knownVms() {
         int known = 1;
         for (Member member : members.values()) {
             if (member.info().state() != MemberState.GONE) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/retry/RetryAllowance.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/retry/RetryAllowance.java
@@ -6,30 +6,38 @@
 /**
  * This VM's part of the retries that all VMs together may send to a service.
  *
- * <p>Safety argument: the parts of all VMs add up to at most {@link #SLACK_PART} of the slack in a
- * burst, as much again over a window, and less than the ratio for each request. Confined to one
- * thread.
+ * <p>Load pattern: an outage makes every request worth a retry on all VMs, while processes are
+ * killed and start again.
+ *
+ * <p>Safety argument: in any window a VM makes at most a part of a retry for each request that it
+ * took itself in that window, and its share of the slack. The first parts add up to less than the
+ * ratio for each request, however many VMs there are and however often they start, since every
+ * request is counted by one process. A share of the slack is spent only by a process that has run
+ * for a whole window, so that two processes of one VM never both spend it in the same window, and
+ * that has heard of VMs of all regions, so that it knows how many share it. Confined to one thread.
  */
 public final class RetryAllowance {
-    /** Part of the slack that may be spent at once, and again in the course of a window. */
-    private static final double SLACK_PART = 0.4;
+    /** Part of the slack that is spent; the rest covers VMs that count in different moments. */
+    private static final double SLACK_PART = 0.8;
 
-    /** Part of the ratio that is spent; the rest covers VMs that count different windows. */
+    /** Part of the ratio that is spent, for the same reason. */
     private static final double RATIO_PART = 0.8;
 
-    private static final double MILLIS_PER_SECOND = 1_000;
-
     private final RetryBounds bounds;
-    private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private final long startedAtMillis;
+    private final Map<String, RetryWindow> windows = new HashMap<>();
     private int vms = 1;
+    private boolean allRegionsKnown;
 
     /**
-     * Creates an allowance.
+     * Creates the allowance of a process that knows nothing yet.
      *
      * @param bounds bounds over all VMs
+     * @param nowMillis steady time at which the process starts
      */
-    public RetryAllowance(RetryBounds bounds) {
+    public RetryAllowance(RetryBounds bounds, long nowMillis) {
         this.bounds = bounds;
+        this.startedAtMillis = nowMillis;
     }
 
     /**
@@ -37,22 +45,21 @@
      * others may only be cut off.
      *
      * @param count VMs, this one included
+     * @param regionsKnown true if VMs of all regions have been heard of
      */
-    public void vms(int count) {
-        if (count > vms) {
-            vms = count;
-            budgets.clear();
-        }
+    public void fleet(int count, boolean regionsKnown) {
+        vms = Math.max(vms, count);
+        allRegionsKnown |= regionsKnown;
     }
 
     /**
-     * Counts a request.
+     * Counts a request that a caller sent to this VM.
      *
      * @param service name of its service
      * @param nowMillis steady time
      */
     public void request(String service, long nowMillis) {
-        budget(service, nowMillis).request();
+        window(service).request(nowMillis);
     }
 
     /**
@@ -63,7 +70,11 @@
      * @return true if it may be made
      */
     public boolean take(String service, long nowMillis) {
-        return budget(service, nowMillis).takeRetry(nowMillis);
+        if (left(service, nowMillis) < 1) {
+            return false;
+        }
+        window(service).retry(nowMillis);
+        return true;
     }
 
     /**
@@ -71,10 +82,12 @@
      *
      * @param service name of the service
      * @param nowMillis steady time
-     * @return number, a fraction is kept for later
+     * @return number, one or more if {@link #take} would grant one
      */
     public double left(String service, long nowMillis) {
-        return budget(service, nowMillis).left(nowMillis);
+        RetryWindow window = window(service);
+        double earned = bounds.ratio() * RATIO_PART * window.requests(nowMillis);
+        return earned + slackPart(nowMillis) - window.retries(nowMillis);
     }
 
     /**
@@ -86,14 +99,12 @@
         return vms;
     }
 
-    private RetryBudget budget(String service, long nowMillis) {
-        return budgets.computeIfAbsent(service, unused -> create(nowMillis));
+    private double slackPart(long nowMillis) {
+        boolean alone = nowMillis - startedAtMillis > bounds.windowMillis();
+        return alone && allRegionsKnown ? bounds.slack() * SLACK_PART / vms : 0;
     }
 
-    private RetryBudget create(long nowMillis) {
-        double part = bounds.slack() * SLACK_PART / vms;
-        double perSecond = part * MILLIS_PER_SECOND / bounds.windowMillis();
-        return new RetryBudget(
-                bounds.ratio() * RATIO_PART, perSecond, Math.max(1, part), nowMillis);
+    private RetryWindow window(String service) {
+        return windows.computeIfAbsent(service, unused -> new RetryWindow(bounds.windowMillis()));
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -100,7 +100,7 @@
         fleet = new FleetView(self(incarnation), FleetTiming.DEFAULT, settings.smallestFleet());
         pool = new UpstreamPool(settings.zones());
         grants = new GrantMeter(new GrantTolerance(settings.quotaSlackTokens()));
-        retries = new RetryAllowance(settings.retries());
+        retries = new RetryAllowance(settings.retries(), now());
         board =
                 new PublicationBoard(
                         platform.published(), pool, log, clock, this::publicationTaken);
@@ -236,7 +236,7 @@
 
     private void tick() {
         watchLag();
-        retries.vms(fleet.members().size() + 1);
+        retries.fleet(fleet.knownVms(), fleet.knowsVmsOf(settings.zones().values()));
         pool.prune(now());
         log.flush();
     }
