--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -104,7 +104,9 @@
     public void start() {
         long left = Math.max(1, plan.deadlineMillis() - now());
         deadlineTimer = context.vertx().setTimer(left, nothing -> deadline());
-        context.retries().request(plan.service().name(), now());
+        if (!plan.relayed()) {
+            context.retries().request(plan.service().name(), now());
+        }
         later();
     }
 
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.entry.traffic;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
@@ -50,6 +51,8 @@
 
     private final Vertx vertx = Vertx.vertx();
     private LongSupplier clock = () -> System.nanoTime() / 1_000_000;
+    private final RetryAllowance retries =
+            new RetryAllowance(new RetryBounds(0.2, 50, 10_000), clock.getAsLong());
     private final RecordingLog log = new RecordingLog();
     private final RecordingSink sink = new RecordingSink();
     private final UpstreamPool pool = new UpstreamPool(Map.of(ZONE, REGION));
@@ -100,11 +103,26 @@
         assertThat(received.get(), is(0));
     }
 
+    /** The VM that the caller chose has counted it already. */
+    @Test
+    void relayedRequestEarnsNoSecondPartOfARetry() throws Exception {
+        for (int i = 0; i < 20; i++) {
+            play(plan(RouteKind.IDEMPOTENT, true), run -> {});
+        }
+        assertThat(retries.left("s", clock.getAsLong()), is(0.0));
+        play(plan(RouteKind.IDEMPOTENT, false), run -> {});
+        assertThat(retries.left("s", clock.getAsLong()), greaterThan(0.0));
+    }
+
     private void play(RouteKind kind, Consumer<RequestRun> then) throws Exception {
+        play(plan(kind, false), then);
+    }
+
+    private void play(RequestPlan plan, Consumer<RequestRun> then) throws Exception {
         Promise<Void> ended = Promise.promise();
         vertx.runOnContext(
                 nothing -> {
-                    RequestRun run = new RequestRun(context(), plan(kind), sink, ended::complete);
+                    RequestRun run = new RequestRun(context(), plan, sink, ended::complete);
                     run.start();
                     then.accept(run);
                 });
@@ -151,13 +169,13 @@
                 pool,
                 new ReplicaChooser(pool, fleet, PlacementWeights.DEFAULT, sessions),
                 sessions,
-                new RetryAllowance(new RetryBounds(0.2, 50, 10_000), 0),
+                retries,
                 vertx.createHttpClient(),
                 vertx.createHttpClient(),
                 17_600);
     }
 
-    private RequestPlan plan(RouteKind kind) {
+    private RequestPlan plan(RouteKind kind, boolean relayed) {
         RouteSpec route =
                 new RouteSpec(
                         "r",
@@ -195,6 +213,6 @@
                 Optional.empty(),
                 now,
                 now + 4_000,
-                false);
+                relayed);
     }
 }
