A request is not sent to a replica that began to leave after it was placed

Nobody looked at the replica again. Fix: the attempt asks again when it may send; what was not sent costs no retry.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -153,13 +153,24 @@
     public List<ReplicaTracker> serving(String service, long nowMillis) {
         List<ReplicaTracker> serving = new ArrayList<>();
         for (ReplicaTracker tracker : byService.getOrDefault(service, List.of())) {
-            if (!evacuated.contains(tracker.info().zone()) && !leaving(tracker, nowMillis)) {
+            if (serves(tracker, nowMillis)) {
                 serving.add(tracker);
             }
         }
         return serving;
     }
 
+    /**
+     * Tells whether a replica may get a request, without regard to cold starts and failures.
+     *
+     * @param tracker the replica
+     * @param nowMillis steady time
+     * @return false if it leaves or its zone is evacuated
+     */
+    public boolean serves(ReplicaTracker tracker, long nowMillis) {
+        return !evacuated.contains(tracker.info().zone()) && !leaving(tracker, nowMillis);
+    }
+
     /**
      * Tells whether a replica takes a request from this VM now.
      *
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -279,7 +279,13 @@
                         local.cacheSource().map(UpstreamReplica::endpoint));
         UpstreamAttempt sending =
                 new UpstreamAttempt(
-                        context.format(), context.gate(), call, this::remainingMillis, id(), this);
+                        context.format(),
+                        context.gate(),
+                        call,
+                        this::remainingMillis,
+                        () -> context.pool().serves(local.replica(), now()),
+                        id(),
+                        this);
         attempt = sending;
         RequestOptions options =
                 new RequestOptions()
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 /**
@@ -20,6 +21,7 @@
     private final ReadGate gate;
     private final UpstreamCall call;
     private final LongSupplier remainingMillis;
+    private final BooleanSupplier serves;
     private final String requestId;
 
     UpstreamAttempt(
@@ -27,6 +29,7 @@
             ReadGate gate,
             UpstreamCall call,
             LongSupplier remainingMillis,
+            BooleanSupplier serves,
             String requestId,
             AttemptListener listener) {
         super(listener);
@@ -34,6 +37,7 @@
         this.gate = gate;
         this.call = call;
         this.remainingMillis = remainingMillis;
+        this.serves = serves;
         this.requestId = requestId;
     }
 
@@ -57,6 +61,11 @@
             reset();
             return;
         }
+        if (!serves.getAsBoolean()) {
+            reset();
+            fail(AttemptEnd.NOT_SENT, "replica left before the request was sent", 0);
+            return;
+        }
         format.writeCall(call.withRemainingMillis(remaining), connected.headers());
         connected
                 .response()
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -28,9 +28,11 @@
 import io.vanillapoint.core.upstream.UpstreamPool;
 import io.vanillapoint.entry.log.EntryMetrics;
 import io.vanillapoint.entry.port.RequestEnvelope;
+import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -89,12 +91,7 @@
     @Test
     void requestWhoseTimeIsUpWhenTheConnectionStandsIsNotSent() throws Exception {
         AtomicInteger received = new AtomicInteger();
-        int port =
-                vertx.createHttpServer()
-                        .requestHandler(request -> received.incrementAndGet())
-                        .listen(0, "127.0.0.1")
-                        .await(10, TimeUnit.SECONDS)
-                        .actualPort();
+        int port = listen(request -> received.incrementAndGet());
         publish(port);
         // The clock stands still until the replica is chosen, then jumps beyond the deadline.
         clock = () -> log.codes().contains(EventCode.PLACED) ? 10_000 : 0;
@@ -103,6 +100,22 @@
         assertThat(received.get(), is(0));
     }
 
+    @Test
+    void requestIsNotSentToAReplicaThatBeganToDrainWhileTheConnectionWasMade() throws Exception {
+        AtomicInteger received = new AtomicInteger();
+        int port = listen(request -> received.incrementAndGet());
+        publish(port);
+        log.whenRecorded(
+                code -> {
+                    if (code == EventCode.PLACED) {
+                        publish(port, ReplicaState.DRAINING);
+                    }
+                });
+        play(RouteKind.AT_MOST_ONCE, run -> {});
+        assertThat(sink.seen(), is("refuse 503 no_replica not run"));
+        assertThat(received.get(), is(0));
+    }
+
     /** The VM that the caller chose has counted it already. */
     @Test
     void relayedRequestEarnsNoSecondPartOfARetry() throws Exception {
@@ -137,7 +150,19 @@
         publish(1);
     }
 
+    private int listen(Handler<HttpServerRequest> handler) throws Exception {
+        return vertx.createHttpServer()
+                .requestHandler(handler)
+                .listen(0, "127.0.0.1")
+                .await(10, TimeUnit.SECONDS)
+                .actualPort();
+    }
+
     private void publish(int port) {
+        publish(port, ReplicaState.READY);
+    }
+
+    private void publish(int port, ReplicaState state) {
         UpstreamReplica replica =
                 new UpstreamReplica(
                         "i-1",
@@ -145,7 +170,7 @@
                         new Endpoint("127.0.0.1", port),
                         ZONE,
                         6,
-                        ReplicaState.READY,
+                        state,
                         0,
                         1,
                         Set.of());
