A slow answer is awaited while no retry is left

Found while mending the budget of retries: a VM that lost patience with a replica broke the attempt off first and asked for a retry then, so that the caller got 502 for an answer that was under way. With an empty budget, as after a start, this came often. Evidence: RequestRunTest.slowAnswerIsAwaitedWhileNoRetryIsLeft failed before (502 attempt_lost) and passes now. Fix: the attempt is broken off only if a retry is left.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -538,6 +538,7 @@
 
     private boolean mayLeaveReplica(long now) {
         return history.sent() < plan.route().attempts()
+                && context.retries().left(plan.service().name(), now) >= 1
                 && !(context.chooser().choose(query(now), now) instanceof Placement.Refuse);
     }
 
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -116,6 +116,19 @@
         assertThat(received.get(), is(0));
     }
 
+    /** Longer than a VM's patience with a silent replica, shorter than the caller's deadline. */
+    @Test
+    void slowAnswerIsAwaitedWhileNoRetryIsLeft() throws Exception {
+        int port =
+                listen(
+                        request ->
+                                vertx.setTimer(1_200, nothing -> request.response().end("answer")));
+        publish("i-1", port, ReplicaState.READY);
+        publish("i-2", port, ReplicaState.READY);
+        play(RouteKind.IDEMPOTENT, run -> {});
+        assertThat(sink.seen(), is("head 200 data end"));
+    }
+
     /** The VM that the caller chose has counted it already. */
     @Test
     void relayedRequestEarnsNoSecondPartOfARetry() throws Exception {
@@ -163,17 +176,13 @@
     }
 
     private void publish(int port, ReplicaState state) {
+        publish("i-1", port, state);
+    }
+
+    private void publish(String id, int port, ReplicaState state) {
         UpstreamReplica replica =
                 new UpstreamReplica(
-                        "i-1",
-                        "s",
-                        new Endpoint("127.0.0.1", port),
-                        ZONE,
-                        6,
-                        state,
-                        0,
-                        1,
-                        Set.of());
+                        id, "s", new Endpoint("127.0.0.1", port), ZONE, 6, state, 0, 1, Set.of());
         pool.publish(replica, Optional.of(SERVICE), 0);
     }
 
