--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -39,6 +39,7 @@
     private int nearMembers;
     private long sequence;
     private int selfLoad;
+    private long selfDrainingSinceMillis = Long.MIN_VALUE / 2;
     private long membersVersion;
 
     /**
@@ -91,8 +92,12 @@
      * Changes the life cycle of this VM.
      *
      * @param state new state
+     * @param nowMillis steady time
      */
-    public void selfState(MemberState state) {
+    public void selfState(MemberState state, long nowMillis) {
+        if (state == MemberState.DRAINING) {
+            selfDrainingSinceMillis = nowMillis;
+        }
         self = self.withState(state);
     }
 
@@ -218,21 +223,30 @@
 
     /**
      * VMs that callers may be sent to: those that carry the requests of the caller's region, else
-     * of the regions in which its requests may be processed, else of all.
+     * of the regions in which its requests may be processed; where all of these drain, those that
+     * still take requests; else VMs of all regions.
      *
      * @param region region of the caller, may be unknown to the fleet
      * @param homes regions in which the caller's requests may be processed, empty for all
+     * @param bound true if no request of the caller may be processed elsewhere
      * @param nowMillis steady time
      * @return VMs in no special order, empty if no VM takes requests
      */
-    public List<MemberInfo> callerVms(RegionId region, Set<RegionId> homes, long nowMillis) {
+    public List<MemberInfo> callerVms(
+            RegionId region, Set<RegionId> homes, boolean bound, long nowMillis) {
         List<VmLoad> ready = takingRequests(nowMillis);
         List<VmLoad> near = in(ready, vm -> vm.region().equals(region));
         if (!near.isEmpty()) {
             return TrafficVms.carrying(near);
         }
         List<VmLoad> home = in(ready, vm -> homes.contains(vm.region()));
-        return TrafficVms.carrying(home.isEmpty() ? ready : home);
+        if (home.isEmpty() && !homes.isEmpty()) {
+            home =
+                    in(
+                            drainingButTaking(nowMillis),
+                            vm -> vm.region().equals(region) || homes.contains(vm.region()));
+        }
+        return TrafficVms.carrying(home.isEmpty() && !bound ? ready : home);
     }
 
     /**
@@ -244,10 +258,7 @@
      * @return the VMs that carry requests, suspected ones left out
      */
     public List<MemberInfo> relays(RegionId region, long nowMillis) {
-        List<Member> taking =
-                members.values().stream()
-                        .filter(member -> relays(member, region, nowMillis))
-                        .toList();
+        List<Member> taking = relayCandidates(region, nowMillis);
         boolean anyHeard = taking.stream().anyMatch(member -> hears(member, nowMillis));
         List<VmLoad> ready =
                 taking.stream()
@@ -265,21 +276,45 @@
      * @return false if {@link #relays} would be empty
      */
     public boolean reaches(RegionId region, long nowMillis) {
+        boolean draining = false;
+        for (Member member : members.values()) {
+            if (reachable(member, region, nowMillis)) {
+                if (member.info().state().takesRequests()) {
+                    return true;
+                }
+                draining |= takesWhileDraining(member, nowMillis);
+            }
+        }
+        return draining;
+    }
+
+    /** Ready VMs of a region, or those that have just begun to drain if there is none. */
+    private List<Member> relayCandidates(RegionId region, long nowMillis) {
+        List<Member> ready = new ArrayList<>();
+        List<Member> draining = new ArrayList<>();
         for (Member member : members.values()) {
-            if (relays(member, region, nowMillis)) {
-                return true;
+            if (reachable(member, region, nowMillis)) {
+                if (member.info().state().takesRequests()) {
+                    ready.add(member);
+                } else if (takesWhileDraining(member, nowMillis)) {
+                    draining.add(member);
+                }
             }
         }
-        return false;
+        return ready.isEmpty() ? draining : ready;
     }
 
-    private boolean relays(Member member, RegionId region, long nowMillis) {
+    private boolean reachable(Member member, RegionId region, long nowMillis) {
         return member.info().region().equals(region)
-                && member.info().state().takesRequests()
                 && alive(member, nowMillis)
                 && !member.avoided(nowMillis);
     }
 
+    private boolean takesWhileDraining(Member member, long nowMillis) {
+        return member.info().state() == MemberState.DRAINING
+                && nowMillis - member.drainingSinceMillis() < timing.drainTakesMillis();
+    }
+
     /**
      * Part of the fleet whose heartbeats reach this VM, itself included.
      *
@@ -497,6 +532,21 @@
         return ready;
     }
 
+    /** VMs that have begun to drain just now and refuse nothing yet. */
+    private List<VmLoad> drainingButTaking(long nowMillis) {
+        List<VmLoad> taking = new ArrayList<>();
+        boolean selfTakes = nowMillis - selfDrainingSinceMillis < timing.drainTakesMillis();
+        if (self.state() == MemberState.DRAINING && selfTakes) {
+            taking.add(new VmLoad(self, selfLoad));
+        }
+        for (Member member : members.values()) {
+            if (takesWhileDraining(member, nowMillis) && alive(member, nowMillis)) {
+                taking.add(new VmLoad(member.info(), member.load()));
+            }
+        }
+        return taking;
+    }
+
     private static List<VmLoad> in(List<VmLoad> vms, Predicate<MemberInfo> wanted) {
         return vms.stream().filter(vm -> wanted.test(vm.vm())).toList();
     }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
@@ -13,6 +13,7 @@
     private long heardAtMillis;
     private long directAtMillis = Long.MIN_VALUE / 2;
     private long sequence = -1;
+    private long drainingSinceMillis = Long.MIN_VALUE / 2;
     private long avoidUntilMillis = Long.MIN_VALUE;
     private long publishedRevision;
     private boolean readsStore;
@@ -86,6 +87,13 @@
         return directAtMillis;
     }
 
+    /**
+     * When the VM began to drain, far in the past if this process did not hear of it at the time.
+     */
+    long drainingSinceMillis() {
+        return drainingSinceMillis;
+    }
+
     void avoidUntil(long millis) {
         avoidUntilMillis = millis;
     }
@@ -105,6 +113,7 @@
     }
 
     void take(FleetReport report, long nowMillis) {
+        noteDraining(report.self(), nowMillis);
         info = report.self();
         sequence = report.sequence();
         publishedRevision = report.publishedRevision();
@@ -122,6 +131,7 @@
             return;
         }
         if (heard.info().incarnation() > info.incarnation()) {
+            noteDraining(heard.info(), at);
             info = heard.info();
             sequence = -1;
             load = 0;
@@ -130,8 +140,23 @@
             heardAtMillis = at;
         } else if (at > heardAtMillis) {
             boolean later = heard.info().state().ordinal() > info.state().ordinal();
-            info = later ? heard.info() : info;
+            if (later) {
+                noteDraining(heard.info(), at);
+                info = heard.info();
+            }
             heardAtMillis = at;
         }
     }
+
+    private void noteDraining(MemberInfo newer, long nowMillis) {
+        boolean sameLife = newer.incarnation() == info.incarnation();
+        boolean began =
+                info.state().compareTo(MemberState.DRAINING) < 0
+                        && newer.state() == MemberState.DRAINING;
+        if (!sameLife) {
+            drainingSinceMillis = Long.MIN_VALUE / 2;
+        } else if (began) {
+            drainingSinceMillis = nowMillis;
+        }
+    }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/published/GatewayPublication.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/published/GatewayPublication.java
@@ -130,6 +130,18 @@
         return Set.copyOf(counts.keySet());
     }
 
+    /**
+     * Tells whether every request to a host is bound to some regions.
+     *
+     * @param host value of the Host header
+     * @return true if all its routes have homes
+     */
+    public boolean boundToHomes(String host) {
+        List<RouteSpec> routes =
+                routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of());
+        return !routes.isEmpty() && routes.stream().noneMatch(route -> route.homes().isEmpty());
+    }
+
     /**
      * Finds a route by its name.
      *
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
@@ -44,6 +44,43 @@
         assertThat(hosts(NORTH, Set.of(NORTH), NOW), containsInAnyOrder("w1-host", "e1-host"));
     }
 
+    /** All VMs of a region are restarted in turn; each drains for longer than the pause between. */
+    @Test
+    void callersWhoseHomesHaveOnlyDrainingVmsAreSentToTheOneThatStillTakesRequests() {
+        Set<RegionId> homes = Set.of(EAST);
+        view.receive(report(vm("e1", EAST, 1, MemberState.READY), 1), NOW);
+        view.receive(report(vm("e2", EAST, 1, MemberState.READY), 1), NOW);
+        view.receive(report(vm("e1", EAST, 1, MemberState.DRAINING), 2), NOW + 100);
+        assertThat(hosts(EAST, homes, NOW + 500), contains("e2-host"));
+        view.receive(report(vm("e2", EAST, 1, MemberState.DRAINING), 2), NOW + 2_000);
+        view.receive(report(vm("e1", EAST, 1, MemberState.DRAINING), 3), NOW + 2_100);
+        assertThat(hosts(EAST, homes, NOW + 2_200), contains("e2-host"));
+        assertThat(hosts(NORTH, homes, NOW + 2_200), contains("e2-host"));
+    }
+
+    @Test
+    void requestsAreRelayedToADrainingVmThatStillTakesThemIfThereIsNoOther() {
+        view.receive(report(vm("e1", EAST, 1, MemberState.READY), 1), NOW);
+        view.receive(report(vm("e1", EAST, 1, MemberState.DRAINING), 2), NOW + 100);
+        assertThat(view.relays(EAST, NOW + 200).size(), is(1));
+        assertThat(view.reaches(EAST, NOW + 200), is(true));
+        view.receive(report(vm("e1", EAST, 1, MemberState.DRAINING), 3), NOW + 2_500);
+        assertThat(view.reaches(EAST, NOW + 2_600), is(false));
+    }
+
+    @Test
+    void vmThatDrainedBeforeThisProcessHeardOfItIsNotSentAnything() {
+        view.receive(report(vm("e1", EAST, 1, MemberState.DRAINING), 9), NOW);
+        assertThat(view.reaches(EAST, NOW + 10), is(false));
+    }
+
+    /** Callers keep the answer that they have, rather than send data where it may not go. */
+    @Test
+    void callersOfAHostWhoseDataIsBoundAreNotLedElsewhere() {
+        List<MemberInfo> named = view.callerVms(EAST, Set.of(EAST), true, NOW);
+        assertThat(named, is(empty()));
+    }
+
     @Test
     void silentAndDrainingVmsAreNotNamed() {
         view.receive(report(vm("e1", EAST, 1, MemberState.READY), 1), NOW);
@@ -209,7 +246,7 @@
     }
 
     private List<String> hosts(RegionId region, Set<RegionId> homes, long now) {
-        return view.callerVms(region, homes, now).stream().map(MemberInfo::host).toList();
+        return view.callerVms(region, homes, false, now).stream().map(MemberInfo::host).toList();
     }
 
     private static FleetReport report(MemberInfo vm, long sequence) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
@@ -129,9 +129,13 @@
         long now = context.clock().getAsLong();
         Set<RegionId> homes =
                 board.publication().map(known -> known.homes(directory.host())).orElse(Set.of());
+        boolean bound =
+                board.publication()
+                        .filter(known -> known.boundToHomes(directory.host()))
+                        .isPresent();
         List<String> addresses =
                 TrafficVms.sample(
-                                context.fleet().callerVms(directory.region(), homes, now),
+                                context.fleet().callerVms(directory.region(), homes, bound, now),
                                 ThreadLocalRandom.current()::nextDouble)
                         .stream()
                         .map(vm -> new Endpoint(vm.host(), settings.callers().port()).toString())
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -281,7 +281,7 @@
     }
 
     private void state(MemberState state, String reason) {
-        fleet.selfState(state);
+        fleet.selfState(state, now());
         log.record(EventCode.ENTRY_STATE, state, reason);
         control.announce();
     }
