A replica whose entry is removed while the store is in good order gets nothing any more

Fix: only entries that are removed while the store is away for this VM, or up to 2.5 s after, may come back; a watch that is answered late counts as an absence too. LeavingReplicaTest.replicaThatLeavesWithoutAWordGetsNothingOnceItsEntryIsRemoved and StoreSyncTest; on the code before, the pool had no way to tell the two apart (the replica was kept for 2 s).

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -23,6 +23,7 @@
     private long coldUntilMillis;
     private long removedAtMillis = Long.MAX_VALUE;
     private long changedAtMillis;
+    private boolean mayComeBack;
     private int requests;
     private long promptTokens;
     private double failureShare;
@@ -214,8 +215,9 @@
         changedAtMillis = nowMillis;
     }
 
-    void removed(long nowMillis) {
+    void removed(boolean entryMayComeBack, long nowMillis) {
         changedAtMillis = nowMillis;
+        mayComeBack = entryMayComeBack;
         removedAtMillis = Math.min(removedAtMillis, nowMillis);
     }
 
@@ -223,6 +225,11 @@
         return removedAtMillis;
     }
 
+    /** Tells whether a removed entry may only have lapsed while the store was away. */
+    boolean mayComeBack() {
+        return mayComeBack;
+    }
+
     /**
      * Tells whether the replica itself has said that it leaves; a removed entry changes nothing.
      */
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -84,12 +84,13 @@
      * Notes that a replica's entry was removed.
      *
      * @param id id of the replica
+     * @param mayComeBack true if the entry may have lapsed only since the store was away
      * @param nowMillis steady time
      */
-    public void remove(String id, long nowMillis) {
+    public void remove(String id, boolean mayComeBack, long nowMillis) {
         ReplicaTracker tracker = replicas.get(id);
         if (tracker != null) {
-            tracker.removed(nowMillis);
+            tracker.removed(mayComeBack, nowMillis);
         }
     }
 
@@ -220,7 +221,9 @@
     }
 
     private static boolean leaving(ReplicaTracker tracker, long nowMillis) {
-        return tracker.draining() || tracker.removedAtMillis() < nowMillis - REMOVED_GRACE_MILLIS;
+        boolean removed = tracker.removedAtMillis() <= nowMillis;
+        boolean graceOver = tracker.removedAtMillis() < nowMillis - REMOVED_GRACE_MILLIS;
+        return tracker.draining() || (removed && !tracker.mayComeBack()) || graceOver;
     }
 
     private void rebuild() {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/LeavingReplicaTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/LeavingReplicaTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
 import io.vanillapoint.api.model.Endpoint;
@@ -27,12 +28,29 @@
         publish(ReplicaState.READY, 1_000);
         publish(ReplicaState.DRAINING, 2_000);
         assertThat(pool.serving(SERVICE, 2_000), is(empty()));
-        pool.remove(ID, 5_200);
+        pool.remove(ID, true, 5_200);
         for (long now = 5_200; now < 9_000; now += 100) {
             assertThat("at " + now, pool.serving(SERVICE, now), is(empty()));
         }
     }
 
+    @Test
+    void replicaThatLeavesWithoutAWordGetsNothingOnceItsEntryIsRemoved() {
+        publish(ReplicaState.READY, 1_000);
+        pool.remove(ID, false, 5_000);
+        assertThat(pool.serving(SERVICE, 5_000), is(empty()));
+    }
+
+    @Test
+    void replicaWhoseEntryLapsedWhileTheStoreWasAwayIsKeptUntilItShouldBeBack() {
+        publish(ReplicaState.READY, 1_000);
+        pool.remove(ID, true, 5_000);
+        assertThat(pool.serving(SERVICE, 6_900), hasSize(1));
+        assertThat(pool.serving(SERVICE, 7_100), is(empty()));
+        publish(ReplicaState.READY, 7_200);
+        assertThat(pool.serving(SERVICE, 7_200), hasSize(1));
+    }
+
     private void publish(ReplicaState state, long now) {
         UpstreamReplica replica =
                 new UpstreamReplica(
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
@@ -138,7 +138,7 @@
     @Test
     void entryThatLapsedIsUsedForTwoSecondsMore() {
         pool.evacuate(EAST_A, true);
-        pool.remove("plain-w", NOW);
+        pool.remove("plain-w", true, NOW);
         assertThat(chooser.choose(plain(Set.of()), NOW + 1_900), instanceOf(Placement.Local.class));
         assertThat(
                 chooser.choose(plain(Set.of()), NOW + 2_100), instanceOf(Placement.Refuse.class));
@@ -147,7 +147,7 @@
     @Test
     void coldReplicaGetsItsRateOverAllOwners() {
         for (int i = 0; i < 4; i++) {
-            pool.remove("engine-w" + i, NOW - 5_000);
+            pool.remove("engine-w" + i, true, NOW - 5_000);
         }
         pool.prune(NOW);
         publish("engine-c", "engines", WEST_A, ReplicaState.READY, 60_000);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublicationBoard.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublicationBoard.java
@@ -88,29 +88,32 @@
      *
      * @param delta changes
      * @param source the store or the name of a VM, for the log
+     * @param storeWasAway true if replicas' entries may have lapsed since the store was away
      * @return number of values that were new
      */
-    public int merge(StoredDelta delta, String source) {
-        return apply(table.merge(delta), source);
+    public int merge(StoredDelta delta, String source, boolean storeWasAway) {
+        return apply(table.merge(delta), source, storeWasAway);
     }
 
     /**
      * Takes a full listing of the store.
      *
      * @param listing all values
+     * @param storeWasAway true if replicas' entries may have lapsed since the store was away
      * @return number of values that were new
      */
-    public int replace(StoreListing listing) {
-        return apply(table.replace(listing.items(), listing.startRevision()), "listing");
+    public int replace(StoreListing listing, boolean storeWasAway) {
+        List<StoredItem> changed = table.replace(listing.items(), listing.startRevision());
+        return apply(changed, "listing", storeWasAway);
     }
 
-    private int apply(List<StoredItem> changed, String source) {
+    private int apply(List<StoredItem> changed, String source, boolean storeWasAway) {
         changed.stream()
                 .filter(item -> format.kind(item.key()) == PublishedFormat.Kind.CONFIGURATION)
                 .forEach(item -> configure(item, source));
         for (StoredItem item : changed) {
             switch (format.kind(item.key())) {
-                case REPLICA -> replica(item, source);
+                case REPLICA -> replica(item, source, storeWasAway);
                 case EVACUATION -> evacuate(item, source);
                 default -> {}
             }
@@ -138,19 +141,19 @@
         return publication.isEmpty() || read.version() > publication.get().version();
     }
 
-    private void replica(StoredItem item, String source) {
+    private void replica(StoredItem item, String source, boolean storeWasAway) {
         String id = format.name(item.key());
         long now = clock.getAsLong();
         if (item.removed()) {
-            pool.remove(id, now);
-            changed(id, "", "REMOVED", item, source);
+            pool.remove(id, storeWasAway, now);
+            changed(id, "", storeWasAway ? "REMOVED store was away" : "REMOVED", item, source);
             return;
         }
         Findings findings = new Findings();
         Optional<UpstreamReplica> read = format.replica(item, findings);
         refused(item, findings);
         if (read.isEmpty()) {
-            pool.remove(id, now);
+            pool.remove(id, false, now);
             return;
         }
         UpstreamReplica replica = read.get();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopy.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopy.java
@@ -104,7 +104,7 @@
         try {
             StoredDelta delta = codec.delta(body.getBytes());
             long before = board.revision();
-            int items = board.merge(delta, vm);
+            int items = board.merge(delta, vm, sync.storeWasAway());
             log.record(EventCode.STORE_COPIED, vm, before, delta.revision(), items);
             sync.boardFilled();
         } catch (VanillapointException e) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
@@ -26,6 +26,12 @@
     /** Time between two looks whether it has become this VM's turn to read. */
     private static final long TURN_MILLIS = 300;
 
+    /** A watch that is answered later than this was held up by a store that was away. */
+    private static final long LATE_WATCH_MILLIS = WATCH_MILLIS + 300;
+
+    /** Entries lapse, and are back, within about two seconds of the store's return. */
+    private static final long LAPSES_MILLIS = 2_500;
+
     private static final long FIRST_PAUSE_MILLIS = 200;
     private static final long LONGEST_PAUSE_MILLIS = 1_000;
 
@@ -42,6 +48,7 @@
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private long watchSinceMillis;
     private long answeredAtMillis = -ANSWERED_MILLIS;
+    private long awayUntilMillis = Long.MIN_VALUE / 2;
 
     StoreSync(
             Vertx vertx,
@@ -83,6 +90,14 @@
         return lostAtMillis < 0 && clock.getAsLong() - answeredAtMillis < ANSWERED_MILLIS;
     }
 
+    /**
+     * Tells whether the store was away until a moment ago, so that entries may have lapsed whose
+     * replicas live.
+     */
+    boolean storeWasAway() {
+        return lostAtMillis >= 0 || clock.getAsLong() - awayUntilMillis < LAPSES_MILLIS;
+    }
+
     /** The board was filled from another VM: a watch can go on from there. */
     void boardFilled() {
         listed = true;
@@ -105,7 +120,7 @@
                                 return;
                             }
                             listed = true;
-                            board.replace(listing.result());
+                            board.replace(listing.result(), storeWasAway());
                             regained();
                             start();
                         });
@@ -122,7 +137,10 @@
                                 lost(changes.cause());
                                 return;
                             }
-                            board.merge(changes.result(), "watch");
+                            if (clock.getAsLong() - watchSinceMillis > LATE_WATCH_MILLIS) {
+                                awayUntilMillis = clock.getAsLong();
+                            }
+                            board.merge(changes.result(), "watch", storeWasAway());
                             regained();
                             start();
                         });
@@ -152,6 +170,7 @@
         if (lostAtMillis >= 0) {
             long lost = clock.getAsLong() - lostAtMillis;
             lostAtMillis = -1;
+            awayUntilMillis = clock.getAsLong();
             log.record(EventCode.STORE_REGAINED, board.revision(), lost);
         }
     }
--- /dev/null
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreSyncTest.java
@@ -0,0 +1,136 @@
+package io.vanillapoint.entry.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.vanillapoint.api.finding.Findings;
+import io.vanillapoint.core.published.GatewayPublication;
+import io.vanillapoint.core.published.PublishedFormat;
+import io.vanillapoint.core.published.StoredDelta;
+import io.vanillapoint.core.published.StoredItem;
+import io.vanillapoint.core.published.UpstreamReplica;
+import io.vanillapoint.core.upstream.UpstreamPool;
+import io.vanillapoint.entry.port.PublishedSource;
+import io.vanillapoint.entry.port.StoreException;
+import io.vanillapoint.entry.port.StoreListing;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What a VM knows of the store's absence, from its own calls. */
+class StoreSyncTest {
+    private static final long START = 10_000;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final AtomicLong clock = new AtomicLong(START);
+    private final FakeSource source = new FakeSource();
+    private final PublicationBoard board =
+            new PublicationBoard(
+                    new NoValues(),
+                    new UpstreamPool(Map.of()),
+                    (code, values) -> {},
+                    clock::get,
+                    publication -> {});
+    private final StoreSync sync =
+            new StoreSync(vertx, source, board, (code, values) -> {}, clock::get, () -> true);
+    private Promise<StoredDelta> watch;
+
+    @BeforeEach
+    void start() throws Exception {
+        sync.start();
+        watch = source.nextWatch();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        vertx.close().await(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void storeThatAnswersWatchesInTimeWasNotAway() throws Exception {
+        clock.addAndGet(3_000);
+        answer();
+        assertThat(sync.storeWasAway(), is(false));
+    }
+
+    @Test
+    void storeThatFailsIsAwayUntilAMomentAfterItsReturn() throws Exception {
+        watch.fail(new StoreException(StoreException.Kind.UNREACHABLE, "connection reset"));
+        assertThat(sync.storeWasAway(), is(true));
+        watch = source.nextWatch();
+        clock.addAndGet(5_000);
+        answer();
+        assertThat(sync.storeWasAway(), is(true));
+        clock.addAndGet(3_000);
+        assertThat(sync.storeWasAway(), is(false));
+    }
+
+    @Test
+    void watchThatIsAnsweredLateShowsAStoreThatWasAway() throws Exception {
+        clock.addAndGet(3_600);
+        answer();
+        assertThat(sync.storeWasAway(), is(true));
+    }
+
+    private void answer() throws Exception {
+        watch.complete(StoredDelta.changes(5, List.of()));
+        watch = source.nextWatch();
+    }
+
+    /** A store whose watches the test answers. Safe for use by several threads. */
+    private static final class FakeSource implements PublishedSource {
+        private final BlockingQueue<Promise<StoredDelta>> watches = new LinkedBlockingQueue<>();
+
+        @Override
+        public Future<StoreListing> list() {
+            return Future.succeededFuture(new StoreListing(4, List.of()));
+        }
+
+        @Override
+        public Future<StoredDelta> watch(long after, long waitMillis) {
+            Promise<StoredDelta> answer = Promise.promise();
+            watches.add(answer);
+            return answer.future();
+        }
+
+        @Override
+        public void cancelWatch() {}
+
+        Promise<StoredDelta> nextWatch() throws InterruptedException {
+            return watches.poll(30, TimeUnit.SECONDS);
+        }
+    }
+
+    /** A format without values. Stateless. */
+    private static final class NoValues implements PublishedFormat {
+        @Override
+        public Kind kind(String key) {
+            return Kind.OTHER;
+        }
+
+        @Override
+        public String name(String key) {
+            return key;
+        }
+
+        @Override
+        public Optional<GatewayPublication> configuration(StoredItem item, Findings findings) {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<UpstreamReplica> replica(StoredItem item, Findings findings) {
+            return Optional.empty();
+        }
+    }
+}
