--- a/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/LikelyCause.java
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/LikelyCause.java
@@ -75,6 +75,7 @@
                                                                     "; evacuation of "
                                                                             + zone.text("zone"))
                                                     .orElse("")
+                                            + noRetryLeft(story)
                                             + leaving(story));
         }
     },
@@ -88,6 +89,7 @@
                                     "failed with "
                                             + failed.text("reason")
                                             + lastAttempt(story)
+                                            + noRetryLeft(story)
                                             + leaving(story));
         }
     },
@@ -148,6 +150,18 @@
                 .orElse("");
     }
 
+    private static String noRetryLeft(RequestStory story) {
+        return story.last(EventCode.RETRY_ASKED)
+                .filter(retry -> retry.text("granted").equals("false"))
+                .map(
+                        retry ->
+                                "; no retry to "
+                                        + retry.text("service")
+                                        + " was left on this VM, one of "
+                                        + retry.text("vms"))
+                .orElse("");
+    }
+
     private static String leaving(RequestStory story) {
         return story.context().stream()
                 .filter(decision -> decision.code() == EventCode.REPLICA_CHANGED)
--- a/vanillapoint-cli/src/test/java/io/vanillapoint/cli/explain/RequestStoryTest.java
+++ b/vanillapoint-cli/src/test/java/io/vanillapoint/cli/explain/RequestStoryTest.java
@@ -62,6 +62,21 @@
         assertThat(LikelyCause.of(story), containsString("replica i-1 was draining"));
     }
 
+    @Test
+    void refusalForWantOfARetryNamesTheBudget() throws IOException {
+        RequestStory story =
+                story(
+                        "{\"at\":950,\"vm\":\"a\",\"event\":2312,\"request\":\"r1\",\"service\":\"s\","
+                                + "\"granted\":false,\"left\":0.4,\"vms\":6}",
+                        "{\"at\":951,\"vm\":\"a\",\"event\":2305,\"request\":\"r1\","
+                                + "\"target\":\"i-1\",\"end\":\"REJECTED\",\"cause\":\"status 503\"}",
+                        "{\"at\":952,\"vm\":\"a\",\"event\":2307,\"request\":\"r1\","
+                                + "\"reason\":\"attempt_rejected\"}");
+        assertThat(
+                LikelyCause.of(story),
+                containsString("no retry to s was left on this VM, one of 6"));
+    }
+
     @Test
     void unknownRequestIsSaidToBeUnknown() throws IOException {
         RequestStory story = story("{\"at\":1,\"vm\":\"a\",\"event\":2302,\"request\":\"r2\"}");
