A VM with a long request ends before it would be killed

Cause: a look each 0.2 s, and the cut 0.25 s before the kill; a late look left 0.05 s to end. Change: the looks are planned apart from timers (StopSchedule), one falls on the cut, 0.4 s before the kill.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -19,6 +19,7 @@
 import io.vanillapoint.entry.control.EntryControl;
 import io.vanillapoint.entry.control.EntryTuning;
 import io.vanillapoint.entry.control.PublicationBoard;
+import io.vanillapoint.entry.control.StopSchedule;
 import io.vanillapoint.entry.log.ConnectionFailures;
 import io.vanillapoint.entry.log.DecisionLog;
 import io.vanillapoint.entry.log.EntryMetrics;
@@ -258,19 +259,24 @@
             return;
         }
         state(MemberState.DRAINING, "told to stop");
-        long startedAt = now();
         vertx.setTimer(tuning.acceptMillis(), nothing -> refusing = true);
-        vertx.setPeriodic(
-                tuning.tickMillis(),
-                timer -> {
-                    long elapsed = now() - startedAt;
-                    boolean idle = callers.running() + relays.running() == 0;
-                    boolean over = elapsed >= settings.graceMillis() - tuning.reserveMillis();
-                    if (over || (idle && elapsed >= tuning.settleMillis())) {
-                        vertx.cancelTimer(timer);
-                        end();
-                    }
-                });
+        StopSchedule schedule =
+                new StopSchedule(
+                        tuning.settleMillis(),
+                        settings.graceMillis() - tuning.reserveMillis(),
+                        tuning.tickMillis());
+        lookWhetherToEnd(schedule, now());
+    }
+
+    private void lookWhetherToEnd(StopSchedule schedule, long toldAtMillis) {
+        long elapsed = now() - toldAtMillis;
+        if (schedule.ends(elapsed, callers.running() + relays.running() == 0)) {
+            end();
+        } else {
+            vertx.setTimer(
+                    schedule.nextLookMillis(elapsed),
+                    nothing -> lookWhetherToEnd(schedule, toldAtMillis));
+        }
     }
 
     private void end() {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryTuning.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryTuning.java
@@ -21,5 +21,5 @@
         long reserveMillis,
         long tickMillis) {
     /** For platforms that give eight seconds to stop. */
-    public static final EntryTuning DEFAULT = new EntryTuning(2, 700, 2_000, 2_800, 250, 200);
+    public static final EntryTuning DEFAULT = new EntryTuning(2, 700, 2_000, 2_800, 400, 200);
 }
