A relayed request hands on the time that is left when it is sent

Evidence: RelayAttemptTest.timeSpentWaitingForAConnectionIsNotHandedOn failed before (4000 handed on, 2500 left) and passes now.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/message/RelayRequest.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/RelayRequest.java
@@ -31,4 +31,15 @@
     public RelayRequest {
         headers = List.copyOf(headers);
     }
+
+    /**
+     * The same request with another time left.
+     *
+     * @param millis time left when it is sent
+     * @return a copy
+     */
+    public RelayRequest withRemainingMillis(int millis) {
+        return new RelayRequest(
+                requestId, route, service, customer, millis, method, uri, headers, body);
+    }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
@@ -25,6 +25,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
 
 /** Sends a request to a VM of another region. Confined to one event loop. */
 public final class RelayAttempt extends HttpAttempt {
@@ -37,6 +38,7 @@
 
     private final Vertx vertx;
     private final RequestFormat format;
+    private final LongSupplier remainingMillis;
     private final LongConsumer arrival;
     private long arrivalTimer = -1;
     private long sentAtNanos;
@@ -46,14 +48,20 @@
      *
      * @param vertx timers
      * @param format reads the answer's head
+     * @param remainingMillis time that is left for the request now
      * @param listener hears what comes of it
      * @param arrival hears how many milliseconds it took until the other VM had the request
      */
     public RelayAttempt(
-            Vertx vertx, RequestFormat format, AttemptListener listener, LongConsumer arrival) {
+            Vertx vertx,
+            RequestFormat format,
+            LongSupplier remainingMillis,
+            AttemptListener listener,
+            LongConsumer arrival) {
         super(listener);
         this.vertx = vertx;
         this.format = format;
+        this.remainingMillis = remainingMillis;
         this.arrival = arrival;
     }
 
@@ -90,7 +98,9 @@
 
     private void send(HttpClientRequest connected, RelayRequest relayed) {
         sending(connected);
-        if (done()) {
+        long remaining = remainingMillis.getAsLong();
+        if (done() || remaining <= 0) {
+            // The request's own timer tells the caller that its time is up.
             reset();
             return;
         }
@@ -106,7 +116,7 @@
                                 read(answered.result());
                             }
                         });
-        connected.end(Buffer.buffer(CODEC.encode(relayed)));
+        connected.end(Buffer.buffer(CODEC.encode(relayed.withRemainingMillis((int) remaining))));
     }
 
     private void read(HttpClientResponse answered) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -332,6 +332,7 @@
                 new RelayAttempt(
                         context.vertx(),
                         context.format(),
+                        this::remainingMillis,
                         this,
                         millis -> context.chooser().roundTrip(region, millis));
         attempt = sending;
--- /dev/null
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayAttemptTest.java
@@ -0,0 +1,105 @@
+package io.vanillapoint.entry.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.vanillapoint.core.attempt.AttemptEnd;
+import io.vanillapoint.core.message.RelayRequest;
+import io.vanillapoint.entry.port.AnswerEnvelope;
+import io.vanillapoint.entry.traffic.AttemptListener;
+import io.vanillapoint.wire.FleetCodec;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.PoolOptions;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Requests that are sent to a VM of another region. */
+class RelayAttemptTest {
+    private static final long WAIT_SECONDS = 30;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final FleetCodec codec = new FleetCodec();
+    private final BlockingQueue<HttpServerRequest> requests = new LinkedBlockingQueue<>();
+    private final BlockingQueue<RelayRequest> received = new LinkedBlockingQueue<>();
+    private final AtomicLong remainingMillis = new AtomicLong(4_000);
+
+    @AfterEach
+    void close() throws Exception {
+        vertx.close().await(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** All connections to the other VM are taken by long answers for a while. */
+    @Test
+    void timeSpentWaitingForAConnectionIsNotHandedOn() throws Exception {
+        int port = listen();
+        HttpClient client = vertx.createHttpClient(new PoolOptions().setHttp1MaxSize(1));
+        vertx.runOnContext(nothing -> start(client, port, "r1"));
+        assertThat(received.poll(WAIT_SECONDS, TimeUnit.SECONDS).remainingMillis(), is(4_000));
+        HttpServerRequest first = requests.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        vertx.runOnContext(
+                nothing -> {
+                    start(client, port, "r2");
+                    remainingMillis.set(2_500);
+                    first.response().end();
+                });
+        assertThat(received.poll(WAIT_SECONDS, TimeUnit.SECONDS).remainingMillis(), is(2_500));
+    }
+
+    private int listen() throws Exception {
+        return vertx.createHttpServer()
+                .requestHandler(
+                        request ->
+                                request.body()
+                                        .onSuccess(
+                                                body -> {
+                                                    requests.add(request);
+                                                    received.add(
+                                                            codec.relayRequest(body.getBytes()));
+                                                }))
+                .listen(0, "127.0.0.1")
+                .await(WAIT_SECONDS, TimeUnit.SECONDS)
+                .actualPort();
+    }
+
+    private void start(HttpClient client, int port, String id) {
+        new RelayAttempt(vertx, null, remainingMillis::get, new Deaf(), millis -> {})
+                .start(client, "127.0.0.1", port, request(id));
+    }
+
+    private static RelayRequest request(String id) {
+        return new RelayRequest(
+                id,
+                "route",
+                "service",
+                Optional.empty(),
+                4_000,
+                "POST",
+                "/a",
+                List.of(),
+                new byte[1]);
+    }
+
+    /** Hears nothing. Stateless. */
+    private static final class Deaf implements AttemptListener {
+        @Override
+        public void head(AnswerEnvelope answer) {}
+
+        @Override
+        public void data(Buffer data) {}
+
+        @Override
+        public void end() {}
+
+        @Override
+        public void failed(AttemptEnd end, String cause, long retryAfterMillis) {}
+    }
+}
