Long answers do not hold up other requests to the same VM

Found by reading: 64 connections to each other VM, and a relayed answer holds one to its end, so that the 65th request waited until one of the long answers ended. A region whose callers are bound to another one has more than that under way when one VM there is ready, as in a rolling restart.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -26,6 +26,7 @@
 import io.vanillapoint.entry.log.LineWriter;
 import io.vanillapoint.entry.port.EntryPlatform;
 import io.vanillapoint.entry.relay.RelayHandler;
+import io.vanillapoint.entry.relay.VmClient;
 import io.vanillapoint.entry.settings.EntrySettings;
 import io.vanillapoint.entry.traffic.CallerHandler;
 import io.vanillapoint.entry.traffic.EntryContext;
@@ -54,10 +55,6 @@
     /** More than a VM of this size can have under way. */
     private static final int MAX_CONNECTIONS = 3_000;
 
-    private static final int VM_CONNECTIONS = 64;
-    private static final int VM_IDLE_SECONDS = 8;
-    private static final int VM_CONNECT_MILLIS = 700;
-
     private final Vertx vertx;
     private final EntrySettings settings;
     private final EntryTuning tuning = EntryTuning.DEFAULT;
@@ -105,7 +102,7 @@
         board =
                 new PublicationBoard(
                         platform.published(), pool, log, clock, this::publicationTaken);
-        HttpClient vms = vmClient();
+        HttpClient vms = VmClient.create(vertx, watched("vm"));
         lag = new LoopLag(tuning.tickMillis(), now());
         EntryContext context =
                 new EntryContext(
@@ -325,14 +322,6 @@
                 .build();
     }
 
-    private HttpClient client(HttpClientOptions options, PoolOptions connections, String peer) {
-        return vertx.httpClientBuilder()
-                .with(options)
-                .with(connections)
-                .withConnectHandler(watched(peer))
-                .build();
-    }
-
     private Handler<HttpConnection> watched(String peer) {
         ConnectionFailures failures = new ConnectionFailures(metrics);
         return connection -> failures.watch(connection, peer);
@@ -342,16 +331,10 @@
         HttpClientOptions options = new HttpClientOptions().setKeepAlive(false).setTcpNoDelay(true);
         PoolOptions connections =
                 new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setEventLoopSize(1);
-        return client(options, connections, "upstream");
-    }
-
-    private HttpClient vmClient() {
-        HttpClientOptions options =
-                new HttpClientOptions()
-                        .setTcpNoDelay(true)
-                        .setKeepAliveTimeout(VM_IDLE_SECONDS)
-                        .setConnectTimeout(VM_CONNECT_MILLIS);
-        PoolOptions connections = new PoolOptions().setHttp1MaxSize(VM_CONNECTIONS);
-        return client(options, connections, "vm");
+        return vertx.httpClientBuilder()
+                .with(options)
+                .with(connections)
+                .withConnectHandler(watched("upstream"))
+                .build();
     }
 }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayAttemptTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayAttemptTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 
 import io.vanillapoint.core.attempt.AttemptEnd;
+import io.vanillapoint.core.message.ForwardCredit;
 import io.vanillapoint.core.message.RelayRequest;
 import io.vanillapoint.entry.port.AnswerEnvelope;
 import io.vanillapoint.entry.traffic.AttemptListener;
@@ -25,9 +26,11 @@
 /** Requests that are sent to a VM of another region. */
 class RelayAttemptTest {
     private static final long WAIT_SECONDS = 30;
+    private static final int LONG_ANSWERS = 300;
 
     private final Vertx vertx = Vertx.vertx();
     private final FleetCodec codec = new FleetCodec();
+    private final FrameWriter frames = new FrameWriter();
     private final BlockingQueue<HttpServerRequest> requests = new LinkedBlockingQueue<>();
     private final BlockingQueue<RelayRequest> received = new LinkedBlockingQueue<>();
     private final AtomicLong remainingMillis = new AtomicLong(4_000);
@@ -54,6 +57,23 @@
         assertThat(received.poll(WAIT_SECONDS, TimeUnit.SECONDS).remainingMillis(), is(2_500));
     }
 
+    /** The only VM that is ready in the region to which callers are bound. */
+    @Test
+    void longAnswersDoNotHoldUpOtherRequestsToTheSameVm() throws Exception {
+        int port = listen();
+        HttpClient client = VmClient.create(vertx, connection -> {});
+        vertx.runOnContext(
+                nothing -> {
+                    for (int i = 0; i < LONG_ANSWERS; i++) {
+                        start(client, port, "r" + i);
+                    }
+                });
+        for (int i = 0; i < LONG_ANSWERS; i++) {
+            RelayRequest arrived = received.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            assertThat("request " + i + " arrives", arrived != null, is(true));
+        }
+    }
+
     private int listen() throws Exception {
         return vertx.createHttpServer()
                 .requestHandler(
@@ -61,7 +81,7 @@
                                 request.body()
                                         .onSuccess(
                                                 body -> {
-                                                    requests.add(request);
+                                                    arrived(request);
                                                     received.add(
                                                             codec.relayRequest(body.getBytes()));
                                                 }))
@@ -70,6 +90,12 @@
                 .actualPort();
     }
 
+    /** Says, as a VM does, that the request has arrived, and leaves its answer open. */
+    private void arrived(HttpServerRequest request) {
+        request.response().setChunked(true).write(frames.frame(new ForwardCredit(0, 0)));
+        requests.add(request);
+    }
+
     private void start(HttpClient client, int port, String id) {
         new RelayAttempt(vertx, null, remainingMillis::get, new Deaf(), millis -> {})
                 .start(client, "127.0.0.1", port, request(id));
