--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/retry/RetryAllowance.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/retry/RetryAllowance.java
@@ -100,8 +100,8 @@
     }
 
     private double slackPart(long nowMillis) {
-        boolean alone = nowMillis - startedAtMillis > bounds.windowMillis();
-        return alone && allRegionsKnown ? bounds.slack() * SLACK_PART / vms : 0;
+        boolean ranForAWindow = nowMillis - startedAtMillis > bounds.windowMillis();
+        return ranForAWindow && allRegionsKnown ? bounds.slack() * SLACK_PART / vms : 0;
     }
 
     private RetryWindow window(String service) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -178,8 +178,7 @@
      * @param tracker a serving replica
      * @param service its service
      * @param self name of this VM
-     * @param regionVms names of the VMs of the region, empty if not all are known; asked for only
-     *     if the replica is cold
+     * @param regionVms names of the VMs of the region, asked for only if the replica is cold
      * @param nowMillis steady time
      * @return false if it is cold and this VM's part of its rate is used up, or if it was
      *     unreachable just now
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -12,7 +12,6 @@
 import io.vanillapoint.core.published.CustomerSpec;
 import io.vanillapoint.core.published.RouteKind;
 import io.vanillapoint.core.published.UpstreamReplica;
-import io.vanillapoint.core.retry.RetryAllowance;
 import io.vanillapoint.core.upstream.Placement;
 import io.vanillapoint.core.upstream.PlacementQuery;
 import io.vanillapoint.core.upstream.ReplicaTracker;
@@ -386,7 +385,7 @@
             return false;
         }
         Placement placement = context.chooser().choose(query(now), now);
-        if (placement instanceof Placement.Refuse || !retryGranted(now)) {
+        if (placement instanceof Placement.Refuse || !RetryQuestion.granted(context, plan)) {
             return false;
         }
         attempt.cancel();
@@ -417,7 +416,8 @@
                 !callerGone
                         && AttemptRules.mayTryAgain(plan.route(), history, end)
                         && (!history.mayHaveRun() || !onlyOnce())
-                        && (!AttemptRules.countsAsRetry(end) || retryGranted(now()));
+                        && (!AttemptRules.countsAsRetry(end)
+                                || RetryQuestion.granted(context, plan));
         logEnd(end, cause, again ? "again" : "over");
         if (again) {
             events.restart();
@@ -427,22 +427,6 @@
         }
     }
 
-    private boolean retryGranted(long now) {
-        String service = plan.service().name();
-        RetryAllowance retries = context.retries();
-        boolean granted = retries.take(service, now);
-        context.log()
-                .record(
-                        EventCode.RETRY_ASKED,
-                        id(),
-                        service,
-                        granted,
-                        retries.left(service, now),
-                        retries.vms());
-        context.metrics().count(granted ? "retries_granted" : "retries_refused");
-        return granted;
-    }
-
     /** A relayed request runs on one replica only; the VM that relayed it decides on others. */
     private boolean onlyOnce() {
         return plan.relayed();
