--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -191,6 +191,17 @@
     RELAY_ACCEPTED(2311, EventLevel.INFO, "relay accepted", "request", "route", "remaining_ms"),
     /** A request asked for a retry out of the budget that all VMs share. */
     RETRY_ASKED(2312, EventLevel.INFO, "retry", "request", "service", "granted", "left", "vms"),
+    /** A request is sent to a replica that is cold, or may be, so that its rate is limited. */
+    COLD_REPLICA_USED(
+            2313,
+            EventLevel.INFO,
+            "cold replica used",
+            "request",
+            "replica",
+            "cold_left_ms",
+            "region_vms"),
+    /** A request waited on this VM after it was placed, for a connection or the event loop. */
+    SENT_LATE(2314, EventLevel.INFO, "sent late", "request", "replica", "waited_ms"),
     /** A replica can't be reached. */
     REPLICA_UNREACHABLE(2401, EventLevel.WARN, "replica unreachable", "replica", "cause"),
     /** A replica said in an answer that it leaves. */
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -137,6 +137,16 @@
         return nowMillis < coldUntilMillis;
     }
 
+    /**
+     * Time for which the replica stays cold, as far as its entry tells.
+     *
+     * @param nowMillis steady time
+     * @return milliseconds, 0 if it is warm
+     */
+    public long coldLeftMillis(long nowMillis) {
+        return Math.max(0, coldUntilMillis - nowMillis);
+    }
+
     /**
      * Counts a request that is about to be sent.
      *
@@ -244,8 +254,13 @@
         return quiet.leftMillis(nowMillis);
     }
 
-    /** Tells whether the replica is cold, or may have started again without this VM's knowledge. */
-    boolean mayBeCold(long nowMillis) {
+    /**
+     * Tells whether the replica is cold, or may have started again without this VM's knowledge.
+     *
+     * @param nowMillis steady time
+     * @return true if its rate is limited
+     */
+    public boolean mayBeCold(long nowMillis) {
         return cold(nowMillis) || ejection.mayHaveRestarted(nowMillis);
     }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
@@ -1,10 +1,12 @@
 package io.vanillapoint.entry.traffic;
 
+import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.core.fleet.MemberInfo;
 import io.vanillapoint.core.message.RelayRequest;
 import io.vanillapoint.core.published.CustomerSpec;
 import io.vanillapoint.core.published.UpstreamReplica;
 import io.vanillapoint.core.upstream.Placement;
+import io.vanillapoint.core.upstream.ReplicaTracker;
 import io.vanillapoint.entry.port.UpstreamCall;
 import io.vanillapoint.entry.relay.RelayAttempt;
 import io.vertx.core.http.HttpMethod;
@@ -25,6 +27,9 @@
     /** A connection inside a region is made in a millisecond; one packet may be late. */
     private static final int CONNECT_MILLIS = 300;
 
+    /** Beyond a connection that is made at once and a turn of the event loop. */
+    private static final long LATE_SEND_MILLIS = 100;
+
     private final EntryContext context;
     private final RequestPlan plan;
     private final AttemptListener listener;
@@ -37,6 +42,7 @@
 
     void local(Placement.Local local, OptionalLong resumeAfter, Consumer<Attempt> taker) {
         UpstreamReplica replica = local.replica().info();
+        long placedAtMillis = context.clock().getAsLong();
         UpstreamCall call =
                 new UpstreamCall(
                         plan.envelope().headers(),
@@ -52,7 +58,7 @@
                         context.gate(),
                         call,
                         this::remainingMillis,
-                        () -> context.pool().maySend(local.replica(), context.clock().getAsLong()),
+                        () -> maySend(local.replica(), placedAtMillis),
                         plan.envelope().requestId(),
                         listener);
         taker.accept(attempt);
@@ -89,6 +95,20 @@
         attempt.start(context.vms(), vm.host(), context.peerPort(), request);
     }
 
+    private boolean maySend(ReplicaTracker replica, long placedAtMillis) {
+        long now = context.clock().getAsLong();
+        long waited = now - placedAtMillis;
+        if (waited >= LATE_SEND_MILLIS) {
+            context.log()
+                    .record(
+                            EventCode.SENT_LATE,
+                            plan.envelope().requestId(),
+                            replica.info().id(),
+                            waited);
+        }
+        return context.pool().maySend(replica, now);
+    }
+
     /** What a replica may take, less the way back to the caller. */
     private long remainingMillis() {
         return plan.deadlineMillis() - context.clock().getAsLong() - WAY_BACK_MILLIS;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
@@ -40,6 +40,9 @@
         String replica = tracker.info().id();
         UpstreamUse elsewhere = context.fleet().useElsewhere(replica);
         tokensAhead = tracker.use().plus(elsewhere).promptTokens() + uncachedTokens;
+        if (tracker.mayBeCold(nowMillis)) {
+            logColdUse(nowMillis);
+        }
         PromptShape prompt = plan.envelope().prompt().orElse(null);
         tracker.dispatched(uncachedTokens, prompt, nowMillis);
         if (prompt != null) {
@@ -47,6 +50,17 @@
         }
     }
 
+    private void logColdUse(long nowMillis) {
+        context.log()
+                .record(
+                        EventCode.COLD_REPLICA_USED,
+                        plan.envelope().requestId(),
+                        tracker.info().id(),
+                        tracker.coldLeftMillis(nowMillis),
+                        context.fleet().regionVms().size());
+        context.metrics().count("cold_replicas_used");
+    }
+
     ReplicaTracker tracker() {
         return tracker;
     }
