--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ColdOwnersTest.java
@@ -0,0 +1,131 @@
+package io.vanillapoint.core.upstream;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.fleet.VirtualMembers;
+import io.vanillapoint.core.published.EngineSpec;
+import io.vanillapoint.core.published.ReplicaState;
+import io.vanillapoint.core.published.ServiceSpec;
+import io.vanillapoint.core.published.UpstreamReplica;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Rate of a cold replica over all VMs of a region whose lists of each other are not the same.
+ *
+ * <p>Load: each VM has a request for the replica in every step.
+ */
+class ColdOwnersTest {
+    private static final double PER_SECOND = 1.7;
+
+    /** The operators' bound for arrivals in one second, all VMs together. */
+    private static final double BOUND = PER_SECOND * 1.5 + 3;
+
+    private static final ZoneId ZONE = new ZoneId("z");
+    private static final ServiceSpec SERVICE =
+            new ServiceSpec(
+                    "s", 100, 3_000, PER_SECOND, Optional.of(new EngineSpec(8, 1_000, false)));
+
+    /** VMs of a region of the users' grown deployment. */
+    private static final int[] GROWN = {23, 22, 23};
+
+    /** The size that operators plan for. */
+    private static final int[] PLANNED = {31, 31, 31, 31, 31, 31, 31, 31, 31, 31, 30, 30};
+
+    private final Map<Integer, UpstreamPool> pools = new HashMap<>();
+    private final ArrayDeque<Long> second = new ArrayDeque<>();
+    private int most;
+    private int sent;
+
+    /** Listed in KNOWN-RED.txt. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    @Tag("known-red")
+    void vmsThatStartCutOffFromEachOtherAreNotAllOwners(long seed) {
+        VirtualMembers members = members(seed, GROWN);
+        run(members, 5_000);
+        for (VirtualMembers.Node one : members.nodes()) {
+            for (VirtualMembers.Node other : members.nodes()) {
+                members.cut(one, other, one != other);
+            }
+        }
+        members.nodes().forEach(node -> node.kill(500));
+        run(members, 8_000);
+        assertThat((double) most, lessThanOrEqualTo(BOUND));
+        members.healAll();
+        sent = 0;
+        run(members, 12_000);
+        assertThat((double) most, lessThanOrEqualTo(BOUND));
+        assertThat("sent again", sent, greaterThan(5));
+    }
+
+    @Test
+    void vmsOfTheLargestFleetThatStartTogetherAgreeBeforeTheySend() {
+        VirtualMembers members = members(1, PLANNED);
+        run(members, 12_000);
+        assertThat((double) most, lessThanOrEqualTo(BOUND));
+        assertThat("sent", sent, greaterThan(5));
+    }
+
+    private VirtualMembers members(long seed, int[] vmsByRegion) {
+        return new VirtualMembers(
+                new Random(seed),
+                vmsByRegion,
+                node -> pools.put(node.index(), pool(node.startedAt())));
+    }
+
+    private void run(VirtualMembers members, long millis) {
+        long end = members.now() + millis;
+        while (members.now() < end) {
+            members.step();
+            members.nodes().stream()
+                    .filter(node -> node.region() == 0 && node.up())
+                    .forEach(node -> request(node, members.now()));
+        }
+    }
+
+    private void request(VirtualMembers.Node node, long now) {
+        UpstreamPool pool = pools.get(node.index());
+        ReplicaTracker replica = pool.replica("cold").orElseThrow();
+        String name = node.view().self().vm();
+        if (pool.takes(replica, SERVICE, name, node.view()::regionVms, now)) {
+            replica.dispatched(0, null, now);
+            sent++;
+            second.addLast(now);
+        }
+        while (!second.isEmpty() && second.peekFirst() <= now - 1_000) {
+            second.removeFirst();
+        }
+        most = Math.max(most, second.size());
+    }
+
+    private static UpstreamPool pool(long now) {
+        UpstreamPool pool = new UpstreamPool(Map.of(ZONE, new RegionId("r")));
+        UpstreamReplica replica =
+                new UpstreamReplica(
+                        "cold",
+                        "s",
+                        new Endpoint("10.0.0.1", 80),
+                        ZONE,
+                        8,
+                        ReplicaState.READY,
+                        600_000,
+                        1,
+                        Set.of("m"));
+        pool.publish(replica, Optional.of(SERVICE), now);
+        return pool;
+    }
+}
