A request that waited too long after it passed the gate of a cold replica is sent elsewhere

Cause: a VM's part of a cold replica's rate is counted when a request is placed. A request that then waits, for its connection or behind others on a VM that is behind, arrives together with the next one; and one that was placed while the replica was warm reaches its cold next life without having passed the gate. A withheld request is an end of its own (WITHHELD): the replica is not held to be unreachable, as it was before when it had asked for quiet or begun to leave.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptHistory.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptHistory.java
@@ -16,7 +16,7 @@
      * @param end how it ended
      */
     public void ended(AttemptEnd end) {
-        if (end == AttemptEnd.NOT_SENT || end == AttemptEnd.NOT_PLACED) {
+        if (!end.reached()) {
             unsent++;
         }
         mayHaveRun |= end.mayHaveRun();
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptRules.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptRules.java
@@ -28,7 +28,7 @@
      * @return true if it may
      */
     public static boolean mayTryAgain(RouteSpec route, AttemptHistory history, AttemptEnd end) {
-        if (!countsAsRetry(end)) {
+        if (!end.reached()) {
             return history.unsent() < UNSENT_LIMIT
                     && (!history.mayHaveRun() || history.sent() < route.attempts());
         }
@@ -37,14 +37,4 @@
         }
         return history.sent() < route.attempts() + REJECTED_EXTRA;
     }
-
-    /**
-     * Tells whether the next attempt counts against the budget for retries.
-     *
-     * @param end how the last attempt ended
-     * @return true if a replica may have been loaded by it
-     */
-    public static boolean countsAsRetry(AttemptEnd end) {
-        return end != AttemptEnd.NOT_SENT && end != AttemptEnd.NOT_PLACED;
-    }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -24,6 +24,7 @@
     private final RegionId region;
     private UpstreamReplica info;
     private long coldUntilMillis;
+    private long coldSinceMillis;
     private long removedAtMillis = Long.MAX_VALUE;
     private long changedAtMillis;
     private boolean mayComeBack;
@@ -43,6 +44,7 @@
         this.coldGate = new ColdStartGate(nowMillis);
         this.cached = new CachedParts(cacheTokens);
         this.coldUntilMillis = nowMillis + info.coldMillis();
+        this.coldSinceMillis = nowMillis;
         this.changedAtMillis = nowMillis;
     }
 
@@ -273,12 +275,27 @@
         return ejection.active(nowMillis);
     }
 
+    /**
+     * Tells whether a request has kept the moment that the cold gate let it through at: later it
+     * would arrive together with the ones behind it, and one that was placed before the replica
+     * turned cold never passed the gate.
+     */
+    boolean keptItsMoment(long placedAtMillis, long nowMillis) {
+        boolean passedTheGate = !cold(nowMillis) || placedAtMillis >= coldSinceMillis;
+        boolean inTime = nowMillis - placedAtMillis <= ColdStartGate.MOST_WAIT_MILLIS;
+        return passedTheGate && (inTime || !mayBeCold(nowMillis));
+    }
+
     boolean coldGateOpen(double perSecond, long nowMillis) {
         return coldGate.open(perSecond, nowMillis);
     }
 
     void update(UpstreamReplica newer, long nowMillis) {
-        if (newer.startedAtMillis() != info.startedAtMillis()) {
+        boolean startedAgain = newer.startedAtMillis() != info.startedAtMillis();
+        if (startedAgain || !cold(nowMillis)) {
+            coldSinceMillis = nowMillis;
+        }
+        if (startedAgain) {
             cached.clear();
             ejection.forget();
             quiet.forget();
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -172,11 +172,15 @@
      * Tells whether a request that was placed may still be sent.
      *
      * @param tracker the replica
+     * @param placedAtMillis steady time at which it was placed
      * @param nowMillis steady time
-     * @return false if the replica leaves, is evacuated or has asked for quiet meanwhile
+     * @return false if the replica leaves, is evacuated or has asked for quiet meanwhile, or if it
+     *     is cold and the request has waited too long
      */
-    public boolean maySend(ReplicaTracker tracker, long nowMillis) {
-        return serves(tracker, nowMillis) && !tracker.quiet(nowMillis);
+    public boolean maySend(ReplicaTracker tracker, long placedAtMillis, long nowMillis) {
+        return serves(tracker, nowMillis)
+                && !tracker.quiet(nowMillis)
+                && tracker.keptItsMoment(placedAtMillis, nowMillis);
     }
 
     /**
--- /dev/null
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ColdSendTest.java
@@ -0,0 +1,136 @@
+package io.vanillapoint.core.upstream;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.fleet.Rosters;
+import io.vanillapoint.core.fleet.VmRoster;
+import io.vanillapoint.core.published.ReplicaState;
+import io.vanillapoint.core.published.ServiceSpec;
+import io.vanillapoint.core.published.UpstreamReplica;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Requests to cold replicas that wait between their placement and the moment they are sent. */
+class ColdSendTest {
+    private static final ZoneId ZONE = new ZoneId("z");
+    private static final double PER_SECOND = 1.7;
+
+    /** The operators' bound for arrivals in one second, all VMs together. */
+    private static final double BOUND = PER_SECOND * 1.5 + 3;
+
+    private static final int LONGEST_WAIT_MILLIS = 2_500;
+    private static final List<String> NAMES = List.of("vm-1", "vm-2", "vm-3");
+    private static final ServiceSpec SERVICE =
+            new ServiceSpec("s", 10, 3_000, PER_SECOND, Optional.empty());
+
+    /** A burst puts the event loops of all VMs behind; they send what was held back all at once. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void requestsThatWaitedOnVmsThatAreBehindDoNotArriveTogether(long seed) {
+        Random random = new Random(seed);
+        List<Vm> vms = NAMES.stream().map(Vm::new).toList();
+        List<Long> arrivals = new ArrayList<>();
+        long behindUntil = 0;
+        for (long now = VmRoster.SETTLE_MILLIS; now < 60_000; now += 10) {
+            for (Vm vm : vms) {
+                vm.place(now);
+                if (now >= behindUntil) {
+                    vm.send(now, arrivals);
+                }
+            }
+            if (now >= behindUntil && random.nextInt(100) == 0) {
+                behindUntil = now + random.nextInt(LONGEST_WAIT_MILLIS);
+            }
+        }
+        assertThat((double) mostInASecond(arrivals), is(lessThanOrEqualTo(BOUND)));
+        assertThat(arrivals.size(), is(greaterThan(20)));
+    }
+
+    @Test
+    void requestsPlacedWhileAReplicaWasWarmAreNotSentToItsColdNextLife() {
+        Vm vm = new Vm("vm-1");
+        ReplicaTracker replica = vm.publish(1, 0, 10_000);
+        for (int i = 0; i < 10; i++) {
+            assertThat(vm.pool.takes(replica, SERVICE, vm.roster, 10_000), is(true));
+            replica.dispatched(0, null, 10_000);
+        }
+        assertThat(vm.pool.maySend(replica, 10_000, 10_050), is(true));
+        vm.publish(2, 3_000, 10_100);
+        assertThat(vm.pool.maySend(replica, 10_000, 10_150), is(false));
+    }
+
+    private static int mostInASecond(List<Long> arrivals) {
+        List<Long> sorted = new ArrayList<>(arrivals);
+        Collections.sort(sorted);
+        Queue<Long> second = new ArrayDeque<>();
+        int most = 0;
+        for (long at : sorted) {
+            second.add(at);
+            while (second.peek() <= at - 1_000) {
+                second.remove();
+            }
+            most = Math.max(most, second.size());
+        }
+        return most;
+    }
+
+    /** One of the VMs that share the rate of the replica. */
+    private static final class Vm {
+        private final UpstreamPool pool = new UpstreamPool(Map.of(ZONE, new RegionId("r")));
+        private final VmRoster roster;
+        private final ReplicaTracker replica;
+        private final Queue<Long> placed = new ArrayDeque<>();
+
+        Vm(String name) {
+            roster = Rosters.knowing(name, NAMES, 0);
+            replica = publish(1, 600_000, 0);
+        }
+
+        void place(long now) {
+            if (pool.takes(replica, SERVICE, roster, now)) {
+                replica.dispatched(0, null, now);
+                placed.add(now);
+            }
+        }
+
+        void send(long now, List<Long> arrivals) {
+            while (!placed.isEmpty()) {
+                long placedAt = placed.remove();
+                if (pool.maySend(replica, placedAt, now)) {
+                    arrivals.add(now);
+                }
+            }
+        }
+
+        ReplicaTracker publish(long startedAt, long coldMillis, long now) {
+            UpstreamReplica replica =
+                    new UpstreamReplica(
+                            "i-1",
+                            "s",
+                            new Endpoint("10.0.0.1", 80),
+                            ZONE,
+                            8,
+                            ReplicaState.READY,
+                            coldMillis,
+                            startedAt,
+                            Set.of());
+            return pool.publish(replica, Optional.of(SERVICE), now).orElseThrow();
+        }
+    }
+}
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -386,8 +386,7 @@
                 !callerGone
                         && AttemptRules.mayTryAgain(plan.route(), history, end)
                         && (!history.mayHaveRun() || !onlyOnce())
-                        && (!AttemptRules.countsAsRetry(end)
-                                || RetryQuestion.granted(context, plan));
+                        && (!end.reached() || RetryQuestion.granted(context, plan));
         logEnd(end, cause, again ? "again" : "over");
         if (again) {
             events.restart();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
@@ -64,7 +64,7 @@
         }
         if (!serves.getAsBoolean()) {
             reset();
-            fail(AttemptEnd.NOT_SENT, "replica left before the request was sent", 0);
+            fail(AttemptEnd.WITHHELD, "replica no longer takes the request", 0);
             return;
         }
         format.writeCall(call.withRemainingMillis(remaining), connected.headers());
