VMs that have kept away from a replica for long try it in turn

Cause: after two failures in a row, VMs other than a replica's owners tried it by themselves five seconds later, all at nearly the same time. A replica that comes back under its id, cold, in that moment, while its new entry has not reached them (the store away), met all of them. Change: the VM whose place for the replica is n waits 0.6 n seconds longer.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/VmRoster.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/VmRoster.java
@@ -134,15 +134,13 @@
     }
 
     /**
-     * Tells whether this VM is among the first of its region for a key, so that no more VMs than
-     * that take themselves for one.
+     * Place of this VM among those of its region for a key. All VMs whose lists are the same have
+     * different places.
      *
      * @param key what is shared out
-     * @param places number of VMs that share it
-     * @param nowMillis steady time
-     * @return false if others are, or if this VM can't know
+     * @return 0 for the first
      */
-    public boolean ranksWithin(String key, int places, long nowMillis) {
+    public int rank(String key) {
         long seed = Rendezvous.seed(key);
         long own = Rendezvous.seededWeight(seed, self.vm());
         int before = 0;
@@ -151,7 +149,7 @@
                 before++;
             }
         }
-        return before < places && settled(nowMillis);
+        return before;
     }
 
     private boolean note(MemberInfo vm, long heardAtMillis, long nowMillis) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Ejection.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Ejection.java
@@ -23,9 +23,12 @@
     /** An entry reaches all VMs of the largest region within this time, with a lost heartbeat. */
     private static final long ENTRY_MILLIS = 3_000;
 
-    /** Time after which a VM tries by itself, since only its own way there may be broken. */
+    /** Time after which VMs try by themselves, since only their own way there may be broken. */
     private static final long OWN_WAY_MILLIS = 5_000;
 
+    /** Time between two VMs that try, since the replica may have come back cold just now. */
+    private static final long TURN_MILLIS = 600;
+
     private long untilMillis = Long.MIN_VALUE;
     private long pauseMillis;
     private int failures;
@@ -45,9 +48,10 @@
         return failures >= RESTART_FAILURES || nowMillis < restartedUntilMillis;
     }
 
-    /** Tells whether it is time to try whatever others do. */
-    boolean tryAnyway(long nowMillis) {
-        return failures >= RESTART_FAILURES && nowMillis - failedAtMillis >= OWN_WAY_MILLIS;
+    /** Tells whether it is time to try whatever others do, for the VM whose turn is that. */
+    boolean tryAnyway(int turn, long nowMillis) {
+        long wait = OWN_WAY_MILLIS + turn * TURN_MILLIS;
+        return failures >= RESTART_FAILURES && nowMillis - failedAtMillis >= wait;
     }
 
     void failed(long nowMillis) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -267,8 +267,8 @@
     }
 
     /** Tells whether this VM has kept away from the replica for so long that it tries by itself. */
-    boolean tryAnyway(long nowMillis) {
-        return !cold(nowMillis) && ejection.tryAnyway(nowMillis);
+    boolean tryAnyway(int turn, long nowMillis) {
+        return !cold(nowMillis) && ejection.tryAnyway(turn, nowMillis);
     }
 
     boolean ejected(long nowMillis) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -198,12 +198,14 @@
         if (tracker.ejected(nowMillis) || tracker.quietLeftMillis(nowMillis) > 0) {
             return false;
         }
-        boolean cold = tracker.mayBeCold(nowMillis) && !tracker.tryAnyway(nowMillis);
-        if (!cold || service.coldPerSecond() <= 0) {
+        if (!tracker.mayBeCold(nowMillis) || service.coldPerSecond() <= 0) {
             return true;
         }
-        return tracker.coldGateOpen(service.coldPerSecond() / COLD_OWNERS, nowMillis)
-                && roster.ranksWithin(tracker.info().id(), COLD_OWNERS, nowMillis);
+        int rank = roster.rank(tracker.info().id());
+        boolean owner = rank < COLD_OWNERS && roster.settled(nowMillis);
+        return tracker.tryAnyway(rank, nowMillis)
+                || (owner
+                        && tracker.coldGateOpen(service.coldPerSecond() / COLD_OWNERS, nowMillis));
     }
 
     /**
