Reproduce: VMs that start cut off from each other give a hot customer more than its bound

Not mended: a process that hears nobody knows no better number than the settings tell; a larger assumption was weighed and refuses most requests of a small region that restarts during a cut. Listed in KNOWN-RED.txt.

--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleetTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/grant/GrantFleetTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.stream.LongStream;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -58,6 +59,22 @@
         assertThat(fleet.spreadOfLevels(), lessThanOrEqualTo(RATE / 8));
     }
 
+    /** Listed in KNOWN-RED.txt. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    @Tag("known-red")
+    void boundHoldsWhileVmsThatStartAreCutOffFromEachOther(long seed) {
+        GrantFleet fleet = new GrantFleet(seed, MANY_VMS, RATE);
+        double[] hot = hot(new Random(seed * 31));
+        fleet.run(5_000, hot, MEAN_TOKENS);
+        cut(fleet, (one, other) -> one != other);
+        fleet.members.nodes().forEach(vm -> vm.kill(500));
+        fleet.run(15_000, hot, MEAN_TOKENS);
+        fleet.members.healAll();
+        fleet.run(5_000, hot, MEAN_TOKENS);
+        assertThat(fleet.worstPart(), lessThanOrEqualTo(1.0));
+    }
+
     private static void assertBoundHolds(GrantFleet fleet, long seed, int rounds) {
         Random random = new Random(seed * 31);
         fleet.run(5_000, hot(random), MEAN_TOKENS);
