VMs tell how many VMs of their region run, without those that have ended

A VM that starts after another one has ended can't hear of that one any more: its list would not have been settled until the others forgot the ended one, five minutes later, and cold replicas would have got less than they take.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
@@ -11,7 +11,8 @@
  * @param sequence rises with each report of one incarnation
  * @param load thousandths of a core that the sender's requests need, as {@link LoadMeter} tells
  * @param fleetSize VMs that the sender has heard of since its start, itself included
- * @param regionVms VMs of its region that the sender has heard of, itself included; 0 if untold
+ * @param regionVms VMs of its region that the sender has heard of, itself included, without those
+ *     that have ended; 0 if untold
  * @param publishedRevision revision of the platform's store up to which the sender knows it
  * @param customers what the sender knows of each customer's tokens
  * @param upstreams what the sender has outstanding at each upstream
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/VmRoster.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/VmRoster.java
@@ -91,6 +91,21 @@
         return regionVms;
     }
 
+    /**
+     * VMs of this region, this one included, without those that have said that they ended. A VM
+     * that starts later can't hear of those any more.
+     *
+     * @return number
+     */
+    public int runningRegionVms() {
+        long running =
+                entries.values().stream()
+                        .filter(entry -> near(entry.vm))
+                        .filter(entry -> entry.vm.state() != MemberState.GONE)
+                        .count();
+        return (int) running + 1;
+    }
+
     /**
      * VMs of all regions, this one included, those that have ended lately too.
      *
@@ -158,7 +173,7 @@
         }
         Entry known = entries.get(vm.vm());
         if (known != null) {
-            known.heardAtMillis = Math.max(known.heardAtMillis, heardAtMillis);
+            known.heard(vm, heardAtMillis);
             return true;
         }
         entries.put(vm.vm(), new Entry(vm, heardAtMillis));
@@ -193,7 +208,7 @@
 
     /** Another VM. */
     private static final class Entry {
-        private final MemberInfo vm;
+        private MemberInfo vm;
         private long heardAtMillis;
 
         /** VMs of its region, as it said last; 0 if this process has not heard it. */
@@ -203,5 +218,16 @@
             this.vm = vm;
             this.heardAtMillis = heardAtMillis;
         }
+
+        void heard(MemberInfo newer, long atMillis) {
+            boolean laterLife = newer.incarnation() > vm.incarnation();
+            boolean laterState =
+                    newer.incarnation() == vm.incarnation()
+                            && newer.state().compareTo(vm.state()) > 0;
+            if (laterLife || laterState) {
+                vm = newer;
+            }
+            heardAtMillis = Math.max(heardAtMillis, atMillis);
+        }
     }
 }
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/VirtualMembers.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/VirtualMembers.java
@@ -267,7 +267,7 @@
 
         private FleetReport report(ReportKind kind) {
             FleetReport.Builder next =
-                    view.nextReport(listener.load(this)).regionVms(roster.regionVms().size());
+                    view.nextReport(listener.load(this)).regionVms(roster.runningRegionVms());
             ReportPager.Knowledge knowledge =
                     new ReportPager.Knowledge(
                             listener.customers(this),
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/VmRosterTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/VmRosterTest.java
@@ -110,10 +110,23 @@
         roster.heard(report(ended, 4), LATER);
         roster.prune(LATER + 60_000);
         assertThat(roster.regionVms().contains("b2"), is(true));
+        assertThat("told to VMs that start now", roster.runningRegionVms(), is(3));
         roster.prune(LATER + FORGET + 1);
         assertThat(roster.regionVms(), is(List.of("a1")));
     }
 
+    @Test
+    void nextLifeOfAVmThatEndedIsTold() {
+        hear(START, 4);
+        roster.heard(report(vm("b2", ZONE_B).withState(MemberState.GONE), 4), LATER);
+        MemberInfo next =
+                new MemberInfo(
+                        "b2", "h-b2", REGION, ZONE_B, MemberInfo.ONE_CORE, 2, MemberState.STARTING);
+        roster.heard(report(next, 1), LATER + 500);
+        assertThat(roster.runningRegionVms(), is(4));
+        assertThat(roster.settled(LATER + 500), is(true));
+    }
+
     @Test
     void processThatHasHeardNobodyForVeryLongIsAlone() {
         assertThat(roster.settled(START + FORGET), is(true));
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -365,7 +365,7 @@
         int needed = lag.behind(now) ? settings.capacity() : load.milliCores(now);
         FleetReport.Builder report =
                 fleet.nextReport(needed)
-                        .regionVms(roster.regionVms().size())
+                        .regionVms(roster.runningRegionVms())
                         .store(board.revision(), control.readsStore());
         pager.fill(
                 report,
