--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/VirtualMembers.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/VirtualMembers.java
@@ -35,6 +35,7 @@
     private final PriorityQueue<Mail> mail = new PriorityQueue<>();
     private long now = 1_000;
     private int nextMail;
+    private boolean namesLost;
 
     /**
      * Starts all VMs.
@@ -76,6 +77,11 @@
         nodes.forEach(Node::beat);
     }
 
+    /** From now on heartbeats arrive without the names of other VMs. */
+    public void loseNames() {
+        namesLost = true;
+    }
+
     /** Cuts or restores the way from one VM to another. */
     public void cut(Node one, Node other, boolean cut) {
         if (cut) {
@@ -101,7 +107,21 @@
             return;
         }
         long delay = to.region == from.region ? REGION_DELAY_MILLIS : FAR_DELAY_MILLIS;
-        mail.add(new Mail(now + delay, nextMail++, to, report));
+        FleetReport arriving = namesLost ? withoutNames(report) : report;
+        mail.add(new Mail(now + delay, nextMail++, to, arriving));
+    }
+
+    private static FleetReport withoutNames(FleetReport report) {
+        return FleetReport.builder(report.self(), report.sequence())
+                .load(report.load())
+                .fleetSize(report.fleetSize())
+                .regionVms(report.regionVms())
+                .store(report.publishedRevision(), report.readsStore())
+                .customers(report.customers())
+                .upstreams(report.upstreams())
+                .reads(report.reads())
+                .page(report.page())
+                .build();
     }
 
     /** What a test adds to the VMs. */
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ColdOwnersTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ColdOwnersTest.java
@@ -69,6 +69,21 @@
         assertThat("sent again", sent, greaterThan(5));
     }
 
+    /**
+     * As on a landing whose heartbeats were cut off when they named too many others: each VM knows
+     * its seeds and those that know it.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void vmsThatNobodyTellsOfTheOthersAreNotAllOwners(long seed) {
+        VirtualMembers members = members(seed, GROWN);
+        members.loseNames();
+        Random starts = new Random(seed);
+        members.nodes().forEach(node -> node.kill(starts.nextInt(300)));
+        run(members, 30_000);
+        assertThat((double) most, lessThanOrEqualTo(BOUND));
+    }
+
     @Test
     void vmsOfTheLargestFleetThatStartTogetherAgreeBeforeTheySend() {
         VirtualMembers members = members(1, PLANNED);
