Requests to services without a cold rate are not withheld after they have waited

Found on reading the diff: a replica that failed twice may have started again, and requests that waited for 400 ms were withheld from it even where operators limit no cold replica, so on a VM that is behind they were placed again up to four times and then refused. Test first: ColdSendTest.requestThatWaitedIsSentWhereColdReplicasTakeAnyRate.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/VmRoster.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/VmRoster.java
@@ -19,10 +19,10 @@
  * so it claims none until its list is settled. Invariants: a name stays for as long as its VM may
  * run unheard, also after the VM has ended; the list is settled only while no VM of the region
  * tells of more VMs there, the settings do not tell of a larger fleet, each zone of the region is
- * in it, and no name of the region was added for the time that news take. Confined to one thread.
+ * in it, and no name of the region was added for the time that news takes. Confined to one thread.
  */
 public final class VmRoster {
-    /** News reach all VMs of the largest region within this time, with a lost heartbeat. */
+    /** News reaches all VMs of the largest region within this time, with a lost heartbeat. */
     public static final long SETTLE_MILLIS = 3_000;
 
     private final MemberInfo self;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -276,7 +276,7 @@
         return holders.stream()
                 .flatMap(id -> pool.replica(id).stream())
                 .filter(holder -> !holder.failing() && fits(holder, query))
-                .filter(holder -> pool.maySend(holder, nowMillis, nowMillis))
+                .filter(holder -> pool.maySend(holder, query.service(), nowMillis, nowMillis))
                 .map(ReplicaTracker::info)
                 .findFirst();
     }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -276,11 +276,11 @@
     }
 
     /**
-     * Tells whether a request has kept the moment that the cold gate let it through at: later it
-     * would arrive together with the ones behind it, and one that was placed before the replica
-     * turned cold never passed the gate.
+     * Tells whether what the cold gate decided when a request was placed still holds. One that has
+     * waited for long would arrive together with the next one, and one that was placed before the
+     * replica turned cold has not passed the gate.
      */
-    boolean keptItsMoment(long placedAtMillis, long nowMillis) {
+    boolean coldGateHolds(long placedAtMillis, long nowMillis) {
         boolean passedTheGate = !cold(nowMillis) || placedAtMillis >= coldSinceMillis;
         boolean inTime = nowMillis - placedAtMillis <= ColdStartGate.MOST_WAIT_MILLIS;
         return passedTheGate && (inTime || !mayBeCold(nowMillis));
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -172,15 +172,18 @@
      * Tells whether a request that was placed may still be sent.
      *
      * @param tracker the replica
+     * @param service its service
      * @param placedAtMillis steady time at which it was placed
      * @param nowMillis steady time
      * @return false if the replica leaves, is evacuated or has asked for quiet meanwhile, or if it
      *     is cold and the request has waited too long
      */
-    public boolean maySend(ReplicaTracker tracker, long placedAtMillis, long nowMillis) {
+    public boolean maySend(
+            ReplicaTracker tracker, ServiceSpec service, long placedAtMillis, long nowMillis) {
         return serves(tracker, nowMillis)
                 && !tracker.quiet(nowMillis)
-                && tracker.keptItsMoment(placedAtMillis, nowMillis);
+                && (service.coldPerSecond() <= 0
+                        || tracker.coldGateHolds(placedAtMillis, nowMillis));
     }
 
     /**
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ColdSendTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ColdSendTest.java
@@ -70,9 +70,19 @@
             assertThat(vm.pool.takes(replica, SERVICE, vm.roster, 10_000), is(true));
             replica.dispatched(0, null, 10_000);
         }
-        assertThat(vm.pool.maySend(replica, 10_000, 10_050), is(true));
+        assertThat(vm.pool.maySend(replica, SERVICE, 10_000, 10_050), is(true));
         vm.publish(2, 3_000, 10_100);
-        assertThat(vm.pool.maySend(replica, 10_000, 10_150), is(false));
+        assertThat(vm.pool.maySend(replica, SERVICE, 10_000, 10_150), is(false));
+    }
+
+    @Test
+    void requestThatWaitedIsSentWhereColdReplicasTakeAnyRate() {
+        ServiceSpec unlimited = new ServiceSpec("s", 10, 0, 0, Optional.empty());
+        Vm vm = new Vm("vm-1");
+        ReplicaTracker replica = vm.publish(2, 0, 10_000);
+        replica.unreachable(10_000);
+        replica.unreachable(10_400);
+        assertThat(vm.pool.maySend(replica, unlimited, 20_000, 20_500), is(true));
     }
 
     private static int mostInASecond(List<Long> arrivals) {
@@ -112,7 +122,7 @@
         void send(long now, List<Long> arrivals) {
             while (!placed.isEmpty()) {
                 long placedAt = placed.remove();
-                if (pool.maySend(replica, placedAt, now)) {
+                if (pool.maySend(replica, SERVICE, placedAt, now)) {
                     arrivals.add(now);
                 }
             }
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/QuietReplicaTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/QuietReplicaTest.java
@@ -31,7 +31,7 @@
     void nothingIsSentUntilTheTimeIsOver() {
         ReplicaTracker tracker = publish(1, 0);
         tracker.asksForQuiet(3_000, 200, 1_000);
-        assertThat(pool.maySend(tracker, 900, 1_001), is(false));
+        assertThat(pool.maySend(tracker, SERVICE, 900, 1_001), is(false));
         assertThat(takes(tracker, 3_999), is(false));
         assertThat("this VM's own part of the return", takes(tracker, 4_100), is(false));
         assertThat(takes(tracker, 4_200), is(true));
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
@@ -106,7 +106,7 @@
                             replica.info().id(),
                             waited);
         }
-        return context.pool().maySend(replica, placedAtMillis, now);
+        return context.pool().maySend(replica, plan.service(), placedAtMillis, now);
     }
 
     /** What a replica may take, less the way back to the caller. */
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
@@ -40,7 +40,7 @@
         String replica = tracker.info().id();
         UpstreamUse elsewhere = context.fleet().useElsewhere(replica);
         tokensAhead = tracker.use().plus(elsewhere).promptTokens() + uncachedTokens;
-        if (tracker.mayBeCold(nowMillis)) {
+        if (plan.service().coldPerSecond() > 0 && tracker.mayBeCold(nowMillis)) {
             logColdUse(nowMillis);
         }
         PromptShape prompt = plan.envelope().prompt().orElse(null);
