--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -232,6 +232,16 @@
             "region_vms"),
     /** A placed request waited on this VM for a connection or the event loop. */
     SENT_LATE(2314, EventLevel.INFO, "sent late", "request", "replica", "waited_ms"),
+    /** A replica makes no progress, so another attempt is made beside it. */
+    ATTEMPT_SILENT(
+            2315,
+            EventLevel.INFO,
+            "attempt silent",
+            "request",
+            "target",
+            "cause",
+            "elapsed_ms",
+            "events"),
     /** A replica could not be reached. */
     REPLICA_UNREACHABLE(2401, EventLevel.WARN, "replica unreachable", "replica", "cause"),
     /** A replica announced in a response that it is leaving. */
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptMonitor.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptMonitor.java
@@ -5,7 +5,7 @@
 import java.util.Optional;
 
 /**
- * Decides when to abandon the replica of an attempt in favor of another one.
+ * Decides when to try another replica beside that of an attempt.
  *
  * <p>Handles replicas that stop responding without closing connections, become slow, or keep a
  * stream open with occasional bytes. A slow stream that still delivers events is healthy and is
@@ -86,14 +86,14 @@
     }
 
     /**
-     * Tells whether the replica should be abandoned if another one can take the request.
+     * Tells whether another replica should be tried.
      *
      * @param lastReceivedMillis monotonic time at which the replica last sent anything to any
      *     request
      * @param nowMillis monotonic time
-     * @return the reason, empty if the replica should be kept
+     * @return the reason, empty if the replica makes enough progress
      */
-    public Optional<Reason> checkAbandon(long lastReceivedMillis, long nowMillis) {
+    public Optional<Reason> checkProgress(long lastReceivedMillis, long nowMillis) {
         long silentMillis = nowMillis - Math.max(lastReceivedMillis, sentAtMillis);
         if (silentMillis >= (relayed ? RELAYED_SILENCE_TIMEOUT_MILLIS : SILENCE_TIMEOUT_MILLIS)) {
             return Optional.of(Reason.SILENT);
@@ -109,7 +109,7 @@
         return isSlow ? Optional.of(Reason.SLOW) : Optional.empty();
     }
 
-    /** Reason to abandon a replica. Immutable. */
+    /** Reason to try another replica. Immutable. */
     public enum Reason {
         /** The replica sends nothing on any connection. */
         SILENT("replica is silent"),
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptOutcome.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptOutcome.java
@@ -17,7 +17,9 @@
     /** What the replica sent is not a valid response to this request. */
     GARBLED(true, true, false),
     /** The replica ran the request and failed. */
-    FAILED(true, true, false);
+    FAILED(true, true, false),
+    /** Another attempt of the request was answered first. */
+    SUPERSEDED(true, true, false);
 
     private final boolean mayHaveReached;
     private final boolean mayHaveRun;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/RetryPolicy.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/RetryPolicy.java
@@ -40,4 +40,18 @@
         }
         return history.sent() < route.attempts() + EXTRA_REJECTED_ATTEMPTS;
     }
+
+    /**
+     * Tells whether another attempt may be started beside one that makes no progress. Does not
+     * check the retry budget.
+     *
+     * @param route route of the request
+     * @param history attempts so far
+     * @return true if another attempt is allowed
+     */
+    public static boolean mayReplace(RouteSpec route, AttemptHistory history) {
+        return route.mayRunAgain()
+                && history.sent() < route.attempts()
+                && history.unsent() < MAX_UNSENT_ATTEMPTS;
+    }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/message/PeerMessage.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/PeerMessage.java
@@ -19,6 +19,7 @@
                 ForwardFailure,
                 ForwardCancel,
                 ForwardCredit,
+                ForwardStalled,
                 LoadRequest,
                 LoadReply,
                 PeerHello {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/attempt/AttemptMonitorTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/attempt/AttemptMonitorTest.java
@@ -24,7 +24,7 @@
             if (now % 3_000 == 0) {
                 monitor.bytesReceived(true, now);
             }
-            assertThat("at " + now, monitor.checkAbandon(now, now), is(Optional.empty()));
+            assertThat("at " + now, monitor.checkProgress(now, now), is(Optional.empty()));
         }
     }
 
@@ -34,34 +34,34 @@
         monitor.headReceived(100);
         monitor.bytesReceived(true, 200);
         long now = 200;
-        while (monitor.checkAbandon(now, now).isEmpty()) {
+        while (monitor.checkProgress(now, now).isEmpty()) {
             now += 100;
             monitor.bytesReceived(false, now);
         }
-        assertThat(monitor.checkAbandon(now, now), is(Optional.of(Reason.STALLED)));
+        assertThat(monitor.checkProgress(now, now), is(Optional.of(Reason.STALLED)));
         assertThat(now, is(200L + 4 * GAP_TARGET_MILLIS));
     }
 
     @Test
     void silentReplicaIsAbandoned() {
         AttemptMonitor monitor = new AttemptMonitor(route(RouteKind.EVENT_STREAM), false, 1_000);
-        assertThat(monitor.checkAbandon(0, 1_399), is(Optional.empty()));
-        assertThat(monitor.checkAbandon(0, 1_400), is(Optional.of(Reason.SILENT)));
+        assertThat(monitor.checkProgress(0, 1_399), is(Optional.empty()));
+        assertThat(monitor.checkProgress(0, 1_400), is(Optional.of(Reason.SILENT)));
     }
 
     @Test
     void silentReplicaOfARelayedRequestIsAbandonedLater() {
         AttemptMonitor monitor = new AttemptMonitor(route(RouteKind.IDEMPOTENT), true, 0);
-        assertThat(monitor.checkAbandon(0, 899), is(Optional.empty()));
-        assertThat(monitor.checkAbandon(0, 900), is(Optional.of(Reason.SILENT)));
+        assertThat(monitor.checkProgress(0, 899), is(Optional.empty()));
+        assertThat(monitor.checkProgress(0, 900), is(Optional.of(Reason.SILENT)));
     }
 
     @Test
     void slowPlainRequestIsAbandonedUnlessItsHeadHasArrived() {
         AttemptMonitor monitor = new AttemptMonitor(route(RouteKind.IDEMPOTENT), false, 0);
-        assertThat(monitor.checkAbandon(440, 440), is(Optional.of(Reason.SLOW)));
+        assertThat(monitor.checkProgress(440, 440), is(Optional.of(Reason.SLOW)));
         monitor.headReceived(450);
-        assertThat(monitor.checkAbandon(450, 450), is(Optional.empty()));
+        assertThat(monitor.checkProgress(450, 450), is(Optional.empty()));
     }
 
     private static RouteSpec route(RouteKind kind) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
@@ -9,6 +9,7 @@
 import io.vanillapoint.core.message.ForwardEnd;
 import io.vanillapoint.core.message.ForwardFailure;
 import io.vanillapoint.core.message.ForwardHead;
+import io.vanillapoint.core.message.ForwardStalled;
 import io.vanillapoint.core.message.HeaderField;
 import io.vanillapoint.core.message.PeerMessage;
 import io.vanillapoint.core.message.RelayRequest;
@@ -174,6 +175,8 @@
             listener().head(format.response(head.status(), headers));
         } else if (message instanceof ForwardData data) {
             listener().data(Buffer.buffer(data.bytes()));
+        } else if (message instanceof ForwardStalled) {
+            listener().stalled();
         } else if (message instanceof ForwardEnd) {
             succeed(true);
         } else if (message instanceof ForwardFailure failure) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelaySink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelaySink.java
@@ -7,6 +7,7 @@
 import io.vanillapoint.core.message.ForwardEnd;
 import io.vanillapoint.core.message.ForwardFailure;
 import io.vanillapoint.core.message.ForwardHead;
+import io.vanillapoint.core.message.ForwardStalled;
 import io.vanillapoint.core.message.HeaderField;
 import io.vanillapoint.core.message.PeerMessage;
 import io.vanillapoint.entry.traffic.HttpResponseSink;
@@ -47,6 +48,11 @@
         send(new ForwardData(0, data.getBytes()));
     }
 
+    @Override
+    public void stalled() {
+        send(new ForwardStalled(0));
+    }
+
     @Override
     public void end() {
         send(new ForwardEnd(0, dataBytes));
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptListener.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptListener.java
@@ -23,6 +23,9 @@
      */
     void data(Buffer data);
 
+    /** Called when the VM that the request was relayed to reports that its replica is silent. */
+    void stalled();
+
     /**
      * Called when the response is complete according to its framing.
      *
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
@@ -1,7 +1,9 @@
 package io.vanillapoint.entry.traffic;
 
 import io.vanillapoint.api.event.EventCode;
+import io.vanillapoint.core.attempt.AttemptMonitor;
 import io.vanillapoint.core.fleet.MemberInfo;
+import io.vanillapoint.core.fleet.TrafficVmSelector;
 import io.vanillapoint.core.message.RelayRequest;
 import io.vanillapoint.core.published.CustomerSpec;
 import io.vanillapoint.core.published.UpstreamReplica;
@@ -11,14 +13,15 @@
 import io.vanillapoint.entry.relay.RelayAttempt;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.util.List;
 import java.util.OptionalLong;
-import java.util.function.Consumer;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Sends one request to the replica of this region, or the VM of another region, that was chosen.
  *
- * <p>Invariant: the attempt is passed to its consumer before the listener is called. Confined to
- * one event loop.
+ * <p>Invariant: an attempt has its connection before it receives anything. Confined to one event
+ * loop.
  */
 final class AttemptStarter {
     /** Margin for the last bytes to reach the caller, subtracted from a replica's deadline. */
@@ -35,16 +38,34 @@
 
     private final EntryContext context;
     private final RequestPlan plan;
-    private final AttemptListener listener;
 
-    AttemptStarter(EntryContext context, RequestPlan plan, AttemptListener listener) {
+    AttemptStarter(EntryContext context, RequestPlan plan) {
         this.context = context;
         this.plan = plan;
-        this.listener = listener;
+    }
+
+    /** Creates an attempt at a replica, which counts as load on it from now on. */
+    RunningAttempt createAtReplica(
+            RunningAttempt.Owner owner, Placement.Local placement, long nowMillis) {
+        ReplicaUse use =
+                new ReplicaUse(
+                        context, plan, placement.replica(), placement.uncachedTokens(), nowMillis);
+        AttemptMonitor monitor = new AttemptMonitor(plan.route(), plan.relayed(), nowMillis);
+        return RunningAttempt.atReplica(owner, context.memory(), use, monitor);
+    }
+
+    /** Chooses a VM of the region; further attempts of a request prefer another one. */
+    MemberInfo chooseVm(Placement.Relay relay, int attempt, long nowMillis) {
+        List<MemberInfo> vms =
+                TrafficVmSelector.sample(
+                        context.fleet().relayVms(relay.region(), nowMillis),
+                        ThreadLocalRandom.current()::nextDouble);
+        int start = plan.envelope().requestId().hashCode();
+        return vms.get(Math.floorMod(start + attempt, vms.size()));
     }
 
     void sendToReplica(
-            Placement.Local placement, OptionalLong resumeAfter, Consumer<Attempt> onCreated) {
+            Placement.Local placement, OptionalLong resumeAfter, RunningAttempt running) {
         UpstreamReplica replica = placement.replica().info();
         long placedAtMillis = context.clock().getAsLong();
         UpstreamCall call =
@@ -64,8 +85,8 @@
                         this::remainingMillis,
                         () -> maySend(placement.replica(), placedAtMillis),
                         plan.envelope().requestId(),
-                        listener);
-        onCreated.accept(attempt);
+                        running);
+        running.connection(attempt);
         RequestOptions options =
                 new RequestOptions()
                         .setMethod(HttpMethod.valueOf(plan.method()))
@@ -76,7 +97,7 @@
         attempt.start(context.upstreamClient(), options, plan.body());
     }
 
-    void sendToVm(MemberInfo vm, OptionalLong resumeAfter, Consumer<Attempt> onCreated) {
+    void sendToVm(MemberInfo vm, OptionalLong resumeAfter, RunningAttempt running) {
         RelayRequest request =
                 new RelayRequest(
                         plan.envelope().requestId(),
@@ -94,9 +115,9 @@
                         context.format(),
                         this::remainingMillis,
                         () -> context.prompts().maySend(plan),
-                        listener,
+                        running,
                         millis -> context.chooser().recordRoundTrip(vm.region(), millis));
-        onCreated.accept(attempt);
+        running.connection(attempt);
         attempt.start(context.vmClient(), vm.host(), context.peerPort(), request);
     }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerSink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerSink.java
@@ -44,6 +44,11 @@
         }
     }
 
+    @Override
+    public void stalled() {
+        // A caller can't replace the replica.
+    }
+
     @Override
     public void end() {
         if (!closed()) {
@@ -61,6 +66,7 @@
         if (closed()) {
             return;
         }
+        response().headers().clear();
         response().setStatusCode(refusal.status());
         if (refusal.retryAfterMillis() > 0) {
             double seconds = refusal.retryAfterMillis() / MILLIS_PER_SECOND;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EventStreamReader.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EventStreamReader.java
@@ -18,7 +18,7 @@
     private static final String ID_FIELD = "id:";
 
     /** Largest event that is buffered, in bytes; events of engines have a few hundred. */
-    private static final int MAX_EVENT_BYTES = 256 * 1_024;
+    static final int MAX_EVENT_BYTES = 256 * 1_024;
 
     private final Consumer<Buffer> events;
     private Buffer pending = Buffer.buffer();
@@ -101,6 +101,18 @@
         }
     }
 
+    /** Tells whether bytes contain a complete event that is more than a comment. */
+    static boolean containsEvent(Buffer bytes) {
+        int start = 0;
+        for (int end = endOfNextEvent(bytes, 0); end > 0; end = endOfNextEvent(bytes, start)) {
+            if (!isComment(bytes.getString(start, end))) {
+                return true;
+            }
+            start = end;
+        }
+        return false;
+    }
+
     /** Index after the last blank line, 0 if there is none. */
     private int endOfLastEvent() {
         int end = 0;
--- /dev/null
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
@@ -0,0 +1,61 @@
+package io.vanillapoint.entry.traffic;
+
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.core.upstream.Placement;
+import io.vanillapoint.core.upstream.PlacementQuery;
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * Searches places for the attempts of one request, without those that it has tried. Confined to one
+ * event loop.
+ */
+final class PlacementSearch {
+    private final EntryContext context;
+    private final RequestPlan plan;
+    private final Set<String> triedReplicas = new HashSet<>();
+    private final Set<RegionId> fullRegions = new HashSet<>();
+
+    PlacementSearch(EntryContext context, RequestPlan plan) {
+        this.context = context;
+        this.plan = plan;
+    }
+
+    /** Chooses a place for the next attempt. */
+    Placement choose(long nowMillis) {
+        return context.chooser().choose(query(nowMillis), nowMillis);
+    }
+
+    /** Tells whether there is a place for another attempt. */
+    boolean finds(long nowMillis) {
+        return !(choose(nowMillis) instanceof Placement.Refuse);
+    }
+
+    /** Time after which a replica may accept the request, 0 if none has asked to be left alone. */
+    long backoffMillis(long nowMillis) {
+        return context.chooser().backoffMillis(query(nowMillis), nowMillis);
+    }
+
+    /** Leaves out a replica that was tried. */
+    void tried(String replica) {
+        triedReplicas.add(replica);
+    }
+
+    /** Leaves out a region that had no place. */
+    void full(RegionId region) {
+        fullRegions.add(region);
+    }
+
+    private PlacementQuery query(long nowMillis) {
+        return new PlacementQuery(
+                plan.route(),
+                plan.service(),
+                plan.envelope().prompt(),
+                plan.body().length(),
+                region -> plan.allowedIn(region) && !fullRegions.contains(region),
+                triedReplicas,
+                !plan.relayed(),
+                nowMillis - plan.receivedAtMillis(),
+                plan.deadlineMillis() - nowMillis);
+    }
+}
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestLog.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestLog.java
@@ -42,16 +42,16 @@
     }
 
     void attemptEnded(
-            String target,
+            RunningAttempt attempt,
             AttemptOutcome outcome,
             String cause,
             String next,
-            AttemptProgress progress,
             long nowMillis) {
+        AttemptProgress progress = attempt.progress();
         log.record(
                 EventCode.ATTEMPT_ENDED,
                 plan.envelope().requestId(),
-                target,
+                attempt.target(),
                 outcome.name(),
                 cause,
                 next,
@@ -61,6 +61,17 @@
                 String.join(",", plan.sharedPartIds()));
     }
 
+    /** Logs that another attempt is to be made beside one whose replica makes no progress. */
+    void attemptSilent(RunningAttempt attempt, String cause, long nowMillis) {
+        log.record(
+                EventCode.ATTEMPT_SILENT,
+                plan.envelope().requestId(),
+                attempt.target(),
+                cause,
+                elapsed(nowMillis),
+                attempt.progress().pieces());
+    }
+
     /** Logs a response; the time of its first data is negative if it had none. */
     void answered(int status, long bytes, long firstDataAtMillis, long nowMillis) {
         log.record(
@@ -72,6 +83,27 @@
                 elapsed(nowMillis));
     }
 
+    /** Logs the final error response of the gateway. */
+    void refused(Refusal refusal, long nowMillis) {
+        String id = plan.envelope().requestId();
+        if (refusal.notRun()) {
+            log.record(
+                    EventCode.REFUSED,
+                    id,
+                    refusal.status(),
+                    refusal.reason(),
+                    refusal.retryAfterMillis(),
+                    elapsed(nowMillis));
+        } else {
+            log.record(
+                    EventCode.REQUEST_FAILED,
+                    id,
+                    refusal.status(),
+                    refusal.reason(),
+                    elapsed(nowMillis));
+        }
+    }
+
     private long elapsed(long nowMillis) {
         return nowMillis - plan.receivedAtMillis();
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -1,38 +1,29 @@
 package io.vanillapoint.entry.traffic;
 
 import io.vanillapoint.api.event.EventCode;
-import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.core.attempt.AttemptHistory;
-import io.vanillapoint.core.attempt.AttemptMonitor;
 import io.vanillapoint.core.attempt.AttemptMonitor.Reason;
 import io.vanillapoint.core.attempt.AttemptOutcome;
 import io.vanillapoint.core.attempt.RetryPolicy;
 import io.vanillapoint.core.fleet.MemberInfo;
-import io.vanillapoint.core.fleet.TrafficVmSelector;
 import io.vanillapoint.core.published.RouteKind;
-import io.vanillapoint.core.published.UpstreamReplica;
 import io.vanillapoint.core.quarantine.AttemptStage;
 import io.vanillapoint.core.upstream.Placement;
-import io.vanillapoint.core.upstream.PlacementQuery;
-import io.vanillapoint.core.upstream.ReplicaTracker;
 import io.vanillapoint.entry.port.ResponseEnvelope;
 import io.vertx.core.buffer.Buffer;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Executes one admitted request, with its retries, until its response has ended.
  *
- * <p>Invariants: at most one attempt is active; the sink gets exactly one complete response, one
+ * <p>Invariants: at most one attempt is active beside one whose replica is silent; a silent one
+ * stays open until another has been accepted; the sink gets exactly one complete response, one
  * refusal or one abort, unless the caller has disconnected; a refusal marked "not run" is sent only
  * if no attempt may have run. Confined to one event loop.
  */
-public final class RequestRun implements AttemptListener {
+public final class RequestRun implements RunningAttempt.Owner {
     /** Shortest time in which a replica can answer; no attempt is started with less. */
     private static final long MIN_ATTEMPT_MILLIS = 15;
 
@@ -46,29 +37,19 @@
     private final RequestPlan plan;
     private final ResponseSink sink;
     private final Runnable onDone;
+    private final ResponseDelivery delivery;
     private final AttemptStarter starter;
     private final RequestLog log;
+    private final ReplicaOutcomes outcomes;
+    private final RestartableTimer deadline;
+    private final RestartableTimer progressCheck;
     private final AttemptHistory history = new AttemptHistory();
-    private final Set<String> triedReplicas = new HashSet<>();
-    private final Set<RegionId> fullRegions = new HashSet<>();
-    private final AttemptProgress progress = new AttemptProgress();
-    private final EventStreamReader events = new EventStreamReader(this::writeEvents);
-    private Attempt attempt;
-    private ReplicaUse use;
-    private AttemptMonitor monitor;
-    private ReplicaTracker previousFailedReplica;
-    private String target = "";
-    private RegionId targetRegion;
-    private ResponseEnvelope response;
-    private Buffer bufferedBody;
-    private long bytesSent;
+    private final PlacementSearch search;
+    private RunningAttempt current;
+    private RunningAttempt silent;
     private long firstDataAtMillis = -1;
-    private boolean headSent;
-    private boolean responding;
     private boolean done;
     private boolean callerDisconnected;
-    private long deadlineTimer = -1;
-    private long monitorTimer = -1;
 
     /**
      * Creates a run that has not started.
@@ -83,14 +64,23 @@
         this.plan = plan;
         this.sink = sink;
         this.onDone = onDone;
-        starter = new AttemptStarter(context, plan, this);
+        delivery = new ResponseDelivery(sink);
+        starter = new AttemptStarter(context, plan);
+        search = new PlacementSearch(context, plan);
+        outcomes = new ReplicaOutcomes(context, plan);
+        deadline =
+                new RestartableTimer(
+                        context.vertx(),
+                        () -> guarded("deadline", () -> terminate("deadline", "timeout")));
+        progressCheck =
+                new RestartableTimer(
+                        context.vertx(), () -> guarded("checking a replica", this::checkReplica));
         log = new RequestLog(context.log(), plan);
     }
 
     /** Starts the first attempt. */
     public void start() {
-        long remaining = Math.max(1, plan.deadlineMillis() - now());
-        deadlineTimer = context.vertx().setTimer(remaining, ignored -> onDeadline());
+        deadline.start(plan.deadlineMillis() - now());
         if (!plan.relayed()) {
             context.retries().recordRequest(plan.service().name(), now());
         }
@@ -103,7 +93,7 @@
             return;
         }
         callerDisconnected = true;
-        boolean keepRunning = plan.route().kind() == RouteKind.AT_MOST_ONCE && attempt != null;
+        boolean keepRunning = plan.route().kind() == RouteKind.AT_MOST_ONCE && current != null;
         context.log().record(EventCode.CALLER_LEFT, id(), elapsed(), !keepRunning);
         context.metrics().count("caller_left");
         if (!keepRunning) {
@@ -118,8 +108,11 @@
 
     /** Ends an attempt that has not begun to respond if its prompt is withheld by now. */
     public void recheckPrompt() {
-        boolean waiting = use != null && progress.stage(now()) == AttemptStage.WAITING;
-        if (!done && attempt != null && waiting && context.prompts().withholds(plan)) {
+        boolean waiting =
+                current != null
+                        && current.use().isPresent()
+                        && current.stage(now()) == AttemptStage.WAITING;
+        if (!done && waiting && context.prompts().withholds(plan)) {
             terminate("prompt is withheld", PromptGuard.REASON);
         }
     }
@@ -135,101 +128,146 @@
     }
 
     @Override
-    public void head(ResponseEnvelope head) {
-        recordResponse();
-        progress.headReceived(now());
-        if (use != null) {
-            use.readHead(head);
-            monitor.headReceived(now());
+    public void received(RunningAttempt attempt, String step, Runnable reaction) {
+        if (!done && (attempt == current || attempt == silent)) {
+            guarded(step, reaction);
+        }
+    }
+
+    @Override
+    public void head(RunningAttempt attempt, ResponseEnvelope head) {
+        attempt.headReceived(head, now());
+        if (attempt == silent) {
+            if (!head.success()) {
+                endSilent(AttemptOutcome.FAILED, "status " + head.status());
+                return;
+            }
+            reinstateSilent();
         }
         if (head.notExecuted() || head.misdirected()) {
-            reject(head);
+            reject(attempt, head);
             return;
         }
         boolean failure = head.status() >= FIRST_SERVER_ERROR;
-        if (failure && retryAfterFailure(head)) {
+        if (failure && retryAfterFailure(attempt, head)) {
             return;
         }
-        recordOutcome(failure);
-        if (!head.success() && headSent) {
+        outcomes.answered(attempt, failure);
+        if (!head.success() && (delivery.begun() || (failure && silent != null))) {
             attempt.cancel();
-            attemptEnded(AttemptOutcome.FAILED, "status " + head.status(), 0);
+            attemptEnded(attempt, AttemptOutcome.FAILED, "status " + head.status(), 0);
             return;
         }
-        response = head;
+        endSilent(AttemptOutcome.SUPERSEDED, "another replica has answered");
         boolean stream = head.success() && plan.route().kind() == RouteKind.EVENT_STREAM;
-        bufferedBody = stream ? null : Buffer.buffer();
-        if (stream && !headSent) {
-            headSent = true;
-            sink.head(head.status(), head.headers(), OptionalLong.empty());
+        attempt.accept(head, stream);
+        if (stream) {
+            delivery.beginStream(head);
         }
     }
 
     @Override
-    public void data(Buffer data) {
-        recordResponse();
-        if (bufferedBody != null) {
-            progress.received(1);
-            if (context.memory().tryReserve(bufferedBody.length(), data.length())) {
-                bufferedBody.appendBuffer(data);
-            } else {
-                abandonTooLarge("answer");
-            }
-            return;
+    public void data(RunningAttempt attempt, Buffer data) {
+        attempt.replicaResponded(now());
+        if (attempt.buffered()) {
+            bufferData(attempt, data);
+        } else if (attempt == silent) {
+            withholdData(attempt, data);
+        } else {
+            streamData(attempt, data);
         }
-        if (firstDataAtMillis < 0) {
-            firstDataAtMillis = now();
+    }
+
+    @Override
+    public void end(RunningAttempt attempt, boolean framed) {
+        if (attempt == silent) {
+            reinstateSilent();
         }
-        if (use != null) {
-            use.recordFirstEvent();
+        boolean streamed = !attempt.buffered();
+        if (streamed && !framed && delivery.streamBrokeOff(attempt.progress().pieces())) {
+            failed(attempt, AttemptOutcome.LOST, "stream ended inside an event or without any", 0);
+            return;
         }
-        long previousCount = events.eventCount();
-        if (!events.read(data)) {
-            abandonTooLarge("event");
+        ResponseEnvelope response = attempt.response();
+        outcomes.completed(attempt);
+        current = null;
+        if (response.claimsNotRun()) {
+            attempt.release();
+            history.recordOutcome(AttemptOutcome.FAILED);
+            giveUp("replica_status_" + response.status(), 0);
             return;
         }
-        progress.received(events.eventCount() - previousCount);
-        if (use != null) {
-            monitor.bytesReceived(events.eventCount() > previousCount, now());
-            reportIfResponding();
+        try {
+            if (streamed) {
+                delivery.endStream();
+            } else {
+                delivery.send(response, attempt.body());
+            }
+        } finally {
+            attempt.release();
         }
-        if (sink.isFull() && attempt != null) {
-            attempt.pause();
-            sink.onDrain(this::resume);
+        log.answered(response.status(), delivery.bytesSent(), firstDataAtMillis, now());
+        finish(response.success() ? "answered" : "replica_failed");
+    }
+
+    @Override
+    public void stalled(RunningAttempt attempt) {
+        if (attempt == current && mayReplace(now())) {
+            replace(attempt, Reason.SILENT);
         }
     }
 
     @Override
-    public void end(boolean framed) {
-        if (bufferedBody == null && !framed && brokeOff()) {
-            failed(AttemptOutcome.LOST, "stream ended inside an event or without any", 0);
-            return;
+    public void failed(
+            RunningAttempt attempt, AttemptOutcome outcome, String cause, long retryAfterMillis) {
+        if (outcome == AttemptOutcome.LOST) {
+            outcomes.broken(attempt);
+        }
+        if (attempt == silent) {
+            outcomes.ended(attempt, outcome, cause);
+            endSilent(outcome, cause);
+        } else {
+            attemptEnded(attempt, outcome, cause, retryAfterMillis);
         }
-        if (use != null && response.success() && progress.pieces() > 0) {
-            context.prompts().responded(plan);
+    }
+
+    private void bufferData(RunningAttempt attempt, Buffer data) {
+        if (attempt == silent) {
+            reinstateSilent();
         }
-        attempt = null;
-        if (response.claimsNotRun()) {
-            history.recordOutcome(AttemptOutcome.FAILED);
-            endWithoutAnswer("replica_status_" + response.status(), 0);
+        attempt.progress().received(1);
+        if (!attempt.buffer(data)) {
+            abandonTooLarge(attempt, "answer");
+        }
+    }
+
+    private void streamData(RunningAttempt attempt, Buffer data) {
+        if (firstDataAtMillis < 0) {
+            firstDataAtMillis = now();
+        }
+        attempt.ifAtReplica(ReplicaUse::recordFirstEvent);
+        long newEvents = delivery.readStream(data);
+        if (newEvents < 0) {
+            abandonTooLarge(attempt, "event");
             return;
         }
-        if (bufferedBody == null) {
-            writeEvents(events.partialEvent());
-            sink.end();
-        } else {
-            sendBuffered();
+        attempt.progress().received(newEvents);
+        attempt.bytesReceived(newEvents > 0, now());
+        outcomes.progressed(attempt);
+        if (sink.isFull()) {
+            attempt.pause();
+            sink.onDrain(() -> guarded("resuming a response", this::resume));
         }
-        log.answered(response.status(), bytesSent, firstDataAtMillis, now());
-        finish(response.success() ? "answered" : "replica_failed");
     }
 
-    @Override
-    public void failed(AttemptOutcome outcome, String cause, long retryAfterMillis) {
-        if (outcome == AttemptOutcome.LOST && use != null) {
-            context.prompts().attemptBroken(plan, use.tracker(), progress.stage(now()));
+    /** Keeps back what a silent attempt sends until it has completed an event. */
+    private void withholdData(RunningAttempt attempt, Buffer data) {
+        attempt.withhold(data);
+        if (EventStreamReader.containsEvent(attempt.withheldEvents())) {
+            reinstateSilent();
+        } else if (attempt.withheldEvents().length() > EventStreamReader.MAX_EVENT_BYTES) {
+            endSilent(AttemptOutcome.GARBLED, "event exceeds the size limit");
         }
-        attemptEnded(outcome, cause, retryAfterMillis);
     }
 
     /**
@@ -237,11 +275,15 @@
      * connection may be queued behind the current event.
      */
     private void scheduleNextAttempt() {
-        context.vertx().runOnContext(ignored -> context.gate().execute(this::startNextUnlessEnded));
+        context.vertx()
+                .runOnContext(
+                        ignored ->
+                                context.gate()
+                                        .execute(() -> guarded("placing", this::startNextIfDue)));
     }
 
-    private void startNextUnlessEnded() {
-        if (!done && !callerDisconnected) {
+    private void startNextIfDue() {
+        if (!done && !callerDisconnected && current == null) {
             startNext();
         }
     }
@@ -249,15 +291,15 @@
     private void startNext() {
         long now = now();
         if (plan.deadlineMillis() - now < MIN_ATTEMPT_MILLIS) {
-            endWithoutAnswer("no_time", 0);
+            giveUp("no_time", 0);
             return;
         }
         Optional<Refusal> withheld = context.prompts().check(plan, "place");
         if (withheld.isPresent()) {
-            endWithoutAnswer(withheld.get().reason(), withheld.get().retryAfterMillis());
+            giveUp(withheld.get().reason(), withheld.get().retryAfterMillis());
             return;
         }
-        place(context.chooser().choose(query(now), now), now);
+        place(search.choose(now), now);
     }
 
     private void place(Placement placement, long now) {
@@ -266,99 +308,57 @@
         } else if (placement instanceof Placement.Relay relay) {
             sendRelay(relay, now);
         } else if (placement instanceof Placement.Refuse refuse) {
-            endWithoutAnswer(refuse.reason().text(), refuse.retryAfterMillis());
+            giveUp(refuse.reason().text(), refuse.retryAfterMillis());
         }
     }
 
-    private PlacementQuery query(long now) {
-        return new PlacementQuery(
-                plan.route(),
-                plan.service(),
-                plan.envelope().prompt(),
-                plan.body().length(),
-                region -> plan.allowedIn(region) && !fullRegions.contains(region),
-                triedReplicas,
-                !plan.relayed(),
-                now - plan.receivedAtMillis(),
-                plan.deadlineMillis() - now);
-    }
-
     private void sendLocal(Placement.Local local, long now) {
-        UpstreamReplica replica = local.replica().info();
-        use = new ReplicaUse(context, plan, local.replica(), local.uncachedTokens(), now);
-        target = replica.id();
-        triedReplicas.add(replica.id());
+        current = starter.createAtReplica(this, local, now);
+        search.tried(current.target());
         history.recordSend();
         log.placed(local, history.sent(), now);
-        monitor = new AttemptMonitor(plan.route(), plan.relayed(), now);
-        starter.sendToReplica(local, resumeAfter(), started -> attempt = started);
+        starter.sendToReplica(local, resumeAfter(), current);
         startMonitor();
     }
 
     private void sendRelay(Placement.Relay relay, long now) {
-        List<MemberInfo> vms =
-                TrafficVmSelector.sample(
-                        context.fleet().relayVms(relay.region(), now),
-                        ThreadLocalRandom.current()::nextDouble);
-        MemberInfo vm = vms.get(Math.floorMod(id().hashCode() + history.sent(), vms.size()));
-        use = null;
-        target = vm.vm();
-        targetRegion = relay.region();
+        MemberInfo vm = starter.chooseVm(relay, history.sent(), now);
+        current = RunningAttempt.atVm(this, context.memory(), vm.vm(), relay.region());
         history.recordSend();
         log.relayed(vm, relay, history.sent(), now);
-        starter.sendToVm(vm, resumeAfter(), started -> attempt = started);
+        starter.sendToVm(vm, resumeAfter(), current);
     }
 
     private OptionalLong resumeAfter() {
-        return events.lastId().isPresent() ? events.lastId() : plan.envelope().lastEventId();
-    }
-
-    private void recordResponse() {
-        if (use != null) {
-            use.tracker().recordReceived(now());
-        }
+        OptionalLong delivered = delivery.lastEventId();
+        return delivered.isPresent() ? delivered : plan.envelope().lastEventId();
     }
 
-    private void reject(ResponseEnvelope head) {
+    private void reject(RunningAttempt attempt, ResponseEnvelope head) {
         attempt.cancel();
         String cause =
                 head.misdirected()
                         ? "address belongs to another replica"
                         : "status " + head.status();
-        if (head.misdirected() && use != null) {
-            use.tracker().unreachable(now());
+        if (head.misdirected()) {
+            outcomes.unreachable(attempt);
         }
         // Another replica may have capacity sooner than this one.
-        long wait = use == null ? head.retryAfterMillis().orElse(0) : 0;
-        attemptEnded(AttemptOutcome.REJECTED, cause, wait);
-    }
-
-    /**
-     * Records the outcome for the replica's health. Some requests fail on every replica, so the
-     * failure of a request that may be retried counts against a replica only if another replica
-     * succeeds with it.
-     */
-    private void recordOutcome(boolean failure) {
-        if (!failure && previousFailedReplica != null) {
-            previousFailedReplica.recordOutcome(true);
-        }
-        if (use != null && (!failure || !plan.route().mayRunAgain())) {
-            use.tracker().recordOutcome(failure);
-        }
+        boolean relayed = attempt.use().isEmpty();
+        long wait = relayed ? head.retryAfterMillis().orElse(0) : 0;
+        attemptEnded(attempt, AttemptOutcome.REJECTED, cause, wait);
     }
 
     /** Abandons a response that exceeds a size limit; the request has run. */
-    private void abandonTooLarge(String what) {
+    private void abandonTooLarge(RunningAttempt attempt, String what) {
         attempt.cancel();
-        if (use != null) {
-            use.tracker().recordOutcome(true);
-        }
-        attemptEnded(AttemptOutcome.GARBLED, what + " exceeds the size limit", 0);
+        outcomes.misbehaved(attempt);
+        attemptEnded(attempt, AttemptOutcome.GARBLED, what + " exceeds the size limit", 0);
     }
 
     /** Retries the request if possible; otherwise the failure goes to the caller. */
-    private boolean retryAfterFailure(ResponseEnvelope head) {
-        if (headSent || callerDisconnected) {
+    private boolean retryAfterFailure(RunningAttempt attempt, ResponseEnvelope head) {
+        if (delivery.begun() || callerDisconnected) {
             return false;
         }
         history.recordOutcome(AttemptOutcome.FAILED);
@@ -367,45 +367,44 @@
                 || limitedToOneReplica()) {
             return false;
         }
-        Placement placement = context.chooser().choose(query(now), now);
+        Placement placement = search.choose(now);
         if (placement instanceof Placement.Refuse || !RetryGate.tryAcquire(context, plan)) {
             return false;
         }
         attempt.cancel();
-        previousFailedReplica = use == null ? null : use.tracker();
-        logAttemptEnd(AttemptOutcome.FAILED, "status " + head.status(), "again");
-        release();
+        outcomes.failedBeforeRetry(attempt);
+        String cause = "status " + head.status();
+        log.attemptEnded(attempt, AttemptOutcome.FAILED, cause, "again", now);
+        attempt.release();
         place(placement, now);
         return true;
     }
 
-    private void attemptEnded(AttemptOutcome outcome, String cause, long retryAfterMillis) {
+    private void attemptEnded(
+            RunningAttempt attempt, AttemptOutcome outcome, String cause, long retryAfterMillis) {
         if (done) {
             return;
         }
-        attempt = null;
-        if (outcome.mayBeDown() && use != null && !answeredSinceSent()) {
-            use.tracker().unreachable(now());
-            context.log().record(EventCode.REPLICA_UNREACHABLE, target, cause);
-        }
-        if (outcome == AttemptOutcome.NOT_SENT && use == null) {
-            context.fleet().markUnreachable(target, now());
+        current = null;
+        outcomes.ended(attempt, outcome, cause);
+        if (outcome == AttemptOutcome.NOT_SENT && attempt.use().isEmpty()) {
+            context.fleet().markUnreachable(attempt.target(), now());
         } else if (outcome == AttemptOutcome.NOT_PLACED) {
-            fullRegions.add(targetRegion);
+            search.full(attempt.region());
         }
-        release();
+        attempt.release();
         history.recordOutcome(outcome);
         boolean again =
                 !callerDisconnected
                         && RetryPolicy.mayRetry(plan.route(), history, outcome)
                         && (!history.mayHaveRun() || !limitedToOneReplica())
                         && (!outcome.mayHaveReached() || RetryGate.tryAcquire(context, plan));
-        logAttemptEnd(outcome, cause, again ? "again" : "over");
+        log.attemptEnded(attempt, outcome, cause, again ? "again" : "over", now());
         if (again) {
-            events.restart();
+            delivery.restartEvent();
             scheduleNextAttempt();
         } else {
-            endWithoutAnswer(refusalReason(outcome), retryAfterMillis);
+            giveUp("attempt_" + outcome.name().toLowerCase(Locale.ROOT), retryAfterMillis);
         }
     }
 
@@ -414,131 +413,155 @@
         return plan.relayed();
     }
 
-    private boolean answeredSinceSent() {
-        return use.tracker().lastReceivedMillis() >= use.sentAtMillis();
+    /** Goes on with the silent attempt if there is one; otherwise the request ends. */
+    private void giveUp(String reason, long retryAfterMillis) {
+        if (silent == null) {
+            endWithoutAnswer(reason, retryAfterMillis);
+        } else {
+            reinstateSilent();
+        }
     }
 
     private void endWithoutAnswer(String reason, long retryAfterMillis) {
-        if (headSent) {
+        if (delivery.begun()) {
             sink.abort();
             context.log().record(EventCode.REQUEST_FAILED, id(), 0, reason, elapsed());
             finish("broken_off");
             return;
         }
-        boolean expired = plan.deadlineMillis() - now() < MIN_ATTEMPT_MILLIS;
+        Refusal refusal = refusal(reason, retryAfterMillis);
+        sink.refuse(refusal);
+        log.refused(refusal, now());
+        finish(refusal.notRun() ? "refused" : "failed");
+    }
+
+    private Refusal refusal(String reason, long retryAfterMillis) {
         if (history.mayHaveRun()) {
-            Refusal refusal = expired ? Refusal.timedOut() : Refusal.failed(reason);
-            sink.refuse(refusal);
-            context.log()
-                    .record(EventCode.REQUEST_FAILED, id(), refusal.status(), reason, elapsed());
-            finish("failed");
-            return;
+            boolean expired = plan.deadlineMillis() - now() < MIN_ATTEMPT_MILLIS;
+            return expired ? Refusal.timedOut() : Refusal.failed(reason);
         }
-        long backoffMillis = context.chooser().backoffMillis(query(now()), now());
         long wait =
                 retryAfterMillis > 0
                         ? retryAfterMillis
-                        : Math.max(RETRY_AFTER_MILLIS, backoffMillis);
-        boolean reached = history.sent() > 0;
-        sink.refuse(reached ? Refusal.rejected(reason, wait) : Refusal.notRun(reason, wait));
-        context.log().record(EventCode.REFUSED, id(), Refusal.UNAVAILABLE, reason, wait, elapsed());
-        finish("refused");
-    }
-
-    private void sendBuffered() {
-        headSent = true;
-        bytesSent = bufferedBody.length();
-        sink.head(response.status(), response.headers(), OptionalLong.of(bufferedBody.length()));
-        if (bufferedBody.length() > 0) {
-            sink.write(bufferedBody);
-        }
-        sink.end();
-    }
-
-    /** Tells whether a stream that ended with its connection is incomplete. */
-    private boolean brokeOff() {
-        boolean empty = progress.pieces() == 0 && events.lastId().isEmpty();
-        return empty || events.partialEvent().length() > 0;
-    }
-
-    private void reportIfResponding() {
-        if (!responding && progress.stage(now()) == AttemptStage.RESPONDING) {
-            responding = true;
-            context.prompts().responded(plan);
-        }
-    }
-
-    private void writeEvents(Buffer completeEvents) {
-        if (completeEvents.length() > 0) {
-            bytesSent += completeEvents.length();
-            sink.write(completeEvents);
-        }
+                        : Math.max(RETRY_AFTER_MILLIS, search.backoffMillis(now()));
+        return history.sent() > 0 ? Refusal.rejected(reason, wait) : Refusal.notRun(reason, wait);
     }
 
     private void resume() {
-        if (attempt != null) {
-            attempt.resume();
+        if (current != null) {
+            current.resume();
         }
     }
 
     private void startMonitor() {
-        if (!plan.route().mayRunAgain()) {
-            return;
+        progressCheck.cancel();
+        if (plan.route().mayRunAgain() && current.use().isPresent()) {
+            progressCheck.start(current.firstCheckMillis());
         }
-        cancelTimer(monitorTimer);
-        monitorTimer =
-                context.vertx().setTimer(monitor.firstCheckMillis(), ignored -> checkReplica());
     }
 
     /**
-     * Abandons the attempt if the replica makes too little progress and a retry is possible. For a
-     * relayed request it is abandoned in any case, and the relaying VM decides on a retry.
+     * Replaces the attempt if its replica makes too little progress. For a relayed request, the
+     * relaying VM is told and may replace it.
      */
     private void checkReplica() {
-        monitorTimer = -1;
-        if (done || attempt == null || use == null) {
+        RunningAttempt attempt = current;
+        if (done || attempt == null || attempt.use().isEmpty()) {
             return;
         }
         long now = now();
-        Optional<Reason> reason = monitor.checkAbandon(use.lastResponseAtMillis(), now);
-        if (reason.isPresent() && (plan.relayed() || mayRetryElsewhere(now))) {
-            attempt.cancel();
-            if (reason.get() == Reason.STALLED) {
-                use.tracker().recordOutcome(true);
-            }
-            attemptEnded(AttemptOutcome.LOST, reason.get().text(), 0);
+        Optional<Reason> reason = attempt.checkProgress(now);
+        if (plan.relayed() && reason.isPresent()) {
+            sink.stalled();
+        } else if (reason.isPresent() && mayReplace(now)) {
+            outcomes.noProgress(attempt, reason.get());
+            replace(attempt, reason.get());
             return;
         }
-        monitorTimer = context.vertx().setTimer(MONITOR_INTERVAL_MILLIS, ignored -> checkReplica());
+        progressCheck.start(MONITOR_INTERVAL_MILLIS);
     }
 
-    private boolean mayRetryElsewhere(long now) {
-        return history.sent() < plan.route().attempts()
-                && context.retries().available(plan.service().name(), now) >= 1
-                && !(context.chooser().choose(query(now), now) instanceof Placement.Refuse);
+    private boolean mayReplace(long now) {
+        return silent == null
+                && !limitedToOneReplica()
+                && RetryPolicy.mayReplace(plan.route(), history)
+                && search.finds(now)
+                && RetryGate.tryAcquire(context, plan);
     }
 
-    private void onDeadline() {
-        deadlineTimer = -1;
-        terminate("deadline", "timeout");
+    /**
+     * Starts another attempt beside one that makes no progress. The first one to answer is kept:
+     * the silent replica may be sound, and the other one may reject the request.
+     */
+    private void replace(RunningAttempt attempt, Reason reason) {
+        history.recordOutcome(AttemptOutcome.LOST);
+        outcomes.ended(attempt, AttemptOutcome.LOST, reason.text());
+        log.attemptSilent(attempt, reason.text(), now());
+        attempt.withhold(delivery.partialEvent());
+        silent = attempt;
+        current = null;
+        scheduleNextAttempt();
+    }
+
+    /** Makes the silent attempt the current one again, instead of the one beside it. */
+    private void reinstateSilent() {
+        RunningAttempt repeat = current;
+        current = silent;
+        silent = null;
+        if (repeat != null) {
+            repeat.close();
+            String cause = "silent replica has gone on";
+            log.attemptEnded(repeat, AttemptOutcome.SUPERSEDED, cause, "over", now());
+        }
+        delivery.restartEvent();
+        startMonitor();
+        Buffer withheld = current.takeWithheldEvents();
+        if (withheld.length() > 0) {
+            streamData(current, withheld);
+        }
+    }
+
+    private void endSilent(AttemptOutcome outcome, String cause) {
+        if (silent != null) {
+            RunningAttempt ended = silent;
+            silent = null;
+            ended.close();
+            log.attemptEnded(ended, outcome, cause, "over", now());
+        }
     }
 
     private void terminate(String cause, String reason) {
         if (done) {
             return;
         }
-        if (attempt != null) {
-            attempt.cancel();
+        endSilent(AttemptOutcome.LOST, cause);
+        if (current != null) {
+            current.close();
             history.recordOutcome(AttemptOutcome.LOST);
-            logAttemptEnd(AttemptOutcome.LOST, cause, "over");
-            attempt = null;
+            log.attemptEnded(current, AttemptOutcome.LOST, cause, "over", now());
+            current = null;
         }
         endWithoutAnswer(reason, 0);
     }
 
-    private void logAttemptEnd(AttemptOutcome outcome, String cause, String next) {
-        log.attemptEnded(target, outcome, cause, next, progress, now());
-        progress.restart();
+    /** Runs one step; an unexpected error in it ends the request instead of leaving it open. */
+    private void guarded(String step, Runnable work) {
+        try {
+            work.run();
+        } catch (RuntimeException e) {
+            context.log().record(EventCode.INTERNAL_ERROR, step + ", " + id(), e.toString());
+            endAfterError();
+        }
+    }
+
+    private void endAfterError() {
+        try {
+            terminate("internal error", "internal_error");
+        } catch (RuntimeException e) {
+            context.log().record(EventCode.INTERNAL_ERROR, "refusing, " + id(), e.toString());
+            sink.abort();
+            finish("failed");
+        }
     }
 
     private void finish(String outcome) {
@@ -546,38 +569,19 @@
             return;
         }
         done = true;
-        if (attempt != null) {
-            attempt.cancel();
-            attempt = null;
+        for (RunningAttempt open : new RunningAttempt[] {current, silent}) {
+            if (open != null) {
+                open.close();
+            }
         }
-        release();
-        cancelTimer(deadlineTimer);
-        cancelTimer(monitorTimer);
+        current = null;
+        silent = null;
+        deadline.cancel();
+        progressCheck.cancel();
         context.metrics().recordRequest(plan.route().kind().name(), outcome, elapsed());
         onDone.run();
     }
 
-    private void cancelTimer(long timer) {
-        if (timer >= 0) {
-            context.vertx().cancelTimer(timer);
-        }
-    }
-
-    private void release() {
-        if (bufferedBody != null) {
-            context.memory().release(bufferedBody.length());
-            bufferedBody = null;
-        }
-        if (use != null) {
-            use.release();
-            use = null;
-        }
-    }
-
-    private static String refusalReason(AttemptOutcome outcome) {
-        return "attempt_" + outcome.name().toLowerCase(Locale.ROOT);
-    }
-
     private String id() {
         return plan.envelope().requestId();
     }
--- /dev/null
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseDelivery.java
@@ -0,0 +1,95 @@
+package io.vanillapoint.entry.traffic;
+
+import io.vanillapoint.entry.port.ResponseEnvelope;
+import io.vertx.core.buffer.Buffer;
+import java.util.OptionalLong;
+
+/**
+ * Delivers the response of one request: a stream event by event, also if several attempts
+ * contribute to it, any other response once it is complete.
+ *
+ * <p>Invariant: the sink gets one head at most, and bytes of a stream only as whole events until
+ * its end. Confined to one event loop.
+ */
+final class ResponseDelivery {
+    private final ResponseSink sink;
+    private final EventStreamReader events = new EventStreamReader(this::writeEvents);
+    private long bytesSent;
+    private boolean begun;
+
+    ResponseDelivery(ResponseSink sink) {
+        this.sink = sink;
+    }
+
+    /** Tells whether the head has been sent, so that no refusal is possible any more. */
+    boolean begun() {
+        return begun;
+    }
+
+    long bytesSent() {
+        return bytesSent;
+    }
+
+    /** Id of the last event that was delivered. */
+    OptionalLong lastEventId() {
+        return events.lastId();
+    }
+
+    /** Sends the head of a stream, unless an earlier attempt has done so. */
+    void beginStream(ResponseEnvelope head) {
+        if (!begun) {
+            sink.head(head.status(), head.headers(), OptionalLong.empty());
+            begun = true;
+        }
+    }
+
+    /**
+     * Reads bytes of a stream and delivers the events that they complete.
+     *
+     * @return number of new events, negative if an event exceeds the size limit
+     */
+    long readStream(Buffer data) {
+        long previousCount = events.eventCount();
+        return events.read(data) ? events.eventCount() - previousCount : -1;
+    }
+
+    /** Bytes after the last complete event. */
+    Buffer partialEvent() {
+        return events.partialEvent();
+    }
+
+    /** Discards a partial event before another attempt goes on with the stream. */
+    void restartEvent() {
+        events.restart();
+    }
+
+    /** Tells whether a stream that ended with its connection, after the given events, broke off. */
+    boolean streamBrokeOff(long eventsOfAttempt) {
+        boolean empty = eventsOfAttempt == 0 && events.lastId().isEmpty();
+        return empty || events.partialEvent().length() > 0;
+    }
+
+    /** Ends a complete stream. */
+    void endStream() {
+        writeEvents(events.partialEvent());
+        sink.end();
+    }
+
+    /** Sends a response that is complete. */
+    void send(ResponseEnvelope head, Buffer body) {
+        sink.head(head.status(), head.headers(), OptionalLong.of(body.length()));
+        begun = true;
+        bytesSent = body.length();
+        if (body.length() > 0) {
+            sink.write(body);
+        }
+        sink.end();
+    }
+
+    private void writeEvents(Buffer completeEvents) {
+        if (completeEvents.length() > 0) {
+            bytesSent += completeEvents.length();
+            sink.write(completeEvents);
+        }
+    }
+}
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseSink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseSink.java
@@ -23,6 +23,9 @@
      */
     void write(Buffer data);
 
+    /** Reports that the replica is silent, to a VM that may replace it; may be repeated. */
+    void stalled();
+
     /** Ends a complete response. */
     void end();
 
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayAttemptTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayAttemptTest.java
@@ -5,6 +5,7 @@
 
 import io.vanillapoint.core.attempt.AttemptOutcome;
 import io.vanillapoint.core.message.ForwardCredit;
+import io.vanillapoint.core.message.ForwardStalled;
 import io.vanillapoint.core.message.RelayRequest;
 import io.vanillapoint.entry.port.ResponseEnvelope;
 import io.vanillapoint.entry.traffic.AttemptListener;
@@ -33,6 +34,7 @@
     private final FrameWriter frames = new FrameWriter();
     private final BlockingQueue<HttpServerRequest> requests = new LinkedBlockingQueue<>();
     private final BlockingQueue<RelayRequest> received = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> stalls = new LinkedBlockingQueue<>();
     private final AtomicLong remainingMillis = new AtomicLong(4_000);
 
     @AfterEach
@@ -80,6 +82,16 @@
         }
     }
 
+    @Test
+    void reportOfASilentReplicaReachesTheListener() throws Exception {
+        int port = listen();
+        HttpClient client = VmClientFactory.create(vertx, connection -> {});
+        vertx.runOnContext(ignored -> start(client, port, "r1"));
+        HttpServerRequest request = requests.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        request.response().write(frames.frame(new ForwardStalled(0)));
+        assertThat(stalls.poll(WAIT_SECONDS, TimeUnit.SECONDS), is("stalled"));
+    }
+
     private int listen() throws Exception {
         return vertx.createHttpServer()
                 .requestHandler(
@@ -109,7 +121,7 @@
                         null,
                         remainingMillis::get,
                         () -> true,
-                        new IgnoringListener(),
+                        new RecordingListener(),
                         millis -> {})
                 .start(client, "127.0.0.1", port, request(id));
     }
@@ -127,14 +139,19 @@
                 new byte[1]);
     }
 
-    /** Ignores all calls. Stateless. */
-    private static final class IgnoringListener implements AttemptListener {
+    /** Records reports of silence and ignores all other calls. Thread-safe. */
+    private final class RecordingListener implements AttemptListener {
         @Override
         public void head(ResponseEnvelope head) {}
 
         @Override
         public void data(Buffer data) {}
 
+        @Override
+        public void stalled() {
+            stalls.add("stalled");
+        }
+
         @Override
         public void end(boolean framed) {}
 
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RecordingSink.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RecordingSink.java
@@ -19,6 +19,11 @@
         calls.append("data ");
     }
 
+    @Override
+    public void stalled() {
+        calls.append("stalled ");
+    }
+
     @Override
     public void end() {
         calls.append("end ");
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -44,6 +44,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -183,6 +184,85 @@
         assertThat(sink.calls(), is("head 200 data end"));
     }
 
+    /** A sound replica pauses within a stream, and the other replica fails the repeat. */
+    @Test
+    void streamOfASilentReplicaIsCompletedIfItsRepeatFails() throws Exception {
+        publishPausingReplica(request -> request.response().setStatusCode(500).end());
+        runToEnd(plan(RouteKind.EVENT_STREAM, false, Optional.empty(), true), run -> {});
+        assertThat(sink.calls(), is("head 200 data data end"));
+    }
+
+    @Test
+    void streamOfASilentReplicaIsCompletedIfItsRepeatFindsNoReplica() throws Exception {
+        publishPausingReplica(request -> request.connection().close());
+        runToEnd(plan(RouteKind.EVENT_STREAM, false, Optional.empty(), true), run -> {});
+        assertThat(sink.calls(), is("head 200 data data end"));
+    }
+
+    /** The other replica is as silent as the first one, which then goes on. */
+    @Test
+    void streamOfASilentReplicaIsCompletedIfItsRepeatIsNotAnswered() throws Exception {
+        publishPausingReplica(request -> {});
+        runToEnd(plan(RouteKind.EVENT_STREAM, false, Optional.empty(), true), run -> {});
+        assertThat(sink.calls(), is("head 200 data data end"));
+    }
+
+    @Test
+    void streamOfASilentReplicaContinuesOnTheReplicaThatAnswersTheRepeat() throws Exception {
+        CountDownLatch firstClosed = new CountDownLatch(1);
+        publishInTurn(
+                request -> {
+                    request.connection().closeHandler(ignored -> firstClosed.countDown());
+                    request.response().setChunked(true).write("id: 1\ndata: a\n\n");
+                },
+                request -> request.response().setChunked(true).end("id: 2\ndata: b\n\n"));
+        runToEnd(plan(RouteKind.EVENT_STREAM, false, Optional.empty(), true), run -> {});
+        assertThat(sink.calls(), is("head 200 data data end"));
+        assertThat(firstClosed.await(30, TimeUnit.SECONDS), is(true));
+    }
+
+    /** The VM that relayed the request may have no retry left for it. */
+    @Test
+    void relayedStreamOfASilentReplicaIsCompleted() throws Exception {
+        publishPausingReplica(request -> request.response().setStatusCode(500).end());
+        runToEnd(plan(RouteKind.EVENT_STREAM, true, Optional.empty(), true), run -> {});
+        assertThat(
+                sink.calls().replaceAll("(stalled )+", "stalled "),
+                is("head 200 data stalled data end"));
+    }
+
+    @Test
+    void requestToASilentReplicaIsAnsweredIfItsRepeatFails() throws Exception {
+        publishInTurn(
+                request -> vertx.setTimer(1_500, ignored -> request.response().end("late")),
+                request -> request.response().setStatusCode(500).end());
+        runToEnd(RouteKind.IDEMPOTENT, run -> {});
+        assertThat(sink.calls(), is("head 200 data end"));
+    }
+
+    /** The first replica sends one event and the second one 1.5 s later. */
+    private void publishPausingReplica(Handler<HttpServerRequest> other) throws Exception {
+        publishInTurn(
+                request -> {
+                    request.response().setChunked(true).write("id: 1\ndata: a\n\n");
+                    vertx.setTimer(1_500, ignored -> request.response().end("id: 2\ndata: b\n\n"));
+                },
+                other);
+    }
+
+    /** Publishes two replicas; whichever is asked first behaves as the first handler says. */
+    private void publishInTurn(Handler<HttpServerRequest> first, Handler<HttpServerRequest> second)
+            throws Exception {
+        AtomicInteger received = new AtomicInteger();
+        Handler<HttpServerRequest> inTurn =
+                request -> (received.getAndIncrement() == 0 ? first : second).handle(request);
+        publish("i-1", listen(inTurn), ReplicaState.READY);
+        publish("i-2", listen(inTurn), ReplicaState.READY);
+        for (int i = 0; i < 30; i++) {
+            retries.recordRequest("s", clock.getAsLong());
+        }
+    }
+
     /** The replica does not say that it has not run the request, so the caller gets an error. */
     @Test
     void replacedStatusOfAReplicaIsLoggedAsAFailure() throws Exception {
@@ -282,6 +362,11 @@
     }
 
     private RequestPlan plan(RouteKind kind, boolean relayed, Optional<PromptSummary> prompt) {
+        return plan(kind, relayed, prompt, false);
+    }
+
+    private RequestPlan plan(
+            RouteKind kind, boolean relayed, Optional<PromptSummary> prompt, boolean resumable) {
         RouteSpec route =
                 new RouteSpec(
                         "r",
@@ -296,7 +381,7 @@
                         2,
                         true,
                         false,
-                        false,
+                        resumable,
                         Set.of());
         RequestEnvelope envelope =
                 new RequestEnvelope(
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeReader.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeReader.java
@@ -16,6 +16,7 @@
 import io.vanillapoint.core.message.ForwardFailure;
 import io.vanillapoint.core.message.ForwardHead;
 import io.vanillapoint.core.message.ForwardRequest;
+import io.vanillapoint.core.message.ForwardStalled;
 import io.vanillapoint.core.message.HeaderField;
 import io.vanillapoint.core.message.Heartbeat;
 import io.vanillapoint.core.message.HeartbeatReply;
@@ -111,6 +112,7 @@
                     new ForwardCredit(
                             envelope.getForwardCredit().getStream(),
                             envelope.getForwardCredit().getBytes());
+            case FORWARD_STALLED -> new ForwardStalled(envelope.getForwardStalled().getStream());
         };
     }
 
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeWriter.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/EnvelopeWriter.java
@@ -10,6 +10,7 @@
 import io.vanillapoint.core.message.ForwardFailure;
 import io.vanillapoint.core.message.ForwardHead;
 import io.vanillapoint.core.message.ForwardRequest;
+import io.vanillapoint.core.message.ForwardStalled;
 import io.vanillapoint.core.message.HeaderField;
 import io.vanillapoint.core.message.Heartbeat;
 import io.vanillapoint.core.message.HeartbeatReply;
@@ -39,6 +40,7 @@
 import io.vanillapoint.wire.generated.TForwardFailure;
 import io.vanillapoint.wire.generated.TForwardHead;
 import io.vanillapoint.wire.generated.TForwardRequest;
+import io.vanillapoint.wire.generated.TForwardStalled;
 import io.vanillapoint.wire.generated.THeader;
 import io.vanillapoint.wire.generated.THeartbeat;
 import io.vanillapoint.wire.generated.THeartbeatReply;
@@ -116,6 +118,9 @@
         register(
                 ForwardCredit.class,
                 m -> TEnvelope.forwardCredit(new TForwardCredit(m.stream(), m.bytes())));
+        register(
+                ForwardStalled.class,
+                m -> TEnvelope.forwardStalled(new TForwardStalled(m.stream())));
     }
 
     private EnvelopeWriter() {}
--- a/vanillapoint-wire/src/main/thrift/peer.thrift
+++ b/vanillapoint-wire/src/main/thrift/peer.thrift
@@ -38,6 +38,7 @@
 struct TForwardFailure { 1: i64 stream, 2: string code, 3: string message, 4: string runState, 5: i64 retryAfterMillis }
 struct TForwardCancel { 1: i64 stream }
 struct TForwardCredit { 1: i64 stream, 2: i64 bytes }
+struct TForwardStalled { 1: i64 stream }
 
 struct TLoadRequest { 1: string kind, 2: string target }
 struct TLoadReply { 1: string kind, 2: string target, 3: string region, 4: double load }
@@ -64,6 +65,7 @@
   18: TForwardCredit forwardCredit
   19: TLoadRequest loadRequest
   20: TLoadReply loadReply
+  21: TForwardStalled forwardStalled
 }
 
 /** A VM as another VM knows it. State: 0 starting, 1 ready, 2 draining, 3 gone. */
