An unexpected error in a request's step ends it with an answer, truthful about whether it ran

Cause: the error was met after the attempt had been taken out of the request's state. Whatever was sent counts as possibly run now.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -554,8 +554,12 @@
         }
     }
 
+    /** Whatever was sent may have run. */
     private void endAfterError() {
         try {
+            if (history.sent() > 0) {
+                history.recordOutcome(AttemptOutcome.LOST);
+            }
             terminate("internal error", "internal_error");
         } catch (RuntimeException e) {
             context.log().record(EventCode.INTERNAL_ERROR, "refusing, " + id(), e.toString());
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RecordingSink.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RecordingSink.java
@@ -8,9 +8,18 @@
 /** Sink that records its calls as text. Confined to one event loop. */
 final class RecordingSink implements ResponseSink {
     private final StringBuilder calls = new StringBuilder();
+    private RuntimeException headFailure;
+
+    /** Lets the next head fail. */
+    void failOnHead(RuntimeException failure) {
+        headFailure = failure;
+    }
 
     @Override
     public void head(int status, List<HeaderField> headers, OptionalLong length) {
+        if (headFailure != null) {
+            throw headFailure;
+        }
         calls.append("head ").append(status).append(' ');
     }
 
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -46,6 +46,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -67,6 +68,7 @@
             new RetryAllowance(new RetryBounds(0.2, 50, 10_000), clock.getAsLong());
     private final RecordingLog log = new RecordingLog();
     private final RecordingSink sink = new RecordingSink();
+    private final AtomicBoolean failingClock = new AtomicBoolean();
     private final PromptGuard prompts =
             new PromptGuard(
                     vertx,
@@ -263,6 +265,29 @@
         }
     }
 
+    @Test
+    void requestIsAnsweredIfTheHeadOfItsResponseCannotBePassedOn() throws Exception {
+        publish(listen(request -> request.response().end("answer")));
+        sink.failOnHead(new IllegalArgumentException("illegal header"));
+        runToEnd(RouteKind.AT_MOST_ONCE, run -> {});
+        assertThat(sink.calls(), is("refuse 502 internal_error"));
+        assertThat(log.codes(), hasItem(EventCode.INTERNAL_ERROR));
+    }
+
+    @Test
+    void requestIsAnsweredIfItCannotBePlaced() throws Exception {
+        clock =
+                () -> {
+                    if (failingClock.get()) {
+                        failingClock.set(false);
+                        throw new IllegalStateException("no time");
+                    }
+                    return System.nanoTime() / 1_000_000;
+                };
+        runToEnd(RouteKind.AT_MOST_ONCE, run -> failingClock.set(true));
+        assertThat(sink.calls(), is("refuse 503 internal_error not run"));
+    }
+
     /** The replica does not say that it has not run the request, so the caller gets an error. */
     @Test
     void replacedStatusOfAReplicaIsLoggedAsAFailure() throws Exception {
