A caller that reads slowly does not make its replica look silent

What callers saw: a stream whose caller read nothing for half a second was repeated at another replica, and could be closed without its end. Cause: while the caller's write queue is full nothing is read from the replica, and the time without bytes counted as the replica's silence. The time for which this VM reads nothing doesn't count now.

Test: replicaOfASlowCallerIsNotTakenForSilent, before: expected "head 200 data data end", was "head 200 data abort".

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -21,7 +21,8 @@
  * <p>Invariants: at most one attempt is active beside one whose replica is silent; a silent one
  * stays open until another has been accepted; the sink gets exactly one complete response, one
  * refusal or one abort, unless the caller has disconnected; a refusal marked "not run" is sent only
- * if no attempt may have run. Confined to one event loop.
+ * if no attempt may have run; a relayed request runs on one replica at most, since retries are up
+ * to the relaying VM. Confined to one event loop.
  */
 public final class RequestRun implements RunningAttempt.Owner {
     /** Shortest time in which a replica can answer; no attempt is started with less. */
@@ -363,8 +364,7 @@
         }
         history.recordOutcome(AttemptOutcome.FAILED);
         long now = now();
-        if (!RetryPolicy.mayRetry(plan.route(), history, AttemptOutcome.FAILED)
-                || limitedToOneReplica()) {
+        if (!RetryPolicy.mayRetry(plan.route(), history, AttemptOutcome.FAILED) || plan.relayed()) {
             return false;
         }
         Placement placement = search.choose(now);
@@ -397,7 +397,7 @@
         boolean again =
                 !callerDisconnected
                         && RetryPolicy.mayRetry(plan.route(), history, outcome)
-                        && (!history.mayHaveRun() || !limitedToOneReplica())
+                        && (!history.mayHaveRun() || !plan.relayed())
                         && (!outcome.mayHaveReached() || RetryGate.tryAcquire(context, plan));
         log.attemptEnded(attempt, outcome, cause, again ? "again" : "over", now());
         if (again) {
@@ -408,11 +408,6 @@
         }
     }
 
-    /** A relayed request is tried on one replica only; retries are up to the relaying VM. */
-    private boolean limitedToOneReplica() {
-        return plan.relayed();
-    }
-
     /** Goes on with the silent attempt if there is one; otherwise the request ends. */
     private void giveUp(String reason, long retryAfterMillis) {
         if (silent == null) {
@@ -449,7 +444,7 @@
 
     private void resume() {
         if (current != null) {
-            current.resume();
+            current.resume(now());
         }
     }
 
@@ -471,7 +466,7 @@
         }
         long now = now();
         Optional<Reason> reason = attempt.checkProgress(now);
-        if (plan.relayed() && reason.isPresent()) {
+        if (plan.relayed() && reason.isPresent() && !attempt.paused()) {
             sink.stalled();
         } else if (reason.isPresent() && mayReplace(now)) {
             outcomes.noProgress(attempt, reason.get());
@@ -483,7 +478,8 @@
 
     private boolean mayReplace(long now) {
         return silent == null
-                && !limitedToOneReplica()
+                && !current.paused()
+                && !plan.relayed()
                 && RetryPolicy.mayReplace(plan.route(), history)
                 && search.finds(now)
                 && RetryGate.tryAcquire(context, plan);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RunningAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RunningAttempt.java
@@ -31,6 +31,8 @@
     private Buffer body;
     private Buffer withheldEvents = Buffer.buffer();
     private boolean released;
+    private boolean paused;
+    private long resumedAtMillis = Long.MIN_VALUE;
 
     private RunningAttempt(
             Owner owner,
@@ -157,16 +159,25 @@
         }
     }
 
-    /** Tells why the replica should be replaced, empty if it should not. */
+    /** Tells why another replica should be tried, empty if this one makes enough progress. */
     Optional<AttemptMonitor.Reason> checkProgress(long nowMillis) {
-        return monitor.checkProgress(use.lastResponseAtMillis(), nowMillis);
+        long readUntilMillis = Math.max(use.lastResponseAtMillis(), resumedAtMillis);
+        return monitor.checkProgress(readUntilMillis, nowMillis);
+    }
+
+    /** Tells whether this VM has stopped reading the response. */
+    boolean paused() {
+        return paused;
     }
 
     void pause() {
+        paused = true;
         connection.pause();
     }
 
-    void resume() {
+    void resume(long nowMillis) {
+        paused = false;
+        resumedAtMillis = nowMillis;
         connection.resume();
     }
 
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RecordingSink.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RecordingSink.java
@@ -4,11 +4,14 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 
 /** Sink that records its calls as text. Confined to one event loop. */
 final class RecordingSink implements ResponseSink {
     private final StringBuilder calls = new StringBuilder();
     private RuntimeException headFailure;
+    private boolean full;
+    private Consumer<Runnable> drain = Runnable::run;
 
     /** Lets the next head fail. */
     void failOnHead(RuntimeException failure) {
@@ -51,12 +54,22 @@
 
     @Override
     public boolean isFull() {
-        return false;
+        return full;
     }
 
     @Override
     public void onDrain(Runnable action) {
-        action.run();
+        drain.accept(
+                () -> {
+                    full = false;
+                    action.run();
+                });
+    }
+
+    /** Makes the sink full; the handler gets the action that drains it for good. */
+    void fillOnce(Consumer<Runnable> drainHandler) {
+        full = true;
+        drain = drainHandler;
     }
 
     String calls() {
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -233,6 +233,22 @@
                 is("head 200 data stalled data end"));
     }
 
+    /** The caller reads nothing for a while, so nothing is read from the replica either. */
+    @Test
+    void replicaOfASlowCallerIsNotTakenForSilent() throws Exception {
+        AtomicInteger repeats = new AtomicInteger();
+        publishInTurn(
+                request -> {
+                    request.response().setChunked(true).write("id: 1\ndata: a\n\n");
+                    vertx.setTimer(300, ignored -> request.response().end("id: 2\ndata: b\n\n"));
+                },
+                request -> repeats.incrementAndGet());
+        sink.fillOnce(drained -> vertx.setTimer(1_500, ignored -> drained.run()));
+        runToEnd(plan(RouteKind.EVENT_STREAM, false, Optional.empty(), true), run -> {});
+        assertThat(sink.calls(), is("head 200 data data end"));
+        assertThat(repeats.get(), is(0));
+    }
+
     @Test
     void requestToASilentReplicaIsAnsweredIfItsRepeatFails() throws Exception {
         publishInTurn(
