A request that meets an unexpected error is answered, logged and frees its place

Cause: the server's CallerHandler caught only VanillapointException, and the stages of RequestExecution and the usage meter caught nothing, so any other exception of a protocol or meter ended in the event loop's default handler. Callers saw: no response at all, or after the idle timeout a failure; the request kept its running slot and tokens. Why it works: before the first attempt the request is refused as not run; after an attempt was sent the run state is unknown and the tokens are charged; a meter that fails ends the response; a complete response whose use can't be determined is charged all reserved tokens. Open: only RuntimeException is caught; an Error still reaches the default handler.

--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerHandler.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerHandler.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.RunState;
 import io.vanillapoint.api.error.VanillapointException;
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.model.Customer;
@@ -63,6 +64,9 @@
             route(request);
         } catch (VanillapointException e) {
             refuseUnread(request, e, ErrorBody.of(e));
+        } catch (RuntimeException e) {
+            VanillapointException error = internalError(request, e);
+            refuseUnread(request, error, ErrorBody.of(error));
         }
     }
 
@@ -186,9 +190,21 @@
             new RequestExecution(context, runRequest, protocol.meter(plan), sink).start();
         } catch (VanillapointException e) {
             fail(request, e);
+        } catch (RuntimeException e) {
+            fail(request, internalError(request, e));
         }
     }
 
+    /** Logs an unexpected error of this handler, which has sent the request to no upstream. */
+    private VanillapointException internalError(HttpServerRequest request, RuntimeException cause) {
+        context.events()
+                .record(
+                        EventCode.INTERNAL_ERROR,
+                        "handling " + request.method() + " " + request.path(),
+                        cause);
+        return VanillapointErrors.of(cause).withRunState(RunState.NOT_RUN);
+    }
+
     /** Idempotency key of a request that must not be repeated, or null. */
     private static PresentedKey idempotencyKey(
             HttpServerRequest request, Caller caller, RequestPlan plan) {
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestExecution.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestExecution.java
@@ -20,6 +20,7 @@
 import io.vanillapoint.server.control.ControlPlane;
 import io.vanillapoint.server.control.RegisteredKey;
 import io.vertx.core.Future;
+import io.vertx.core.Handler;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
@@ -28,6 +29,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * Runs one request from admission through its attempts to the response and the settlement of the
@@ -66,7 +68,8 @@
                         target,
                         meter,
                         context.settings().region(),
-                        request.idempotencyKey() != null);
+                        request.idempotencyKey() != null,
+                        this::failUnexpectedly);
     }
 
     /** Starts the request. The future completes when the request has ended, with any outcome. */
@@ -76,8 +79,8 @@
         context.retryBudget().recordRequest();
         control()
                 .admit(request.customer(), request.plan().tokens(), request.plan().interactive())
-                .onSuccess(this::onAdmitted)
-                .onFailure(error -> refuse(VanillapointErrors.of(error)));
+                .onSuccess(guarded(this::onAdmitted))
+                .onFailure(this::onControlFailed);
         return completion.future();
     }
 
@@ -109,8 +112,8 @@
                         request.idempotencyKey(),
                         request.id(),
                         RequestFingerprint.of(request))
-                .onSuccess(this::onKeyRegistered)
-                .onFailure(error -> refuse(VanillapointErrors.of(error)));
+                .onSuccess(guarded(this::onKeyRegistered))
+                .onFailure(this::onControlFailed);
     }
 
     private void onKeyRegistered(RegisteredKey key) {
@@ -168,8 +171,8 @@
                         triedVms);
         control()
                 .dispatch(request.key(), query, request.plan().tokens())
-                .onSuccess(this::dispatch)
-                .onFailure(error -> refuse(VanillapointErrors.of(error)));
+                .onSuccess(guarded(this::dispatch))
+                .onFailure(this::onControlFailed);
     }
 
     private void dispatch(Dispatch decision) {
@@ -210,14 +213,17 @@
 
     private void observeAttempt(String target) {
         attempt.completion()
-                .onSuccess(ignored -> onAttemptCompleted(target))
-                .onFailure(error -> onAttemptFailed(target, VanillapointErrors.of(error)));
+                .onSuccess(guarded(ignored -> onAttemptCompleted(target)))
+                .onFailure(guarded(error -> onAttemptFailed(target, VanillapointErrors.of(error))));
         if (cancelled) {
             attempt.cancel();
         }
     }
 
     private void onAttemptCompleted(String target) {
+        if (completion.future().isComplete()) {
+            return;
+        }
         if (!sink.meter.isComplete()) {
             events().record(EventCode.ANSWER_TRUNCATED, request.id(), target);
             VanillapointException error =
@@ -236,10 +242,23 @@
         context.metrics().recordTimeToFirstByte(sink.headNanos - startNanos);
         context.metrics().recordResponseTime(System.nanoTime() - startNanos);
         sink.delegate.end();
-        finish(sink.meter.usedTokens(request.plan().tokens()));
+        finish(usedTokens());
+    }
+
+    /** Charges a complete response all reserved tokens if its use can't be determined. */
+    private long usedTokens() {
+        try {
+            return sink.meter.usedTokens(request.plan().tokens());
+        } catch (RuntimeException e) {
+            recordInternalError(e);
+            return request.plan().tokens();
+        }
     }
 
     private void onAttemptFailed(String target, VanillapointException error) {
+        if (completion.future().isComplete()) {
+            return;
+        }
         if (cancelled) {
             completeKey(KeyOutcome.UNKNOWN, Optional.empty());
             finish(request.plan().tokens());
@@ -265,6 +284,41 @@
         return context.retryBudget().tryAcquire(MonotonicTime.millis());
     }
 
+    private void onControlFailed(Throwable error) {
+        if (!(error instanceof VanillapointException)) {
+            recordInternalError(error);
+        }
+        refuse(VanillapointErrors.of(error));
+    }
+
+    private <T> Handler<T> guarded(Handler<T> step) {
+        return value -> {
+            try {
+                step.handle(value);
+            } catch (RuntimeException e) {
+                failUnexpectedly(e);
+            }
+        };
+    }
+
+    /** Ends the request, whose caller would get no response otherwise. */
+    private void failUnexpectedly(RuntimeException cause) {
+        recordInternalError(cause);
+        if (completion.future().isComplete()) {
+            return;
+        }
+        boolean sent = attempt != null && !attempt.completion().failed();
+        mayHaveRun |= sent;
+        refuse(VanillapointErrors.of(cause).withRunState(RunState.NOT_RUN));
+        if (sent) {
+            attempt.cancel();
+        }
+    }
+
+    private void recordInternalError(Throwable cause) {
+        events().record(EventCode.INTERNAL_ERROR, "request " + request.id(), cause);
+    }
+
     private void refuse(VanillapointException error) {
         VanillapointException reported =
                 mayHaveRun && error.runState() == RunState.NOT_RUN
@@ -321,13 +375,20 @@
         private final UsageMeter meter;
         private final RegionId region;
         private final Buffer storedBody;
+        private final Consumer<RuntimeException> onMeterError;
+        private boolean failed;
         private boolean headSent;
         private long headNanos;
         private int status;
         private String contentType = "";
 
         private MeteringSink(
-                ResponseSink delegate, UsageMeter meter, RegionId region, boolean storeBody) {
+                ResponseSink delegate,
+                UsageMeter meter,
+                RegionId region,
+                boolean storeBody,
+                Consumer<RuntimeException> onMeterError) {
+            this.onMeterError = onMeterError;
             this.region = region;
             this.delegate = delegate;
             this.meter = meter;
@@ -353,8 +414,23 @@
                             .map(HeaderField::value)
                             .findFirst()
                             .orElse("");
-            meter.onHead(newStatus, contentType);
-            delegate.head(newStatus, withRegion(headers));
+            if (metered(() -> meter.onHead(newStatus, contentType))) {
+                delegate.head(newStatus, withRegion(headers));
+            }
+        }
+
+        /** Returns false if the meter failed; nothing is passed on from then on. */
+        private boolean metered(Runnable step) {
+            if (failed) {
+                return false;
+            }
+            try {
+                step.run();
+            } catch (RuntimeException e) {
+                failed = true;
+                onMeterError.accept(e);
+            }
+            return !failed;
         }
 
         /** Adds the region that ran the request, unless another VM has already added it. */
@@ -369,7 +445,9 @@
 
         @Override
         public void data(Buffer part) {
-            meter.onData(part.getBytes());
+            if (!metered(() -> meter.onData(part.getBytes()))) {
+                return;
+            }
             if (storedBody != null && storedBody.length() <= MAX_STORED_BYTES) {
                 storedBody.appendBuffer(part);
             }
