A request whose caller left before its dispatch is not forwarded

Cause: RequestExecution checked for a cancel only before it called an upstream of its own region. A request whose caller had left while its idempotency key was being registered, or its target chosen, was still sent to a VM of another region and cancelled right after. Callers saw: tokens charged for a request that nobody waits for, and run_unknown for a repeat with the same key, although nothing had run. Why it works: the check stands before both kinds of dispatch; the key is completed as not run and the upstream's load is released. If an earlier attempt may have run, its tokens are charged, as for all other ends of such a request. Open: a request whose caller leaves while the connection to the other VM is still being opened is not sent, but is charged and its key is unknown.

--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestExecution.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestExecution.java
@@ -176,6 +176,10 @@
     }
 
     private void dispatch(Dispatch decision) {
+        if (cancelled) {
+            endCancelled(decision);
+            return;
+        }
         attempts++;
         if (decision instanceof Dispatch.ToUpstream local) {
             runLocally(local.upstream());
@@ -190,14 +194,18 @@
         }
     }
 
+    /** Ends a request whose caller left while its target was being chosen. */
+    private void endCancelled(Dispatch decision) {
+        if (decision instanceof Dispatch.ToUpstream local) {
+            control()
+                    .recordUpstreamCompletion(local.upstream().id(), request.plan().tokens(), true);
+        }
+        completeKey(mayHaveRun ? KeyOutcome.UNKNOWN : KeyOutcome.NOT_RUN, Optional.empty());
+        finish(mayHaveRun ? request.plan().tokens() : 0);
+    }
+
     private void runLocally(Upstream upstream) {
         triedUpstreams.add(upstream.id());
-        if (cancelled) {
-            control().recordUpstreamCompletion(upstream.id(), request.plan().tokens(), true);
-            completeKey(mayHaveRun ? KeyOutcome.UNKNOWN : KeyOutcome.NOT_RUN, Optional.empty());
-            finish(0);
-            return;
-        }
         record(EventCode.REQUEST_DISPATCHED, upstream.id());
         attempt = context.upstreamClient().run(upstream, request, sink);
         attempt.completion()
