Control messages sent while a connection is being opened are sent afterwards

Cause: ControlLinks.send kept only the message that opened the connection and dropped all others until it was open. Callers saw: the waits and refusals of lost messages, such as registry_unavailable or run_unknown after the peer timeout, when the first contact with a VM coincided with other messages to it. Evidence: ControlLinksTest.messagesSentWhileTheConnectionIsOpenedArriveInOrder failed before ("Expected: iterable containing [<1L>, <2L>, <3L>, <4L>, <5L>, <6L>] but: item 1: was <6L>"), passes after. Why it works: messages wait in order, up to 256 for a VM, and follow the one that opened the connection. If it can't be opened they are dropped as before. Open: what callers saw is derived from the code; only the loss of messages was run.

--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/ControlLinks.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/ControlLinks.java
@@ -13,8 +13,10 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetSocket;
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Queue;
 import java.util.function.BiConsumer;
 import java.util.function.LongConsumer;
 
@@ -22,12 +24,15 @@
  * Outgoing connections for control messages, one per peer VM, opened on first use.
  *
  * <p>A connection is closed and replaced if a message that expects a reply gets none in time.
- * Messages to an unreachable VM are dropped; the protocols on top tolerate loss. Confined to the
- * control thread.
+ * Messages to an unreachable VM, and those that exceed the limit while a connection is being
+ * opened, are dropped; the protocols on top tolerate loss. Confined to the control thread.
  */
 public final class ControlLinks {
     private static final long RETRY_DELAY_MILLIS = 2_000;
 
+    /** Number of messages to one VM that are kept while its connection is being opened. */
+    private static final int MAX_WAITING_MESSAGES = 256;
+
     private final NetClient client;
     private final PeerCodec codec;
     private final PeerHello hello;
@@ -77,8 +82,8 @@
     }
 
     /**
-     * Sends a message, and opens a connection for it if there is none. Messages sent while another
-     * one is opening the connection are dropped.
+     * Sends a message, and opens a connection for it if there is none. Messages sent while the
+     * connection is being opened are sent afterwards, in order.
      *
      * @param to receiver
      * @param address its address for peers
@@ -94,12 +99,13 @@
             link.write(message);
             return;
         }
+        link.keep(message);
         if (link.connecting) {
             return;
         }
         link.connecting = true;
         client.connect(address.port(), address.host())
-                .onSuccess(socket -> link.onConnected(to, socket, message))
+                .onSuccess(socket -> link.onConnected(to, socket))
                 .onFailure(error -> link.onConnectFailed());
     }
 
@@ -119,6 +125,7 @@
     /** State of the connection to one VM. */
     private final class Link {
         private FrameSocket socket;
+        private final Queue<PeerMessage> waiting = new ArrayDeque<>();
         private boolean connecting;
         private boolean up;
         private boolean failed;
@@ -130,13 +137,20 @@
                     && MonotonicTime.millis() - oldestUnansweredMillis > replyTimeoutMillis;
         }
 
+        private void keep(PeerMessage message) {
+            if (waiting.size() < MAX_WAITING_MESSAGES) {
+                waiting.add(message);
+            }
+        }
+
         private void onConnectFailed() {
             connecting = false;
+            waiting.clear();
             failed = true;
             failedAtMillis = MonotonicTime.millis();
         }
 
-        private void onConnected(VmId to, NetSocket connection, PeerMessage message) {
+        private void onConnected(VmId to, NetSocket connection) {
             connecting = false;
             socket = new FrameSocket(connection, codec, events, clock);
             oldestUnansweredMillis = 0;
@@ -150,7 +164,9 @@
                         }
                     });
             socket.send(hello);
-            write(message);
+            while (!waiting.isEmpty()) {
+                write(waiting.remove());
+            }
         }
 
         private void write(PeerMessage message) {
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/peer/ControlLinksTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/peer/ControlLinksTest.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.server.peer;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.is;
 
 import io.vanillapoint.api.model.CustomerId;
@@ -15,6 +16,8 @@
 import io.vanillapoint.server.testing.Await;
 import io.vanillapoint.wire.PeerCodec;
 import io.vertx.core.Vertx;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -28,6 +31,7 @@
     private final Vertx vertx = Vertx.vertx();
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicInteger received = new AtomicInteger();
+    private final List<Long> settledIds = new CopyOnWriteArrayList<>();
     private final Endpoint address = new Endpoint(Await.HOST, Await.freePort());
     private final HybridClock clock = new HybridClock(System::currentTimeMillis);
     private ControlLinks links;
@@ -43,7 +47,7 @@
                                     FrameSocket frames =
                                             new FrameSocket(
                                                     socket, codec, (code, values) -> {}, clock);
-                                    frames.receiver(message -> received.incrementAndGet());
+                                    frames.receiver(this::onMessage);
                                 })
                         .listen(address.port(), address.host()));
         links =
@@ -59,6 +63,13 @@
                         bytes -> {});
     }
 
+    private void onMessage(PeerMessage message) {
+        if (message instanceof Settle settle) {
+            settledIds.add(settle.id());
+        }
+        received.incrementAndGet();
+    }
+
     @AfterEach
     void close() {
         Await.result(vertx.close());
@@ -96,6 +107,21 @@
         Await.until("the VM counts as reachable again", () -> links.isReachable(dead));
     }
 
+    @Test
+    void messagesSentWhileTheConnectionIsOpenedArriveInOrder() {
+        vertx.runOnContext(
+                ignored -> {
+                    for (int id = 1; id <= 5; id++) {
+                        links.send(PEER, address, new Settle(id, 1));
+                    }
+                });
+        Await.until("the first message arrives", () -> settledIds.contains(1L));
+        vertx.runOnContext(ignored -> links.send(PEER, address, new Settle(6, 1)));
+        Await.until("the last message arrives", () -> settledIds.contains(6L));
+        assertThat(settledIds, contains(1L, 2L, 3L, 4L, 5L, 6L));
+        assertThat(connections.get(), is(1));
+    }
+
     /** Sends a message, waits for its arrival and then for longer than the silence limit. */
     private void sendAndWait(PeerMessage message) {
         int before = received.get();
