The reply of one transfer of tokens no longer completes another

Cause: CustomerBucket.completeTransfer had no id, so a reply that arrived after its transfer had timed out, or a second copy of a reply, completed the transfer that was in progress by then. Callers saw: tokens of the transfer in progress were lost, since its own reply then met no transfer; a customer got less than its rate after a slow reply, and a repeated reply would have made tokens. The server's TokenReserver drops repeated replies, so only the loss could occur there, by replies between 1 and 2 s old. RateAndBurstProperties, RandomTrafficTest, BaseShareTest and WrongfulRefusalTest pass. Why it works: a transfer carries the id of its request, and the bucket takes only the reply of the transfer in progress, once. Open: a reply that arrives after the timeout of 1 s is dropped with its tokens, as before; the other region has given them away.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/CustomerBucket.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/CustomerBucket.java
@@ -25,6 +25,7 @@
     private double share;
     private long lastAdvanceNanos;
     private long transferDeadlineMillis = NO_TRANSFER;
+    private long transferId;
     private double transferCapacity;
     private long earliestTransferMillis = Long.MIN_VALUE;
 
@@ -63,25 +64,31 @@
      * Starts a transfer from another region if the bucket is less than half full and no transfer is
      * in progress. Capacity is reserved for the tokens until the transfer completes or times out.
      *
+     * @param now time
+     * @param id id of the transfer, unique among those of this bucket
      * @return tokens to request, 0 for none
      */
-    double startTransfer(ClockReading now) {
+    double startTransfer(ClockReading now, long id) {
         expireTransfer(now);
         double missing = LOW_FILL_FRACTION * tokenBucket.cap() - tokenBucket.level();
         boolean needed = transferDeadlineMillis == NO_TRANSFER && missing > 0;
         if (!needed || now.monotonicMillis() < earliestTransferMillis) {
             return 0;
         }
+        transferId = id;
         transferCapacity = missing;
         transferDeadlineMillis = now.monotonicMillis() + TRANSFER_TIMEOUT_MILLIS;
         tokenBucket.reserveCapacity(transferCapacity);
         return missing;
     }
 
-    /** Completes the transfer in progress; tokens that arrive after its timeout are dropped. */
-    void completeTransfer(ClockReading now, double tokens) {
+    /**
+     * Completes the transfer in progress. Tokens of another transfer are dropped: it has timed out
+     * or was completed before.
+     */
+    void completeTransfer(ClockReading now, long id, double tokens) {
         expireTransfer(now);
-        if (transferDeadlineMillis == NO_TRANSFER) {
+        if (transferDeadlineMillis == NO_TRANSFER || id != transferId) {
             return;
         }
         transferDeadlineMillis = NO_TRANSFER;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/RegionAuthority.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/limit/RegionAuthority.java
@@ -354,33 +354,36 @@
      *
      * @param now time
      * @param customer whose tokens
+     * @param id id of the transfer, unique among those of this VM
      * @return tokens to request, 0 if none are needed, a transfer is in progress or the last one
      *     brought none shortly before
      */
-    public double startTransfer(ClockReading now, CustomerId customer) {
+    public double startTransfer(ClockReading now, CustomerId customer, long id) {
         expire(now);
         Optional<CustomerBucket> found = buckets.find(customer);
         if (found.isEmpty() || found.get().share() <= 0) {
             return 0;
         }
         found.get().advance(now, timing.drift());
-        return found.get().startTransfer(now);
+        return found.get().startTransfer(now, id);
     }
 
     /**
-     * Completes a transfer with the tokens that another region has sent.
+     * Completes a transfer with the tokens that another region has sent. Without effect if another
+     * transfer, or none, is in progress.
      *
      * @param now time
      * @param customer whose tokens
+     * @param id id of the transfer
      * @param tokens how many, 0 if that region had no surplus
      */
-    public void completeTransfer(ClockReading now, CustomerId customer, double tokens) {
+    public void completeTransfer(ClockReading now, CustomerId customer, long id, double tokens) {
         expire(now);
         buckets.find(customer)
                 .ifPresent(
                         bucket -> {
                             bucket.advance(now, timing.drift());
-                            bucket.completeTransfer(now, tokens);
+                            bucket.completeTransfer(now, id, tokens);
                         });
     }
 
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/VirtualFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/limit/VirtualFleet.java
@@ -396,7 +396,7 @@
                                 outcome.share()));
             } else if (message instanceof ReserveReply reply && transfers.containsKey(reply.id())) {
                 CustomerId customer = transfers.remove(reply.id());
-                authority.completeTransfer(clock(), customer, reply.granted());
+                authority.completeTransfer(clock(), customer, reply.id(), reply.granted());
             } else if (message instanceof ReserveReply reply) {
                 PendingRequest pendingRequest = pending.remove(reply.id());
                 if (pendingRequest != null) {
@@ -428,9 +428,12 @@
 
         private void startTransfer(CustomerId customer) {
             Optional<VmId> other = homeInOtherRegion(customer);
-            double wanted = other.isPresent() ? authority.startTransfer(clock(), customer) : 0;
+            if (other.isEmpty()) {
+                return;
+            }
+            long number = nextId++;
+            double wanted = authority.startTransfer(clock(), customer, number);
             if (wanted > 0) {
-                long number = nextId++;
                 transfers.put(number, customer);
                 send(
                         id,
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/TokenReserver.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/TokenReserver.java
@@ -131,7 +131,7 @@
     void handleReply(ReserveReply reply) {
         CustomerId transferCustomer = pendingTransfers.remove(reply.id());
         if (transferCustomer != null) {
-            authority.completeTransfer(clock.get(), transferCustomer, reply.granted());
+            authority.completeTransfer(clock.get(), transferCustomer, reply.id(), reply.granted());
             return;
         }
         PendingRequest pendingRequest = pendingRequests.remove(reply.id());
@@ -192,9 +192,9 @@
         if (sources.isEmpty()) {
             return;
         }
-        double wanted = authority.startTransfer(clock.get(), customerId);
+        long id = nextExchangeId++;
+        double wanted = authority.startTransfer(clock.get(), customerId, id);
         if (wanted > 0) {
-            long id = nextExchangeId++;
             VmId source = sources.get((int) Math.floorMod(id, (long) sources.size()));
             pendingTransfers.put(id, customerId);
             send.accept(
