Of several attempts with one idempotency key at the same moment, one runs

Cause: each attempt registers at both homes of the key at once. Two attempts that reached the homes in opposite order each found the other one at one of them, and both were refused. Why it works: the attempt that came first at the key's first home asks the other home again, while the others withdraw as before. An attempt still runs only if the homes reply as KeyDecision demands; a home that reported another attempt and then falls silent keeps the request from running. Open: attempts that see different homes for a chosen key, while the list of VMs changes, or whose messages are lost, may still all be refused.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/idempotency/KeyRegistration.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/idempotency/KeyRegistration.java
@@ -4,12 +4,14 @@
 import io.vanillapoint.core.message.CompleteKey;
 import io.vanillapoint.core.message.KeyOrigin;
 import io.vanillapoint.core.message.KeyOutcome;
+import io.vanillapoint.core.message.KeyStatus;
 import io.vanillapoint.core.message.RegisterReply;
 import io.vanillapoint.core.message.RegisterRequest;
 import io.vanillapoint.core.message.StoredResponse;
-import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -22,6 +24,11 @@
  * Confined to one thread; the caller sends the messages.
  */
 public final class KeyRegistration {
+    /** Time until homes are asked again, in milliseconds; others withdraw in the meantime. */
+    public static final long REPEAT_DELAY_MILLIS = 50;
+
+    private static final int MAX_REPEATS = 10;
+
     private final String key;
     private final String attemptId;
     private final String fingerprint;
@@ -29,7 +36,8 @@
     private final List<VmId> homes;
     private final boolean firstAttempt;
     private final Set<VmId> pendingHomes;
-    private final List<RegisterReply> replies = new ArrayList<>();
+    private final Map<VmId, RegisterReply> replies = new LinkedHashMap<>();
+    private int repeatsLeft = MAX_REPEATS;
 
     /**
      * Creates a registration.
@@ -77,24 +85,51 @@
     }
 
     /**
-     * Records a home's reply. A second reply of the same home is ignored.
+     * Records a home's reply. A second reply of the same home is ignored unless it was asked again.
      *
      * @param home the VM that replied
      * @param reply its reply
      */
     public void onReply(VmId home, RegisterReply reply) {
         if (pendingHomes.remove(home)) {
-            replies.add(reply);
+            replies.put(home, reply);
         }
     }
 
     /**
-     * Stops waiting for a home.
+     * Stops waiting for a home. A reply that it gave before stays valid.
      *
      * @param home the VM that does not reply
      */
     public void onTimeout(VmId home) {
         pendingHomes.remove(home);
+        repeatsLeft = 0;
+    }
+
+    /**
+     * Asks homes again if this attempt came first at the key's first home, but later than another
+     * one at these. Of attempts that are registered at the same moment, only the first at that home
+     * does so, and the others withdraw; otherwise all of them would be refused.
+     *
+     * @return homes to which {@link #request} is to be sent after {@link #REPEAT_DELAY_MILLIS};
+     *     empty if the decision is final
+     */
+    public List<VmId> startRepeat() {
+        boolean contested =
+                decision().filter(now -> now.action() == KeyDecision.Action.IN_PROGRESS).isPresent()
+                        && replies.containsKey(homes.get(0))
+                        && replies.get(homes.get(0)).status() == KeyStatus.NEW;
+        if (!contested || repeatsLeft == 0) {
+            return List.of();
+        }
+        repeatsLeft--;
+        List<VmId> contestedHomes =
+                homes.stream()
+                        .filter(replies::containsKey)
+                        .filter(home -> replies.get(home).status() == KeyStatus.RUNNING)
+                        .toList();
+        pendingHomes.addAll(contestedHomes);
+        return contestedHomes;
     }
 
     /**
@@ -106,7 +141,8 @@
         if (!pendingHomes.isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(KeyDecision.of(homes.size(), replies, firstAttempt));
+        return Optional.of(
+                KeyDecision.of(homes.size(), List.copyOf(replies.values()), firstAttempt));
     }
 
     /**
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/idempotency/IdempotencySimulation.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/idempotency/IdempotencySimulation.java
@@ -38,6 +38,7 @@
     final Set<VmId> partitioned = new TreeSet<>();
     final Map<String, Integer> runs = new HashMap<>();
     double lossRate;
+    boolean someMessagesAreLate = true;
     long now = 1_000_000;
     int decidedToRun;
     int refused;
@@ -103,7 +104,8 @@
         if (cut || random.nextDouble() < lossRate) {
             return;
         }
-        long extraDelay = random.nextInt(20) == 0 ? random.nextInt(3_000) : 0;
+        boolean late = random.nextInt(20) == 0 && someMessagesAreLate;
+        long extraDelay = late ? random.nextInt(3_000) : 0;
         schedule(
                 1 + random.nextInt(5) + extraDelay,
                 () -> Optional.ofNullable(processes.get(to)).ifPresent(message));
@@ -223,7 +225,14 @@
         }
 
         private void register(KeyRegistration registration, Consumer<KeyDecision> onDecision) {
-            for (VmId home : registration.homes()) {
+            register(registration, registration.homes(), onDecision);
+        }
+
+        private void register(
+                KeyRegistration registration,
+                List<VmId> receivers,
+                Consumer<KeyDecision> onDecision) {
+            for (VmId home : receivers) {
                 long exchangeId = nextNumber++;
                 PendingReply pendingReply = new PendingReply(registration, onDecision);
                 pendingReplies.put(exchangeId, pendingReply);
@@ -260,7 +269,23 @@
             }
             change.run();
             pendingReplies.remove(exchangeId);
-            pendingReply.registration.decision().ifPresent(pendingReply.onDecision());
+            pendingReply.registration.decision().ifPresent(now -> decide(pendingReply, now));
+        }
+
+        private void decide(PendingReply pendingReply, KeyDecision decision) {
+            KeyRegistration registration = pendingReply.registration();
+            List<VmId> askedAgain = registration.startRepeat();
+            if (askedAgain.isEmpty()) {
+                pendingReply.onDecision().accept(decision);
+                return;
+            }
+            schedule(
+                    KeyRegistration.REPEAT_DELAY_MILLIS,
+                    () -> {
+                        if (isCurrent()) {
+                            register(registration, askedAgain, pendingReply.onDecision());
+                        }
+                    });
         }
     }
 
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/KeyCoordinator.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/KeyCoordinator.java
@@ -159,10 +159,14 @@
 
     private Future<KeyDecision> sendToHomes(KeyRegistration registration) {
         Promise<KeyDecision> promise = Promise.promise();
-        for (VmId home : registration.homes()) {
+        send(new PendingRegistration(registration, promise), registration.homes());
+        return promise.future();
+    }
+
+    private void send(PendingRegistration pendingRegistration, List<VmId> receivers) {
+        KeyRegistration registration = pendingRegistration.registration;
+        for (VmId home : receivers) {
             long id = nextExchangeId++;
-            PendingRegistration pendingRegistration =
-                    new PendingRegistration(registration, promise);
             if (home.equals(identity.vm())) {
                 registration.onReply(home, handleRequest(registration.request(id)));
                 completeIfDecided(pendingRegistration);
@@ -172,7 +176,6 @@
             send.accept(home, registration.request(id));
             vertx.setTimer(identity.peerTimeoutMillis(), timer -> onReplyTimeout(id, home));
         }
-        return promise.future();
     }
 
     private void onReplyTimeout(long id, VmId home) {
@@ -183,11 +186,20 @@
         }
     }
 
-    private static void completeIfDecided(PendingRegistration pendingRegistration) {
-        pendingRegistration
-                .registration
-                .decision()
-                .ifPresent(pendingRegistration.promise::tryComplete);
+    private void completeIfDecided(PendingRegistration pendingRegistration) {
+        KeyRegistration registration = pendingRegistration.registration;
+        Optional<KeyDecision> decision = registration.decision();
+        if (decision.isEmpty()) {
+            return;
+        }
+        List<VmId> askedAgain = registration.startRepeat();
+        if (askedAgain.isEmpty()) {
+            pendingRegistration.promise.tryComplete(decision.get());
+        } else {
+            vertx.setTimer(
+                    KeyRegistration.REPEAT_DELAY_MILLIS,
+                    timer -> send(pendingRegistration, askedAgain));
+        }
     }
 
     private boolean isCertain(RegisterRequest request) {
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/AtMostOnceTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/AtMostOnceTest.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.server.traffic;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.notNullValue;
 
@@ -9,6 +10,7 @@
 import io.vanillapoint.server.testing.Gateway;
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -17,6 +19,8 @@
 class AtMostOnceTest {
     private static final String PUBLISH = "/services/publish/rota";
 
+    private static final int SIMULTANEOUS_KEYS = 40;
+
     private final Gateway gateway = new Gateway();
     private final AtomicInteger runs = new AtomicInteger();
 
@@ -123,6 +127,22 @@
         assertThat(runs.get(), is(1));
     }
 
+    @Test
+    void oneOfTwoAttemptsAtTheSameMomentRuns() {
+        startTwoVms();
+        for (int i = 1; i <= SIMULTANEOUS_KEYS; i++) {
+            String key = issueKey("a-1");
+            Future<CallerResponse> first =
+                    gateway.callAsync("a-1", "POST", PUBLISH, "rota", "idempotency-key", key);
+            Future<CallerResponse> second =
+                    gateway.callAsync("a-2", "POST", PUBLISH, "rota", "idempotency-key", key);
+            List<Integer> statuses =
+                    List.of(Await.result(first).status(), Await.result(second).status());
+            assertThat(statuses, hasItem(200));
+            assertThat(runs.get(), is(i));
+        }
+    }
+
     /** One of the two VMs that store the key has crashed, and its record of the key is lost. */
     @Test
     void repeatIsNotRunWhenAVmThatStoresTheKeyHasCrashed() {
