A request whose idempotency key no VM can remember is refused instead of left waiting

Cause: a chosen key has its homes among the VMs of the customer's heaviest region. Without a VM there, the registration waited for the replies of no one. Callers saw: no response; the request kept its place and tokens. Evidence: AtMostOnceTest.keyThatNoVmCanRememberIsRefused failed before (TimeoutException after 60 s), passes after. Why it works: a registration without homes is decided at once; the decision is UNAVAILABLE, registry_unavailable for the caller. Open: nothing.

--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/KeyCoordinator.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/KeyCoordinator.java
@@ -159,7 +159,11 @@
 
     private Future<KeyDecision> sendToHomes(KeyRegistration registration) {
         Promise<KeyDecision> promise = Promise.promise();
-        send(new PendingRegistration(registration, promise), registration.homes());
+        PendingRegistration pendingRegistration = new PendingRegistration(registration, promise);
+        send(pendingRegistration, registration.homes());
+        if (registration.homes().isEmpty()) {
+            completeIfDecided(pendingRegistration);
+        }
         return promise.future();
     }
 
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/AtMostOnceTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/AtMostOnceTest.java
@@ -143,6 +143,19 @@
         }
     }
 
+    /** The region of the customer that remembers its keys has no VM. */
+    @Test
+    void keyThatNoVmCanRememberIsRefused() {
+        gateway.upstream("a-one", "service", "publish", this::respondWithRunCount);
+        gateway.customers(Gateway.customer("c", Gateway.KEY, "\"a\":1,\"b\":2", 10_000, 100_000))
+                .vm("a-1", "a")
+                .start();
+        CallerResponse response = publish("a-1", "idempotency-key", "chosen");
+        assertThat(response.errorCode(), is("registry_unavailable"));
+        assertThat(response.runState(), is("not_run"));
+        assertThat(runs.get(), is(0));
+    }
+
     /** One of the two VMs that store the key has crashed, and its record of the key is lost. */
     @Test
     void repeatIsNotRunWhenAVmThatStoresTheKeyHasCrashed() {
