--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/AtMostOnceTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/AtMostOnceTest.java
@@ -10,6 +10,9 @@
 import io.vanillapoint.server.testing.Gateway;
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -156,6 +159,45 @@
         assertThat(runs.get(), is(0));
     }
 
+    /** The request runs on, so that its caller gets the stored response with a repeat. */
+    @Test
+    void callerThatLeavesDuringTheRequestGetsItsResponseWithARepeat() throws IOException {
+        AtomicInteger reached = new AtomicInteger();
+        gateway.upstream(
+                "a-one",
+                "service",
+                "publish",
+                request -> {
+                    reached.incrementAndGet();
+                    gateway.vertx().setTimer(700, timer -> respondWithRunCount(request));
+                });
+        gateway.vm("a-1", "a").vm("a-2", "a").start();
+        String key = issueKey("a-1");
+        try (Socket socket = new Socket(Await.HOST, gateway.callers("a-1"))) {
+            String request =
+                    "POST "
+                            + PUBLISH
+                            + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                            + Gateway.KEY
+                            + "\r\nIdempotency-Key: "
+                            + key
+                            + "\r\nContent-Length: 4\r\n\r\nrota";
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            Await.until("the request has reached its upstream", () -> reached.get() == 1);
+        }
+        CallerResponse[] repeat = new CallerResponse[1];
+        Await.until(
+                "the repeat gets a response",
+                () -> {
+                    repeat[0] = publish("a-2", "idempotency-key", key);
+                    return repeat[0].status() != 409 || !repeat[0].body().contains("in_progress");
+                });
+        assertThat(repeat[0].body(), is("run 1"));
+        assertThat(repeat[0].headers().get("idempotent-replayed"), notNullValue());
+        assertThat(runs.get(), is(1));
+        assertThat(reached.get(), is(1));
+    }
+
     /** One of the two VMs that store the key has crashed, and its record of the key is lost. */
     @Test
     void repeatIsNotRunWhenAVmThatStoresTheKeyHasCrashed() {
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/KeyTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/KeyTest.java
@@ -9,14 +9,21 @@
 import io.vanillapoint.server.testing.CallerResponse;
 import io.vanillapoint.server.testing.Gateway;
 import io.vertx.core.Future;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** No API key reaches an upstream, and a revoked key is refused. */
 class KeyTest {
+    private static final Pattern CONTENT_LENGTH = Pattern.compile("(?i)content-length: (\\d+)");
     private static final String OTHER_KEY = "another-key";
 
     private final Gateway gateway = new Gateway();
@@ -71,6 +78,20 @@
                 () -> gateway.call("a-1", "GET", "/services/read/x", "").status() == 401);
     }
 
+    @Test
+    void revokedKeyIsRefusedOnAConnectionThatStaysOpen() throws IOException {
+        gateway.upstream("a-s", "service", "read", request -> request.response().end("ok"));
+        gateway.vm("a-1", "a").start();
+        try (Socket socket = new Socket(Await.HOST, gateway.callers("a-1"))) {
+            assertThat(statusOf(socket), is(200));
+            revokeKey();
+            Await.until(
+                    "the key is refused",
+                    () -> gateway.call("a-1", "GET", "/services/read/x", "").status() == 401);
+            assertThat(statusOf(socket), is(401));
+        }
+    }
+
     /** The key is checked again when a queued request is dispatched. */
     @Test
     void queuedRequestIsRefusedWhenItsKeyIsRevoked() {
@@ -127,6 +148,32 @@
                 () -> gateway.call("a-2", "GET", "/services/read/x", "").status() == 401);
     }
 
+    /** Sends a request on a connection and reads the head and body of the response. */
+    private static int statusOf(Socket socket) throws IOException {
+        String request =
+                "GET /services/read/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                        + Gateway.KEY
+                        + "\r\n\r\n";
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        String head = readHead(socket.getInputStream());
+        Matcher length = CONTENT_LENGTH.matcher(head);
+        assertThat(head, length.find(), is(true));
+        socket.getInputStream().readNBytes(Integer.parseInt(length.group(1)));
+        return Integer.parseInt(head.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
+    }
+
+    private static String readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                throw new AssertionError("the connection was closed after '" + head + "'");
+            }
+            head.append((char) next);
+        }
+        return head.toString();
+    }
+
     private void revokeKey() {
         gateway.customers(Gateway.customer("c", OTHER_KEY, "\"a\":1", 10_000, 100_000));
         gateway.publishAll();
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/RefusalTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/RefusalTest.java
@@ -27,6 +27,7 @@
 class RefusalTest {
     private static final String CHAT = "/v1/chat/completions";
     private static final String OTHER_REGION_KEY = "key-of-a-customer-of-region-b";
+    private static final String NO_READ_KEY = "key-of-a-customer-without-a-service";
     private static final String SMALL_BURST_KEY = "key-of-a-small-customer";
 
     private final Gateway gateway = new Gateway();
@@ -42,10 +43,13 @@
                     runs.incrementAndGet();
                     request.body().onSuccess(body -> respondAfterDelay(request, body.toString()));
                 });
+        gateway.upstream("a-s", "service", "read", request -> request.response().end("ok"));
         gateway.customers(
                         Gateway.customer("c", Gateway.KEY, "\"a\":1", 10_000, 100_000),
                         Gateway.customer("o", OTHER_REGION_KEY, "\"b\":1", 10_000, 100_000),
-                        Gateway.customer("s", SMALL_BURST_KEY, "\"a\":1", 1, 120))
+                        Gateway.customer("s", SMALL_BURST_KEY, "\"a\":1", 1, 120),
+                        Gateway.customer("n", NO_READ_KEY, "\"a\":1", 10_000, 100_000)
+                                .replace("\"publish\",\"read\"", "\"publish\""))
                 .flags(
                         "--max-body-bytes=5000",
                         "--max-running=2",
@@ -95,11 +99,24 @@
     }
 
     @Test
-    void serviceThatIsNotGrantedIsRefused() {
+    void serviceThatIsNotDeclaredIsRefused() {
         CallerResponse response = gateway.call("a-1", "GET", "/services/nothing/x", "");
         assertRefused(response, 404, "not_found");
     }
 
+    @Test
+    void serviceThatIsDeclaredButNotGrantedIsRefused() {
+        CallerResponse response =
+                gateway.call(
+                        "a-1",
+                        "GET",
+                        "/services/read/x",
+                        "",
+                        "authorization",
+                        "Bearer " + NO_READ_KEY);
+        assertRefused(response, 403, "not_granted");
+    }
+
     @Test
     void unknownModelIsRefusedWithItsPlace() {
         CallerResponse response =
