Declarations with findings are not published

Cause: DeclarationCollector.publish took the first of two declarations with the same name, so the values depended on the order of the files if it was called in spite of findings. Users saw: nothing with the command line, which asks for the findings first; a program that uses the library could publish either. Evidence: DeclarationCollectorTest.declarationsWithFindingsAreNotPublished failed before ("Expected java.lang.IllegalStateException to be thrown, but nothing was thrown."), passes after; VanillapointCliTest passes. Why it works: publish refuses while there are findings, so all published values are free of conflicts. Open: which of three files a finding about a duplicate names as the earlier one still depends on their order.

--- a/vanillapoint-config/src/main/java/io/vanillapoint/config/DeclarationCollector.java
+++ b/vanillapoint-config/src/main/java/io/vanillapoint/config/DeclarationCollector.java
@@ -67,8 +67,13 @@
      * Builds the values to publish.
      *
      * @return the values, equal for equal declarations
+     * @throws IllegalStateException if there are findings
      */
     public PublishedDeclarations publish() {
+        Findings all = findings();
+        if (!all.isEmpty()) {
+            throw new IllegalStateException("expected no findings, got:\n" + all);
+        }
         return PublishedDeclarations.of(
                 values(models.values()), values(services.values()), values(customers.values()));
     }
--- a/vanillapoint-config/src/test/java/io/vanillapoint/config/DeclarationCollectorTest.java
+++ b/vanillapoint-config/src/test/java/io/vanillapoint/config/DeclarationCollectorTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.vanillapoint.api.finding.Findings;
 import io.vanillapoint.api.model.Customer;
@@ -61,6 +62,18 @@
         assertThat(collector.publish().values(), is(other.publish().values()));
     }
 
+    /**
+     * One of two declarations with the same name would win, depending on the order of the files.
+     */
+    @Test
+    void declarationsWithFindingsAreNotPublished() {
+        String other = CUSTOMER.replace("rate: 10", "rate: 20");
+        collector.add("models.yaml", MODELS);
+        collector.add("one.yaml", CUSTOMER);
+        collector.add("two.yaml", other);
+        assertThrows(IllegalStateException.class, collector::publish);
+    }
+
     @Test
     void customerDeclaredTwiceIsAFindingAtBothPlaces() {
         collector.add("models.yaml", MODELS);
