Readiness is answered on the address of callers if it has none of its own

Cause: EntryListeners opened no second listener for an address that equals the callers', and the listener there treated readiness as a caller's request. Users saw: a VM with such settings never became ready. Evidence: ReadinessTest failed before ("condition did not hold before the timeout" after 15 s), passes after; EntryPathTest passes. Why it works: with such settings the callers' listener answers readiness first; with any other nothing changes. Open: a directory on the callers' address would still fail to bind at startup.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
@@ -52,6 +52,7 @@
     private final RelayHandler relays;
     private final LoadMeter load;
     private final ConnectionFailureCounter failureCounter;
+    private final boolean readinessIsAskedAmongCallers;
     private final List<HttpServer> servers = new ArrayList<>();
     private long startedAtMillis;
 
@@ -74,6 +75,8 @@
         this.callers = callers;
         this.relays = relays;
         this.load = load;
+        readinessIsAskedAmongCallers =
+                settings.readiness().filter(settings.callers()::equals).isPresent();
         failureCounter = new ConnectionFailureCounter(context.metrics());
     }
 
@@ -189,6 +192,12 @@
     }
 
     private void handleCaller(HttpServerRequest request) {
+        if (readinessIsAskedAmongCallers
+                && format.parse(request.path(), request.params())
+                        instanceof EntryRequest.Readiness) {
+            handleEntryRequest(request);
+            return;
+        }
         load.request(context.clock().getAsLong());
         callers.handle(request);
     }
