--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/AtMostOnceTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/AtMostOnceTest.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.server.traffic;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.notNullValue;
 
@@ -9,6 +10,10 @@
 import io.vanillapoint.server.testing.Gateway;
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -17,6 +22,8 @@
 class AtMostOnceTest {
     private static final String PUBLISH = "/services/publish/rota";
 
+    private static final int SIMULTANEOUS_KEYS = 40;
+
     private final Gateway gateway = new Gateway();
     private final AtomicInteger runs = new AtomicInteger();
 
@@ -123,6 +130,74 @@
         assertThat(runs.get(), is(1));
     }
 
+    @Test
+    void oneOfTwoAttemptsAtTheSameMomentRuns() {
+        startTwoVms();
+        for (int i = 1; i <= SIMULTANEOUS_KEYS; i++) {
+            String key = issueKey("a-1");
+            Future<CallerResponse> first =
+                    gateway.callAsync("a-1", "POST", PUBLISH, "rota", "idempotency-key", key);
+            Future<CallerResponse> second =
+                    gateway.callAsync("a-2", "POST", PUBLISH, "rota", "idempotency-key", key);
+            List<Integer> statuses =
+                    List.of(Await.result(first).status(), Await.result(second).status());
+            assertThat(statuses, hasItem(200));
+            assertThat(runs.get(), is(i));
+        }
+    }
+
+    /** The region of the customer that remembers its keys has no VM. */
+    @Test
+    void keyThatNoVmCanRememberIsRefused() {
+        gateway.upstream("a-one", "service", "publish", this::respondWithRunCount);
+        gateway.customers(Gateway.customer("c", Gateway.KEY, "\"a\":1,\"b\":2", 10_000, 100_000))
+                .vm("a-1", "a")
+                .start();
+        CallerResponse response = publish("a-1", "idempotency-key", "chosen");
+        assertThat(response.errorCode(), is("registry_unavailable"));
+        assertThat(response.runState(), is("not_run"));
+        assertThat(runs.get(), is(0));
+    }
+
+    /** The request runs on, so that its caller gets the stored response with a repeat. */
+    @Test
+    void callerThatLeavesDuringTheRequestGetsItsResponseWithARepeat() throws IOException {
+        AtomicInteger reached = new AtomicInteger();
+        gateway.upstream(
+                "a-one",
+                "service",
+                "publish",
+                request -> {
+                    reached.incrementAndGet();
+                    gateway.vertx().setTimer(700, timer -> respondWithRunCount(request));
+                });
+        gateway.vm("a-1", "a").vm("a-2", "a").start();
+        String key = issueKey("a-1");
+        try (Socket socket = new Socket(Await.HOST, gateway.callers("a-1"))) {
+            String request =
+                    "POST "
+                            + PUBLISH
+                            + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                            + Gateway.KEY
+                            + "\r\nIdempotency-Key: "
+                            + key
+                            + "\r\nContent-Length: 4\r\n\r\nrota";
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            Await.until("the request has reached its upstream", () -> reached.get() == 1);
+        }
+        CallerResponse[] repeat = new CallerResponse[1];
+        Await.until(
+                "the repeat gets a response",
+                () -> {
+                    repeat[0] = publish("a-2", "idempotency-key", key);
+                    return repeat[0].status() != 409 || !repeat[0].body().contains("in_progress");
+                });
+        assertThat(repeat[0].body(), is("run 1"));
+        assertThat(repeat[0].headers().get("idempotent-replayed"), notNullValue());
+        assertThat(runs.get(), is(1));
+        assertThat(reached.get(), is(1));
+    }
+
     /** One of the two VMs that store the key has crashed, and its record of the key is lost. */
     @Test
     void repeatIsNotRunWhenAVmThatStoresTheKeyHasCrashed() {
