Stop: a request that is read while the last connections close is refused, not passed on

Cause: shutDown() asked the listeners to close, but Vert.x closes them on its acceptor thread first and only then the connections. Until that thread has run, the event loop goes on reading requests from kept and new connections. A VM that is idle ends 2 s after SIGTERM, while new requests are refused from 2.8 s on only, so such a request was admitted and passed on to a replica, and its connection was closed 150 ms later.

What callers saw: a whole request, sent around the end of a planned stop, got neither an answer nor a refusal, although a replica ran it.

Why this works: the state GONE is set before the listeners are asked to close, and admission looks at it, so whatever is read from then on gets 503 (not run).

Open: requests whose bytes are still unread when their connection closes get no answer; they are not passed on.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -137,8 +137,8 @@
                         publishedState::publication,
                         grants,
                         this::stopping,
-                        () -> refusingRequests);
-        relays = new RelayHandler(context, publishedState::publication);
+                        () -> refusingRequests || gone());
+        relays = new RelayHandler(context, publishedState::publication, this::gone);
         control =
                 new EntryControl(
                         context,
@@ -367,6 +367,11 @@
         return fleet.self().state().compareTo(MemberState.READY) > 0;
     }
 
+    /** True while the last connections close; they may still deliver requests. */
+    private boolean gone() {
+        return fleet.self().state() == MemberState.GONE;
+    }
+
     private void receiveReport(FleetReport report) {
         long now = now();
         roster.observe(report, now);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -32,6 +33,7 @@
 
     private final EntryContext context;
     private final Supplier<Optional<GatewayPublication>> publication;
+    private final BooleanSupplier refusing;
     private final FleetCodec codec = new FleetCodec();
     private final Set<RequestRun> running = new HashSet<>();
     private final OpenResponses openResponses = new OpenResponses();
@@ -41,10 +43,15 @@
      *
      * @param context services shared by all requests
      * @param publication supplies the configuration in force
+     * @param refusing true if the process is about to end and refuses new requests
      */
-    public RelayHandler(EntryContext context, Supplier<Optional<GatewayPublication>> publication) {
+    public RelayHandler(
+            EntryContext context,
+            Supplier<Optional<GatewayPublication>> publication,
+            BooleanSupplier refusing) {
         this.context = context;
         this.publication = publication;
+        this.refusing = refusing;
     }
 
     /**
@@ -95,6 +102,10 @@
 
     private void run(HttpServerRequest request, RelaySink sink, Buffer body) {
         sink.acknowledge();
+        if (refusing.getAsBoolean()) {
+            sink.refuse(Refusal.notRun("shutting_down", RETRY_AFTER_MILLIS));
+            return;
+        }
         RelayRequest relayed;
         try {
             relayed = codec.decodeRelayRequest(body.getBytes());
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/StubRequestFormat.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/StubRequestFormat.java
@@ -11,7 +11,7 @@
 import java.util.OptionalLong;
 
 /** Format stub that writes no headers and signs every response. Stateless. */
-final class StubRequestFormat implements RequestFormat {
+public final class StubRequestFormat implements RequestFormat {
     @Override
     public RequestEnvelope request(MultiMap headers) {
         throw new UnsupportedOperationException("tests build their requests directly");
