Replica: a status that is not final is a broken response

Cause: the HTTP client takes every status but 100 and 103 for the final one, also 101, 102, 199, and numbers outside of three digits. The VM passed such a head on as the answer and ended the request.

What callers saw: an interim response and then nothing, on a connection that stayed open (their HTTP client waits for the final response), or a status line that no client can read.

Why this works: only 200 to 999 counts as a response; anything else ends the attempt like other bytes that are no response, so routes that may run again are tried on another replica and others get 502.

Open: a replica that sends 102 and then a sound final response gets 502 as its answer, because the HTTP client has no way to read on.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/ResponseEnvelope.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/ResponseEnvelope.java
@@ -31,6 +31,7 @@
         List<HeaderField> headers) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
+    private static final int LAST_STATUS = 999;
 
     /** Statuses that tell a caller that its request has not run. */
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
@@ -41,6 +42,16 @@
         headers = List.copyOf(headers);
     }
 
+    /**
+     * Tells whether the status ends an exchange. A caller that gets another one keeps waiting for
+     * the final response, or cannot read it.
+     *
+     * @return true for a status from 200 to 999
+     */
+    public boolean isFinal() {
+        return status >= FIRST_SUCCESS && status <= LAST_STATUS;
+    }
+
     /**
      * Tells whether the response is a success.
      *
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.RequestOptions;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
@@ -90,12 +91,9 @@
             return;
         }
         ResponseEnvelope head = format.response(response.statusCode(), response.headers());
-        boolean otherRequest = head.requestId().filter(id -> !id.equals(requestId)).isPresent();
-        if (otherRequest || (head.success() && !head.signed())) {
-            fail(
-                    AttemptOutcome.GARBLED,
-                    "response belongs to another request or has no signature",
-                    0);
+        Optional<String> defect = defect(head);
+        if (defect.isPresent()) {
+            fail(AttemptOutcome.GARBLED, defect.get(), 0);
             reset();
             return;
         }
@@ -111,4 +109,15 @@
         response.endHandler(ignored -> succeed(framed));
         listener().head(head);
     }
+
+    private Optional<String> defect(ResponseEnvelope head) {
+        if (!head.isFinal()) {
+            return Optional.of("status " + head.status() + " is not final");
+        }
+        boolean otherRequest = head.requestId().filter(id -> !id.equals(requestId)).isPresent();
+        boolean unsigned = head.success() && !head.signed();
+        return otherRequest || unsigned
+                ? Optional.of("response belongs to another request or has no signature")
+                : Optional.empty();
+    }
 }
