Relay: an unexpected error before the run starts is a refusal, not silence

Cause: RelayHandler caught only malformed messages; any other exception after the acknowledgement went to the event loop's handler and left the relayed request open.

What callers saw: nothing until the deadline of the request, since the relaying VM had its acknowledgement and went on waiting, then 504.

Evidence: RelayHandlerTest.requestThatMeetsAnUnexpectedErrorIsRefusedAsNotRun. Before: "TimeoutException" after 10 s (1 error of 3 tests); after: 3 of 3 pass. requestWhoseRouteIsUnknownHereIsRefusedAsNotRun passed before: a VM whose configuration lacks the route answers "not run" at once.

Why this works: the run only schedules its first attempt when it starts, so "not run" is true for an exception up to there, as it is for callers' own requests.

Open: no input that raises such an exception is known; exceptions later in a run are not covered by this.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
@@ -106,22 +106,22 @@
             sink.refuse(Refusal.notRun("shutting_down", RETRY_AFTER_MILLIS));
             return;
         }
-        RelayRequest relayed;
         try {
-            relayed = codec.decodeRelayRequest(body.getBytes());
+            admit(sink, body);
         } catch (VanillapointException e) {
             context.log().record(EventCode.PEER_BAD_FRAME, request.remoteAddress(), e.getMessage());
             sink.refuse(Refusal.notRun("bad_message", 0));
-            return;
-        }
-        Optional<RequestPlan> plan;
-        try {
-            plan = plan(relayed);
-        } catch (VanillapointException e) {
-            context.log().record(EventCode.PEER_BAD_FRAME, request.remoteAddress(), e.getMessage());
-            sink.refuse(Refusal.notRun("bad_message", 0));
-            return;
+        } catch (RuntimeException e) {
+            context.log()
+                    .record(EventCode.INTERNAL_ERROR, "admitting a relayed request", e.toString());
+            sink.refuse(Refusal.notRun("internal_error", 0));
         }
+    }
+
+    /** Starts a run; until this returns, no attempt has been made. */
+    private void admit(RelaySink sink, Buffer body) {
+        RelayRequest relayed = codec.decodeRelayRequest(body.getBytes());
+        Optional<RequestPlan> plan = plan(relayed);
         if (plan.isEmpty()) {
             sink.refuse(Refusal.notRun("not_known_here", RETRY_AFTER_MILLIS));
             return;
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayHandlerTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayHandlerTest.java
@@ -1,10 +1,12 @@
 package io.vanillapoint.entry.relay;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 
 import io.vanillapoint.api.error.ErrorCode;
 import io.vanillapoint.api.error.RunState;
+import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.api.model.ZoneId;
 import io.vanillapoint.core.fleet.FleetTiming;
@@ -79,6 +81,18 @@
         assertThat(failure.runState(), is(RunState.NOT_RUN));
     }
 
+    @Test
+    void requestThatMeetsAnUnexpectedErrorIsRefusedAsNotRun() throws Exception {
+        ForwardFailure failure =
+                relay(
+                        () -> {
+                            throw new IllegalStateException("unforeseen");
+                        });
+        assertThat(failure.message(), is("internal_error"));
+        assertThat(failure.runState(), is(RunState.NOT_RUN));
+        assertThat(log.codes(), hasItem(EventCode.INTERNAL_ERROR));
+    }
+
     private ForwardFailure relay(Supplier<Optional<GatewayPublication>> publication)
             throws Exception {
         RelayHandler handler = new RelayHandler(context(), publication, () -> refusing);
