Sockets: accepted connections are probed; their options in one table

Cause: accepted connections had neither an idle time-out (on purpose, a request may cross such a close) nor keep-alive probes, so one whose other side vanished without a word stayed open until the process ended.

What callers saw: nothing; the VM kept a descriptor for each of them.

Why this works: the kernel probes idle connections and ends those that do not reply.

Open: with the kernel's usual times such a connection lasts two hours; limits.idleTimeoutMs of the configuration is not enforced, before as now.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
@@ -105,20 +105,25 @@
     }
 
     /**
-     * Opens a port. HTTP/2 upgrades and WebSocket compression, which no caller uses, are disabled,
-     * because they cost time on every connection and message.
+     * Options of all ports. HTTP/2 upgrades and WebSocket compression, which no caller uses, are
+     * disabled, because they cost time on every connection and message. No connection is closed for
+     * being idle, since a request may cross the close; keep-alive probes end those whose other side
+     * is gone.
      */
+    static HttpServerOptions serverOptions() {
+        return new HttpServerOptions()
+                .setTcpNoDelay(true)
+                .setTcpKeepAlive(true)
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setHandle100ContinueAutomatically(true)
+                .setHttp2ClearTextEnabled(false)
+                .setPerFrameWebSocketCompressionSupported(false)
+                .setPerMessageWebSocketCompressionSupported(false);
+    }
+
     private Future<?> serve(Endpoint endpoint, String peer, Handler<HttpServerRequest> handler) {
         HttpServerOptions options =
-                new HttpServerOptions()
-                        .setHost(endpoint.host())
-                        .setPort(endpoint.port())
-                        .setTcpNoDelay(true)
-                        .setMaxHeaderSize(MAX_HEADER_BYTES)
-                        .setHandle100ContinueAutomatically(true)
-                        .setHttp2ClearTextEnabled(false)
-                        .setPerFrameWebSocketCompressionSupported(false)
-                        .setPerMessageWebSocketCompressionSupported(false);
+                serverOptions().setHost(endpoint.host()).setPort(endpoint.port());
         HttpServer server =
                 context.vertx()
                         .createHttpServer(options)
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -432,12 +432,16 @@
         return connection -> counter.countFailures(connection, peer);
     }
 
+    /** A replica's connection carries one request, whose deadline ends it. */
+    static HttpClientOptions upstreamOptions() {
+        return new HttpClientOptions().setKeepAlive(false).setTcpNoDelay(true);
+    }
+
     private HttpClient upstreamClient() {
-        HttpClientOptions options = new HttpClientOptions().setKeepAlive(false).setTcpNoDelay(true);
         PoolOptions connections =
                 new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setEventLoopSize(1);
         return vertx.httpClientBuilder()
-                .with(options)
+                .with(upstreamOptions())
                 .with(connections)
                 .withConnectHandler(failureCounter("upstream"))
                 .build();
