--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -137,8 +137,8 @@
                         publishedState::publication,
                         grants,
                         this::stopping,
-                        () -> refusingRequests);
-        relays = new RelayHandler(context, publishedState::publication);
+                        () -> refusingRequests || gone());
+        relays = new RelayHandler(context, publishedState::publication, this::gone);
         control =
                 new EntryControl(
                         context,
@@ -367,6 +367,11 @@
         return fleet.self().state().compareTo(MemberState.READY) > 0;
     }
 
+    /** True while the last connections close; they may still deliver requests. */
+    private boolean gone() {
+        return fleet.self().state() == MemberState.GONE;
+    }
+
     private void receiveReport(FleetReport report) {
         long now = now();
         roster.observe(report, now);
@@ -427,12 +432,16 @@
         return connection -> counter.countFailures(connection, peer);
     }
 
+    /** A replica's connection carries one request, whose deadline ends it. */
+    static HttpClientOptions upstreamOptions() {
+        return new HttpClientOptions().setKeepAlive(false).setTcpNoDelay(true);
+    }
+
     private HttpClient upstreamClient() {
-        HttpClientOptions options = new HttpClientOptions().setKeepAlive(false).setTcpNoDelay(true);
         PoolOptions connections =
                 new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setEventLoopSize(1);
         return vertx.httpClientBuilder()
-                .with(options)
+                .with(upstreamOptions())
                 .with(connections)
                 .withConnectHandler(failureCounter("upstream"))
                 .build();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -32,6 +33,7 @@
 
     private final EntryContext context;
     private final Supplier<Optional<GatewayPublication>> publication;
+    private final BooleanSupplier refusing;
     private final FleetCodec codec = new FleetCodec();
     private final Set<RequestRun> running = new HashSet<>();
     private final OpenResponses openResponses = new OpenResponses();
@@ -41,10 +43,15 @@
      *
      * @param context services shared by all requests
      * @param publication supplies the configuration in force
+     * @param refusing true if the process is about to end and refuses new requests
      */
-    public RelayHandler(EntryContext context, Supplier<Optional<GatewayPublication>> publication) {
+    public RelayHandler(
+            EntryContext context,
+            Supplier<Optional<GatewayPublication>> publication,
+            BooleanSupplier refusing) {
         this.context = context;
         this.publication = publication;
+        this.refusing = refusing;
     }
 
     /**
@@ -95,22 +102,26 @@
 
     private void run(HttpServerRequest request, RelaySink sink, Buffer body) {
         sink.acknowledge();
-        RelayRequest relayed;
-        try {
-            relayed = codec.decodeRelayRequest(body.getBytes());
-        } catch (VanillapointException e) {
-            context.log().record(EventCode.PEER_BAD_FRAME, request.remoteAddress(), e.getMessage());
-            sink.refuse(Refusal.notRun("bad_message", 0));
+        if (refusing.getAsBoolean()) {
+            sink.refuse(Refusal.notRun("shutting_down", RETRY_AFTER_MILLIS));
             return;
         }
-        Optional<RequestPlan> plan;
         try {
-            plan = plan(relayed);
+            admit(sink, body);
         } catch (VanillapointException e) {
             context.log().record(EventCode.PEER_BAD_FRAME, request.remoteAddress(), e.getMessage());
             sink.refuse(Refusal.notRun("bad_message", 0));
-            return;
+        } catch (RuntimeException e) {
+            context.log()
+                    .record(EventCode.INTERNAL_ERROR, "admitting a relayed request", e.toString());
+            sink.refuse(Refusal.notRun("internal_error", 0));
         }
+    }
+
+    /** Starts a run; until this returns, no attempt has been made. */
+    private void admit(RelaySink sink, Buffer body) {
+        RelayRequest relayed = codec.decodeRelayRequest(body.getBytes());
+        Optional<RequestPlan> plan = plan(relayed);
         if (plan.isEmpty()) {
             sink.refuse(Refusal.notRun("not_known_here", RETRY_AFTER_MILLIS));
             return;
