Replicas that announce that rejections crash them are kept within their slots

Cause: nothing read the header; under overload each VM sends until it is rejected, and a rejection changes nothing for the next request.

While a service announces a limit, each VM keeps to its part of a replica's slots (SlotShare: equal parts, the remainder by rank, twice the part while more than half of the slots are free), and a VM that was rejected leaves the replica alone until the VMs of the region together stay within the limit (RejectionLimits). An announcement lapses five seconds after the last answer with it.

--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -293,6 +293,15 @@
     /** A request was withheld, since its prompt parts crash engines. */
     PROMPT_WITHHELD(
             2409, EventLevel.INFO, "prompt withheld", "request", "parts", "step", "retry_after_ms"),
+    /** Replicas of a service announced that too many rejections crash them. */
+    REPLICA_BRITTLE(
+            2415,
+            EventLevel.WARN,
+            "replica brittle",
+            "replica",
+            "service",
+            "rejections_per_s",
+            "region_vms"),
     /** Log lines were omitted to limit the log rate. */
     LINES_LEFT_OUT(2901, EventLevel.WARN, "lines left out", "event", "lines");
 
--- /dev/null
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/RejectionLimits.java
@@ -0,0 +1,74 @@
+package io.vanillapoint.core.upstream;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+
+/**
+ * Services whose replicas announced that they crash if they have to reject more than so many
+ * requests in a second.
+ *
+ * <p>Handles an overload of such replicas, in which rejections would make them crash one after the
+ * other: a VM that was rejected leaves the replica alone until its part of the limit, as one of the
+ * VMs of the region, allows another rejection. An announcement ends by its age. Confined to one
+ * thread.
+ */
+final class RejectionLimits {
+    /** Replicas repeat the announcement in all their responses. */
+    private static final long ANNOUNCEMENT_MILLIS = 5_000;
+
+    /** Period for which a limit counts rejections. */
+    private static final long PERIOD_MILLIS = 1_000;
+
+    private final Map<String, Announcement> announcements = new HashMap<>();
+
+    /**
+     * Records an announcement.
+     *
+     * @param service name of the service
+     * @param perSecond rejections in a second that a replica survives
+     * @param nowMillis monotonic time
+     * @return true if the limit is new or has changed
+     */
+    boolean announced(String service, int perSecond, long nowMillis) {
+        OptionalInt known = limit(service, nowMillis);
+        announcements.put(service, new Announcement(perSecond, nowMillis));
+        return known.isEmpty() || known.getAsInt() != perSecond;
+    }
+
+    /**
+     * The limit in force.
+     *
+     * @param service name of the service
+     * @param nowMillis monotonic time
+     * @return rejections in a second that a replica survives, empty if none was announced
+     */
+    OptionalInt limit(String service, long nowMillis) {
+        Announcement announcement = announcements.get(service);
+        return announcement == null || nowMillis - announcement.atMillis > ANNOUNCEMENT_MILLIS
+                ? OptionalInt.empty()
+                : OptionalInt.of(announcement.perSecond);
+    }
+
+    /**
+     * Time for which a VM leaves a replica alone that has rejected it.
+     *
+     * @param service name of the service
+     * @param regionVms number of VMs that send to the replica
+     * @param nowMillis monotonic time
+     * @return milliseconds, empty if no limit is in force
+     */
+    OptionalLong backoffMillis(String service, int regionVms, long nowMillis) {
+        OptionalInt limit = limit(service, nowMillis);
+        if (limit.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        long turns =
+                (regionVms + Math.max(1L, limit.getAsInt()) - 1) / Math.max(1, limit.getAsInt());
+        return OptionalLong.of(PERIOD_MILLIS * Math.max(1, turns));
+    }
+
+    /** An announced limit. Immutable. */
+    private record Announcement(int perSecond, long atMillis) {}
+}
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -151,7 +151,9 @@
                                     && reachable.computeIfAbsent(
                                             tracker.region(),
                                             region -> fleet.isReachable(region, nowMillis));
-            if (!usable || query.tried().contains(tracker.info().id())) {
+            if (!usable
+                    || query.tried().contains(tracker.info().id())
+                    || (local && mayReject(tracker, nowMillis))) {
                 continue;
             }
             Candidate candidate = score(tracker, local, query, preferred, cachingEngines);
@@ -197,6 +199,11 @@
         return new Placement.Refuse(reason, DEFAULT_RETRY_AFTER_MILLIS);
     }
 
+    private boolean mayReject(ReplicaTracker tracker, long nowMillis) {
+        UpstreamUse useOfOthers = fleet.otherVmUse(tracker.info().id());
+        return pool.mayReject(tracker, useOfOthers, roster, nowMillis);
+    }
+
     private Placement placement(Candidate best, PlacementQuery query, long nowMillis) {
         double maxMillis = query.route().targetMillis() * weights.maxTargetMultiple();
         if (best.expectedMillis + query.elapsedMillis() > maxMillis
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -39,6 +40,7 @@
     private final Map<String, ReplicaTracker> replicas = new HashMap<>();
     private final Map<String, List<ReplicaTracker>> byService = new HashMap<>();
     private final Set<ZoneId> evacuated = new HashSet<>();
+    private final RejectionLimits rejectionLimits = new RejectionLimits();
 
     /**
      * Creates an empty pool.
@@ -213,6 +215,51 @@
                                 service.coldPerSecond() / COLD_OWNERS, nowMillis));
     }
 
+    /**
+     * Records that a replica announced how many rejections in a second it survives.
+     *
+     * @param tracker the replica; the limit holds for all replicas of its service
+     * @param perSecond the limit
+     * @param nowMillis monotonic time
+     * @return true if the limit is new or has changed
+     */
+    public boolean recordRejectionLimit(ReplicaTracker tracker, int perSecond, long nowMillis) {
+        return rejectionLimits.announced(tracker.info().service(), perSecond, nowMillis);
+    }
+
+    /**
+     * Time for which this VM must leave a replica alone that has rejected a request without asking
+     * for a time itself.
+     *
+     * @param tracker the replica
+     * @param roster VMs that share the limit
+     * @param nowMillis monotonic time
+     * @return milliseconds, empty if its rejections are not limited
+     */
+    public OptionalLong rejectionBackoffMillis(
+            ReplicaTracker tracker, VmRoster roster, long nowMillis) {
+        return rejectionLimits.backoffMillis(
+                tracker.info().service(), roster.regionVms().size(), nowMillis);
+    }
+
+    /**
+     * Tells whether a replica whose rejections are limited may reject one more request of this VM.
+     *
+     * @param tracker the replica
+     * @param useOfOthers load of the other VMs on it as far as known
+     * @param roster VMs that share its slots
+     * @param nowMillis monotonic time
+     * @return false if this VM's part of its slots has room or more than half of them are free
+     */
+    boolean mayReject(
+            ReplicaTracker tracker, UpstreamUse useOfOthers, VmRoster roster, long nowMillis) {
+        if (rejectionLimits.limit(tracker.info().service(), nowMillis).isEmpty()) {
+            return false;
+        }
+        return !SlotShare.of(tracker.info(), roster)
+                .hasRoom(tracker.outstanding().requests(), useOfOthers.requests());
+    }
+
     /**
      * This VM's outstanding load by replica, for the heartbeat.
      *
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/ResponseEnvelope.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/ResponseEnvelope.java
@@ -3,6 +3,7 @@
 import io.vanillapoint.core.message.HeaderField;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -16,6 +17,7 @@
  * @param misdirected true if a replica other than the intended one answered at the address
  * @param leaving true if the upstream is shutting down and wants no new requests
  * @param retryAfterMillis time in milliseconds after which to retry, empty if absent
+ * @param rejectionLimit rejections in a second that the upstream survives, empty if absent
  * @param invalidHeaders descriptions of malformed headers, for the log
  * @param headers headers to forward to the caller
  */
@@ -27,6 +29,7 @@
         boolean misdirected,
         boolean leaving,
         OptionalLong retryAfterMillis,
+        OptionalInt rejectionLimit,
         List<String> invalidHeaders,
         List<HeaderField> headers) {
     private static final int FIRST_SUCCESS = 200;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
@@ -99,9 +99,12 @@
                             ageMillis);
             context.metrics().count("replicas_leaving");
         }
+        head.rejectionLimit().ifPresent(limit -> recordRejectionLimit(limit, now));
         if (head.status() != Refusal.UNAVAILABLE) {
             tracker.recordAccepted(now);
-        } else if (head.retryAfterMillis().isPresent()) {
+        } else if (head.retryAfterMillis().isEmpty()) {
+            leaveAloneIfBrittle(now);
+        } else {
             long requestedMillis = head.retryAfterMillis().getAsLong();
             long jitterMillis = ThreadLocalRandom.current().nextLong(RETURN_JITTER_MILLIS);
             long appliedMillis = tracker.backoffRequested(requestedMillis, jitterMillis, now);
@@ -117,6 +120,30 @@
         }
     }
 
+    private void recordRejectionLimit(int perSecond, long now) {
+        if (context.pool().recordRejectionLimit(tracker, perSecond, now)) {
+            context.log()
+                    .record(
+                            EventCode.REPLICA_BRITTLE,
+                            tracker.info().id(),
+                            plan.service().name(),
+                            perSecond,
+                            context.roster().regionVms().size());
+        }
+    }
+
+    private void leaveAloneIfBrittle(long now) {
+        context.pool()
+                .rejectionBackoffMillis(tracker, context.roster(), now)
+                .ifPresent(
+                        millis -> {
+                            long jitterMillis =
+                                    ThreadLocalRandom.current().nextLong(RETURN_JITTER_MILLIS);
+                            tracker.backoffRequested(millis, jitterMillis, now);
+                            context.metrics().count("replicas_left_alone");
+                        });
+    }
+
     /** Records the time to the first event; later calls have no effect. */
     void recordFirstEvent() {
         if (!promptReleased) {
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/StubRequestFormat.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/StubRequestFormat.java
@@ -8,6 +8,7 @@
 import io.vertx.core.MultiMap;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /** Format stub that writes no headers and signs every response. Stateless. */
@@ -35,6 +36,7 @@
                 false,
                 false,
                 OptionalLong.empty(),
+                OptionalInt.empty(),
                 List.of(),
                 List.of());
     }
