Requests are relayed only to regions whose VMs reach replicas

Cause: a replica of another region was scored by what VMs have outstanding on it. A replica that no VM reaches has nothing outstanding, so it looked best. What VMs know of reachability was not reported, and a relay that came back as not placed changed nothing for the next request.

Callers saw: refusals after one or two round trips between regions while half of the replicas were out of reach; their requests came back as too_late or all_replicas_busy and were relayed again.

Now heartbeats carry the ids of the replicas of the sender's region that it can't reach, in a new optional field that older builds skip. They share the page and the bytes of the upstreams, so a heartbeat still fits one packet. A report ends when the VM omits the replica, restarts, or is not heard for five heartbeats. A remote replica that all VMs to which requests would be relayed report as unreachable is left out, and requests go to VMs that reach a replica of the service. After a refused relay the region counts as full for that service for up to 400 ms or until a heartbeat of the VM that refused; then one request tries it. OtherVmUse is moved out of FleetView unchanged.

It works since the relaying VM leaves out what the relay would find unreachable, and one refusal stands for the next requests.

A VM that has tried no replica reports none.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
 
 /**
  * Heartbeat that one VM sends to another. Immutable.
@@ -24,6 +26,8 @@
  * @param readsStore true if the platform's store has recently answered the sender itself
  * @param others VMs that the sender has heard of
  * @param quarantine prompt parts that crash engines, as far as they fit
+ * @param unreachable ids of the replicas of the sender's region, as far as the page covers them,
+ *     that the sender can't reach at present; empty if the sender doesn't report this
  */
 public record FleetReport(
         MemberInfo self,
@@ -38,13 +42,15 @@
         ReportPage page,
         boolean readsStore,
         List<MemberObservation> others,
-        QuarantineReport quarantine) {
+        QuarantineReport quarantine,
+        Optional<Set<String>> unreachable) {
     /** Copies the collections. */
     public FleetReport {
         customers = Map.copyOf(customers);
         upstreams = Map.copyOf(upstreams);
         reads = List.copyOf(reads);
         others = List.copyOf(others);
+        unreachable = unreachable.map(Set::copyOf);
     }
 
     /**
@@ -83,6 +89,7 @@
         private boolean readsStore;
         private List<MemberObservation> others = List.of();
         private QuarantineReport quarantine = QuarantineReport.EMPTY;
+        private Optional<Set<String>> unreachable = Optional.empty();
 
         private Builder(MemberInfo self, long sequence) {
             this.self = Objects.requireNonNull(self, "self");
@@ -102,6 +109,7 @@
             readsStore = report.readsStore;
             others = report.others;
             quarantine = report.quarantine;
+            unreachable = report.unreachable;
         }
 
         /**
@@ -216,6 +224,17 @@
             return this;
         }
 
+        /**
+         * Sets the replicas of the sender's region that the sender can't reach at present.
+         *
+         * @param replicas ids of those that the page covers
+         * @return this
+         */
+        public Builder unreachable(Set<String> replicas) {
+            unreachable = Optional.of(replicas);
+            return this;
+        }
+
         /**
          * Builds the report.
          *
@@ -235,7 +254,8 @@
                     page,
                     readsStore,
                     others,
-                    quarantine);
+                    quarantine,
+                    unreachable);
         }
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,11 +40,8 @@
     private final Map<RegionId, Integer> regionSizes = new HashMap<>();
     private final Map<RegionId, Long> regionLastReportMillis = new HashMap<>();
 
-    /**
-     * Sum over all other VMs that are alive, by upstream; maintained incrementally so that a
-     * request need not visit each VM.
-     */
-    private final Map<String, UpstreamUse> otherVmUse = new HashMap<>();
+    private final OtherVmUse otherVmUse = new OtherVmUse();
+    private final ReplicaReach reach = new ReplicaReach(this);
 
     private MemberInfo self;
     private int sameRegionMembers;
@@ -76,6 +72,15 @@
         return self;
     }
 
+    /**
+     * Which VMs reach which replicas.
+     *
+     * @return live view, by the heartbeats received
+     */
+    public ReplicaReach reach() {
+        return reach;
+    }
+
     /**
      * All other VMs that are part of the fleet, suspected ones included.
      *
@@ -192,10 +197,10 @@
      * @param nowMillis monotonic time
      */
     public void prune(long nowMillis) {
+        reach.prune(nowMillis);
         for (Member member : members.values()) {
             if (!alive(member, nowMillis) || member.info().state() == MemberState.GONE) {
-                member.countedUse().forEach((upstream, use) -> addUse(upstream, use, -1));
-                member.countedUse().clear();
+                otherVmUse.remove(member);
             }
         }
         if (members.values().removeIf(member -> isExpired(member, nowMillis))) {
@@ -218,10 +223,7 @@
      * @return false if it is suspected to be down or cut off
      */
     public boolean alive(Member member, long nowMillis) {
-        long interval =
-                inOwnRegion(member) ? timing.regionIntervalMillis() : timing.otherIntervalMillis();
-        long limit =
-                Math.max(timing.suspectMillis(), SUSPECT_INTERVALS * interval * rounds(member));
+        long limit = Math.max(timing.suspectMillis(), SUSPECT_INTERVALS * heartbeatMillis(member));
         return nowMillis - member.heardAtMillis() <= limit;
     }
 
@@ -287,6 +289,17 @@
         return TrafficVmSelector.select(ready);
     }
 
+    /**
+     * When a heartbeat of a VM last arrived.
+     *
+     * @param vm name of the VM
+     * @return monotonic time in milliseconds, far in the past if none has arrived
+     */
+    public long lastReportMillis(String vm) {
+        Member member = members.get(vm);
+        return member == null ? Long.MIN_VALUE / 2 : member.lastReportMillis();
+    }
+
     /**
      * Tells whether a region can be reached through at least one VM.
      *
@@ -362,7 +375,7 @@
      * @return the sum
      */
     public UpstreamUse otherVmUse(String upstream) {
-        return otherVmUse.getOrDefault(upstream, UpstreamUse.NONE);
+        return otherVmUse.of(upstream);
     }
 
     /**
@@ -439,6 +452,13 @@
                 <= limit * limitFactor;
     }
 
+    /** Time between two heartbeats that a VM sends to this one. */
+    private long heartbeatMillis(Member member) {
+        long interval =
+                inOwnRegion(member) ? timing.regionIntervalMillis() : timing.otherIntervalMillis();
+        return interval * rounds(member);
+    }
+
     /** Number of rounds between two heartbeats that a VM sends to this one. */
     private int rounds(Member member) {
         return inOwnRegion(member)
@@ -497,32 +517,9 @@
     private void applyReport(Member member, FleetReport report, long nowMillis) {
         regionLastReportMillis.put(report.self().region(), nowMillis);
         boolean restarted = report.self().incarnation() != member.info().incarnation();
-        Iterator<Map.Entry<String, UpstreamUse>> entries =
-                member.countedUse().entrySet().iterator();
-        while (entries.hasNext()) {
-            Map.Entry<String, UpstreamUse> use = entries.next();
-            if (restarted || report.page().covers(use.getKey())) {
-                addUse(use.getKey(), use.getValue(), -1);
-                entries.remove();
-            }
-        }
+        otherVmUse.apply(member, report, restarted);
         member.apply(report, nowMillis);
-        report.upstreams()
-                .forEach(
-                        (upstream, use) -> {
-                            if (report.page().covers(upstream)) {
-                                member.countedUse().put(upstream, use);
-                                addUse(upstream, use, 1);
-                            }
-                        });
-    }
-
-    private void addUse(String upstream, UpstreamUse use, int sign) {
-        UpstreamUse signed = new UpstreamUse(sign * use.requests(), sign * use.promptTokens());
-        UpstreamUse sum = otherVmUse.merge(upstream, signed, UpstreamUse::plus);
-        if (sum.requests() == 0 && sum.promptTokens() == 0) {
-            otherVmUse.remove(upstream);
-        }
+        reach.apply(report, restarted, heartbeatMillis(member), nowMillis);
     }
 
     private void observe(MemberObservation observation, long nowMillis) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPager.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPager.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -15,9 +17,10 @@
  * <p>Handles fleets whose dozens of VMs, upstreams and customers no longer fit one datagram: a
  * datagram that is longer than a packet is lost if any of its fragments is lost, and one that is
  * longer than the receiver's buffer is truncated. Content is added by priority: the sender itself,
- * then customers by the size of their unreported change, one page of upstreams, prompt parts that
- * crash engines, other VMs, and sessions last. Invariant: the estimate of a report's encoded size
- * is an upper bound and never exceeds {@link #PACKET_BYTES}. Confined to one thread.
+ * then customers by the size of their unreported change, one page of unreachable replicas and of
+ * upstreams, prompt parts that crash engines, other VMs, and sessions last. Invariant: the estimate
+ * of a report's encoded size is an upper bound and never exceeds {@link #PACKET_BYTES}. Confined to
+ * one thread.
  */
 public final class ReportPager {
     /** Size of a datagram that every link carries in one packet, with room for tunnel headers. */
@@ -26,11 +29,11 @@
     /** Bytes of a packet for customers; about sixteen of them fit. */
     private static final int CUSTOMER_BYTES = 400;
 
-    /** Bytes of a packet for upstreams; about twenty of them fit. */
+    /** Bytes of a packet for upstreams and unreachable replicas; about twenty of them fit. */
     private static final int UPSTREAM_BYTES = 450;
 
     /** Bytes of a report's fields other than its lists and its sender. */
-    private static final int HEADER_BYTES = 82;
+    private static final int HEADER_BYTES = 86;
 
     /** Field header and length prefix of a text. */
     private static final int TEXT_OVERHEAD_BYTES = 3;
@@ -78,9 +81,17 @@
         int remaining = PACKET_BYTES - HEADER_BYTES - size(self);
         Map<String, CustomerUse> customers = chooseCustomers(content.customers());
         remaining -= customers.entrySet().stream().mapToInt(ReportPager::customerSize).sum();
-        int pageCount = pageCount(content.upstreams(), !content.quarantine().isEmpty());
+        int pageCount = pageCount(content);
         boolean customersLeftOut = customers.size() < content.customers().size();
         ReportPage page = new ReportPage(random.nextInt(pageCount), pageCount, customersLeftOut);
+        Set<String> unreachable = new HashSet<>();
+        for (String replica : content.unreachable()) {
+            int size = textSize(replica);
+            if (page.covers(replica) && size <= remaining) {
+                unreachable.add(replica);
+                remaining -= size;
+            }
+        }
         Map<String, UpstreamUse> upstreams = new HashMap<>();
         for (Map.Entry<String, UpstreamUse> use : content.upstreams().entrySet()) {
             int size = size(use.getKey());
@@ -119,6 +130,7 @@
         }
         report.page(page)
                 .customers(customers)
+                .unreachable(unreachable)
                 .upstreams(upstreams)
                 .quarantine(quarantine.chosen())
                 .others(others)
@@ -153,8 +165,11 @@
         return lastReported.getOrDefault(use.getKey(), LastReported.NEVER);
     }
 
-    private static int pageCount(Map<String, UpstreamUse> upstreams, boolean quarantine) {
-        int bytes = upstreams.keySet().stream().mapToInt(ReportPager::size).sum();
+    private static int pageCount(Content content) {
+        int bytes =
+                content.upstreams().keySet().stream().mapToInt(ReportPager::size).sum()
+                        + content.unreachable().stream().mapToInt(ReportPager::textSize).sum();
+        boolean quarantine = !content.quarantine().isEmpty();
         int pageBytes = quarantine ? UPSTREAM_BYTES - QUARANTINE_BYTES : UPSTREAM_BYTES;
         return Math.max(1, (bytes + pageBytes - 1) / pageBytes);
     }
@@ -189,13 +204,15 @@
      * @param reads sessions that engines have processed, in order of priority
      * @param members other VMs
      * @param quarantine prompt parts that crash engines
+     * @param unreachable ids of the replicas of the sender's region that it can't reach
      */
     public record Content(
             Map<String, CustomerUse> customers,
             Map<String, UpstreamUse> upstreams,
             List<SessionCacheEntry> reads,
             List<MemberObservation> members,
-            QuarantineReport quarantine) {}
+            QuarantineReport quarantine,
+            Set<String> unreachable) {}
 
     /** What was last reported for a customer. Immutable. */
     private record LastReported(long tokens, int reportNumber) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Placement.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Placement.java
@@ -3,6 +3,7 @@
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.core.published.UpstreamReplica;
 import java.util.Optional;
+import java.util.Set;
 
 /** Outcome of choosing a replica for a request. Immutable. */
 public sealed interface Placement {
@@ -26,8 +27,9 @@
      *
      * @param region the region
      * @param expectedMillis expected time to the first event or the response
+     * @param replicas ids of the replicas there that may serve the request
      */
-    record Relay(RegionId region, long expectedMillis) implements Placement {}
+    record Relay(RegionId region, long expectedMillis, Set<String> replicas) implements Placement {}
 
     /**
      * The request is refused.
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -72,6 +72,7 @@
     private final VmRoster roster;
     private final PlacementWeights weights;
     private final SessionLocations sessions;
+    private final RelayBackoff relayBackoff;
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
     private final Map<RegionId, Double> roundTrips = new HashMap<>();
 
@@ -95,6 +96,7 @@
         this.roster = roster;
         this.weights = weights;
         this.sessions = sessions;
+        relayBackoff = new RelayBackoff(fleet);
     }
 
     /**
@@ -118,6 +120,18 @@
         roundTrips.put(region, previous + NEWEST_ROUND_TRIP_WEIGHT * (millis - previous));
     }
 
+    /**
+     * Records that a VM of another region had no replica for a relayed request.
+     *
+     * @param service name of the service
+     * @param region region of the VM
+     * @param vm name of the VM
+     * @param nowMillis monotonic time
+     */
+    public void relayNotPlaced(String service, RegionId region, String vm, long nowMillis) {
+        relayBackoff.notPlaced(service, region, vm, nowMillis);
+    }
+
     /**
      * Chooses the placement of a request.
      *
@@ -137,7 +151,8 @@
                 query.prompt()
                         .map(prompt -> preferredEngines(serving, query, prompt))
                         .orElse(Set.of());
-        Map<RegionId, Boolean> reachable = new HashMap<>();
+        Map<RegionId, Boolean> open = new HashMap<>();
+        Map<RegionId, Set<String>> remote = new HashMap<>();
         for (ReplicaTracker tracker : serving) {
             boolean local = tracker.region().equals(fleet.self().region());
             if (!eligibleFor(tracker, query) || (!local && !query.mayRelay())) {
@@ -148,12 +163,21 @@
                     local
                             ? pool.maySelect(tracker, query.service(), roster, nowMillis)
                             : !tracker.cold(nowMillis)
-                                    && reachable.computeIfAbsent(
+                                    && open.computeIfAbsent(
                                             tracker.region(),
-                                            region -> fleet.isReachable(region, nowMillis));
+                                            region -> mayRelayTo(region, query, nowMillis))
+                                    && fleet.reach()
+                                            .reachedIn(
+                                                    tracker.region(),
+                                                    tracker.info().id(),
+                                                    nowMillis);
             if (!usable || query.tried().contains(tracker.info().id())) {
                 continue;
             }
+            if (!local) {
+                remote.computeIfAbsent(tracker.region(), unused -> new HashSet<>())
+                        .add(tracker.info().id());
+            }
             Candidate candidate = score(tracker, local, query, preferred, cachingEngines);
             if (best == null || candidate.loss < best.loss) {
                 best = candidate;
@@ -162,7 +186,13 @@
         if (best == null) {
             return refusal(anyEligible, query, nowMillis);
         }
-        return placement(best, query, nowMillis);
+        return placement(
+                best, query, remote.getOrDefault(best.tracker.region(), Set.of()), nowMillis);
+    }
+
+    private boolean mayRelayTo(RegionId region, PlacementQuery query, long nowMillis) {
+        return fleet.isReachable(region, nowMillis)
+                && !relayBackoff.active(query.service().name(), region, nowMillis);
     }
 
     /**
@@ -197,7 +227,8 @@
         return new Placement.Refuse(reason, DEFAULT_RETRY_AFTER_MILLIS);
     }
 
-    private Placement placement(Candidate best, PlacementQuery query, long nowMillis) {
+    private Placement placement(
+            Candidate best, PlacementQuery query, Set<String> remote, long nowMillis) {
         double maxMillis = query.route().targetMillis() * weights.maxTargetMultiple();
         if (best.expectedMillis + query.elapsedMillis() > maxMillis
                 || best.expectedMillis > query.remainingMillis()) {
@@ -210,7 +241,8 @@
             return new Placement.Local(
                     best.tracker, best.uncachedTokens, (long) best.expectedMillis, source);
         }
-        return new Placement.Relay(best.tracker.region(), (long) best.expectedMillis);
+        relayBackoff.relayed(query.service().name(), best.tracker.region(), nowMillis);
+        return new Placement.Relay(best.tracker.region(), (long) best.expectedMillis, remote);
     }
 
     private Candidate score(
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -228,6 +228,24 @@
         return uses;
     }
 
+    /**
+     * Replicas of a region that this VM can't reach at present, for the heartbeat.
+     *
+     * @param region the region
+     * @param nowMillis monotonic time
+     * @return new set of the ids of serving replicas
+     */
+    public Set<String> unreachable(RegionId region, long nowMillis) {
+        Set<String> ids = new HashSet<>();
+        for (ReplicaTracker tracker : replicas.values()) {
+            boolean reachable = !tracker.failing() && !tracker.ejected(nowMillis);
+            if (!reachable && tracker.region().equals(region) && serves(tracker, nowMillis)) {
+                ids.add(tracker.info().id());
+            }
+        }
+        return ids;
+    }
+
     private static boolean leaving(ReplicaTracker tracker, long nowMillis) {
         boolean removed = tracker.removedAtMillis() <= nowMillis;
         boolean graceExpired = tracker.removedAtMillis() < nowMillis - REMOVED_GRACE_MILLIS;
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/SimulatedFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/SimulatedFleet.java
@@ -126,6 +126,22 @@
                 .build();
     }
 
+    /** What a build sends that doesn't report unreachable replicas. */
+    private static FleetReport withoutReach(FleetReport report) {
+        return FleetReport.builder(report.self(), report.sequence())
+                .load(report.load())
+                .fleetSize(report.fleetSize())
+                .regionVms(report.regionVms())
+                .store(report.published(), report.readsStore())
+                .customers(report.customers())
+                .upstreams(report.upstreams())
+                .reads(report.reads())
+                .page(report.page())
+                .others(report.others())
+                .quarantine(report.quarantine())
+                .build();
+    }
+
     /** Supplies the state of the VMs and observes their events. */
     public interface Listener {
         /** Called when a process starts with a new view. */
@@ -146,6 +162,16 @@
             return QuarantineReport.EMPTY;
         }
 
+        /** Replicas of its region that a VM can't reach. */
+        default Set<String> unreachable(Node node) {
+            return Set.of();
+        }
+
+        /** Tells whether a VM's build reports unreachable replicas. */
+        default boolean reportsReach(Node node) {
+            return true;
+        }
+
         /** Called with what an arrived heartbeat reports of prompt parts that crash engines. */
         default void quarantine(Node node, QuarantineReport report) {}
 
@@ -306,9 +332,10 @@
                             listener.upstreams(this),
                             List.of(),
                             view.observations(now),
-                            listener.quarantine(Node.this));
+                            listener.quarantine(Node.this),
+                            listener.unreachable(Node.this));
             pager.fill(next, view.self(), content, kind.maxMembers());
-            return next.build();
+            return listener.reportsReach(Node.this) ? next.build() : withoutReach(next.build());
         }
 
         private String host() {
--- a/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/CallerModel.java
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/CallerModel.java
@@ -95,15 +95,16 @@
         if (placement instanceof Placement.Local local) {
             send(callerVm, vm, local, returnDelayMillis);
         } else if (placement instanceof Placement.Relay relay) {
-            relay(callerVm, vm, relay.region());
+            relay(callerVm, vm, relay);
         } else if (placement instanceof Placement.Refuse refuse) {
             time.schedule(
                     returnDelayMillis, () -> retryOrGiveUp(callerVm, refuse.retryAfterMillis()));
         }
     }
 
-    private void relay(VmModel callerVm, VmModel vm, RegionId region) {
-        List<MemberInfo> relays = vm.view().relayVms(region, time.now());
+    private void relay(VmModel callerVm, VmModel vm, Placement.Relay relay) {
+        RegionId region = relay.region();
+        List<MemberInfo> relays = vm.view().reach().relayVms(region, relay.replicas(), time.now());
         VmModel relayVm = fleet.vm(relays.get(vm.random().nextInt(relays.size())));
         if (fleet.partitioned(vm.region(), region)) {
             recordOutcome(total -> total.failed(kind.worth()));
--- a/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
@@ -91,7 +91,8 @@
                         pool.outstandingByReplica(),
                         sessions.recentReads(now),
                         view.observations(now),
-                        QuarantineReport.EMPTY);
+                        QuarantineReport.EMPTY,
+                        pool.unreachable(region, now));
         reportPager.fill(report, view.self(), content, ReportKind.BEAT.maxMembers());
         return report.build();
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -417,7 +417,8 @@
                         pool.outstandingByReplica(),
                         sessions.recentReads(now),
                         fleet.observations(now),
-                        prompts.report()),
+                        prompts.report(),
+                        pool.unreachable(fleet.self().region(), now)),
                 kind.maxMembers());
         return report.build();
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -298,7 +298,7 @@
     private void sendRelay(Placement.Relay relay, long now) {
         List<MemberInfo> vms =
                 TrafficVmSelector.sample(
-                        context.fleet().relayVms(relay.region(), now),
+                        context.fleet().reach().relayVms(relay.region(), relay.replicas(), now),
                         ThreadLocalRandom.current()::nextDouble);
         MemberInfo vm = vms.get(Math.floorMod(id().hashCode() + history.sent(), vms.size()));
         use = null;
@@ -392,6 +392,7 @@
             context.fleet().markUnreachable(target, now());
         } else if (outcome == AttemptOutcome.NOT_PLACED) {
             fullRegions.add(targetRegion);
+            context.chooser().relayNotPlaced(plan.service().name(), targetRegion, target, now());
         }
         release();
         history.recordOutcome(outcome);
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FleetLinkTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FleetLinkTest.java
@@ -25,6 +25,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -85,7 +86,8 @@
                                     Map.of(),
                                     List.of(),
                                     others(),
-                                    QuarantineReport.EMPTY);
+                                    QuarantineReport.EMPTY,
+                                    Set.of());
                     pager.fill(report, fleet.self(), all, kind.maxMembers());
                     return report.build();
                 };
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
@@ -34,6 +34,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.apache.thrift.TBase;
 import org.apache.thrift.TConfiguration;
@@ -91,6 +92,7 @@
         if (!report.quarantine().isEmpty()) {
             message.setQuarantine(QuarantineCodec.encode(report.quarantine()));
         }
+        report.unreachable().ifPresent(ids -> message.setUnreachable(List.copyOf(ids)));
         message.setLoad(report.load());
         message.setFleetSize(report.fleetSize());
         message.setRegionVms(report.regionVms());
@@ -126,31 +128,36 @@
                                 upstreams.put(
                                         use.getUpstream(),
                                         new UpstreamUse(use.getRequests(), use.getPromptTokens())));
-        return FleetReport.builder(member(message.getSender()).info(), message.getSequence())
-                .load(message.getLoad())
-                .fleetSize(message.getFleetSize())
-                .regionVms(message.getRegionVms())
-                .store(
-                        new StorePosition(message.getStoreEra(), message.getPublishedRevision()),
-                        message.isReadsStore())
-                .customers(customers)
-                .upstreams(upstreams)
-                .reads(
-                        message.getReads().stream()
-                                .map(
-                                        read ->
-                                                new SessionCacheEntry(
-                                                        read.getSession(),
-                                                        read.getUpstream(),
-                                                        read.getAgeMillis()))
-                                .toList())
-                .page(page(message))
-                .others(message.getOthers().stream().map(FleetCodec::member).toList())
-                .quarantine(
-                        message.isSetQuarantine()
-                                ? QuarantineCodec.decode(message.getQuarantine())
-                                : QuarantineReport.EMPTY)
-                .build();
+        FleetReport.Builder report =
+                FleetReport.builder(member(message.getSender()).info(), message.getSequence())
+                        .load(message.getLoad())
+                        .fleetSize(message.getFleetSize())
+                        .regionVms(message.getRegionVms())
+                        .store(
+                                new StorePosition(
+                                        message.getStoreEra(), message.getPublishedRevision()),
+                                message.isReadsStore())
+                        .customers(customers)
+                        .upstreams(upstreams)
+                        .reads(
+                                message.getReads().stream()
+                                        .map(
+                                                read ->
+                                                        new SessionCacheEntry(
+                                                                read.getSession(),
+                                                                read.getUpstream(),
+                                                                read.getAgeMillis()))
+                                        .toList())
+                        .page(page(message))
+                        .others(message.getOthers().stream().map(FleetCodec::member).toList())
+                        .quarantine(
+                                message.isSetQuarantine()
+                                        ? QuarantineCodec.decode(message.getQuarantine())
+                                        : QuarantineReport.EMPTY);
+        if (message.isSetUnreachable()) {
+            report.unreachable(Set.copyOf(message.getUnreachable()));
+        }
+        return report.build();
     }
 
     /**
--- a/vanillapoint-wire/src/test/java/io/vanillapoint/wire/ReportPacketTest.java
+++ b/vanillapoint-wire/src/test/java/io/vanillapoint/wire/ReportPacketTest.java
@@ -53,6 +53,7 @@
         ReportPager.Content knowledge = knowledge(vms, customers, upstreams);
         Set<String> reportedCustomers = new HashSet<>();
         Set<String> reportedUpstreams = new HashSet<>();
+        Set<String> reportedUnreachable = new HashSet<>();
         Set<String> reportedVms = new HashSet<>();
         Set<Object> reportedQuarantine = new HashSet<>();
         ReportPager pager = new ReportPager(1);
@@ -61,12 +62,14 @@
             FleetReport decoded = encodeAndDecode(pager, knowledge, ReportKind.BEAT, heartbeat);
             reportedCustomers.addAll(decoded.customers().keySet());
             reportedUpstreams.addAll(decoded.upstreams().keySet());
+            reportedUnreachable.addAll(decoded.unreachable().orElseThrow());
             decoded.others().forEach(other -> reportedVms.add(other.info().vm()));
             reportedQuarantine.addAll(decoded.quarantine().holds());
             reportedQuarantine.addAll(decoded.quarantine().evidence());
         }
         assertThat(reportedCustomers, hasSize(customers));
         assertThat(reportedUpstreams, hasSize(upstreams));
+        assertThat(reportedUnreachable, hasSize(upstreams));
         assertThat(reportedVms, hasSize(vms - 1));
         assertThat(reportedQuarantine, hasSize(HOLDS + CRASHES));
         for (ReportKind kind : ReportKind.values()) {
@@ -83,7 +86,12 @@
         ReportPager pager = new ReportPager(1);
         ReportPager.Content knowledge =
                 new ReportPager.Content(
-                        customers, Map.of(), List.of(), List.of(), QuarantineReport.EMPTY);
+                        customers,
+                        Map.of(),
+                        List.of(),
+                        List.of(),
+                        QuarantineReport.EMPTY,
+                        Set.of());
         for (int heartbeat = 1; heartbeat <= 200; heartbeat++) {
             encodeAndDecode(pager, knowledge, ReportKind.BEAT, heartbeat);
         }
@@ -146,7 +154,12 @@
             members.add(new MemberObservation(vm(i), random.nextInt(300_000)));
         }
         return new ReportPager.Content(
-                customerUses, upstreamUses, reads, members, quarantine(random));
+                customerUses,
+                upstreamUses,
+                reads,
+                members,
+                quarantine(random),
+                Set.copyOf(upstreamUses.keySet()));
     }
 
     /** Holds and evidence as after a series of crashes, more than fit. */
