The store is read on after a value that causes an unexpected error

Cause: StoreSync merged an answer without a catch; an exception there ended the chain of reads, since only its last step starts the next one. A listing also counted as merged before it was. Users saw: had a value caused such an error, the VM would have read no change from the store until its restart. No such value is known. Evidence: StoreSyncTest.storeIsReadOnAfterAValueThatCausesAnUnexpectedError failed before (IllegalStateException: faulty value, out of the handler), passes after with the other 3 tests. The fakes of the test are in files of their own now. Open: nothing.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
@@ -6,8 +6,10 @@
 import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.entry.port.PublishedSource;
 import io.vanillapoint.entry.port.StoreException;
+import io.vertx.core.AsyncResult;
 import io.vertx.core.Vertx;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -126,22 +128,7 @@
     }
 
     private void list() {
-        source.list()
-                .onComplete(
-                        answer -> {
-                            if (answer.failed()) {
-                                storeFailed(answer.cause());
-                                return;
-                            }
-                            StoreChanges listing = withUsableEra(answer.result());
-                            if (isOutdated(listing)) {
-                                return;
-                            }
-                            populated = true;
-                            publishedState.merge(listing, "listing", storeWasUnavailable());
-                            storeAnswered();
-                            start();
-                        });
+        source.list().onComplete(answer -> handle(answer, this::merge));
     }
 
     private void watch() {
@@ -151,29 +138,54 @@
                 .onComplete(
                         answer -> {
                             watching = false;
-                            if (answer.failed()) {
-                                storeFailed(answer.cause());
-                                return;
-                            }
-                            if (clock.getAsLong() - watchStartedAtMillis > LATE_WATCH_MILLIS) {
-                                recoveredAtMillis = clock.getAsLong();
-                            }
-                            StoreChanges changes = withUsableEra(answer.result());
-                            if (isOutdated(changes)) {
-                                return;
-                            }
-                            relistMillis = INITIAL_BACKOFF_MILLIS;
-                            if (changes.position().era() > publishedState.position().era()) {
-                                populated = false;
-                                recoveredAtMillis = clock.getAsLong();
-                            } else {
-                                publishedState.merge(changes, "watch", storeWasUnavailable());
-                            }
-                            storeAnswered();
-                            start();
+                            handle(answer, this::mergeWatched);
                         });
     }
 
+    /** An unexpected error counts as a failure of the store, so that reading goes on. */
+    private void handle(AsyncResult<StoreChanges> answer, Consumer<StoreChanges> merge) {
+        if (answer.failed()) {
+            storeFailed(answer.cause());
+            return;
+        }
+        try {
+            merge.accept(answer.result());
+        } catch (RuntimeException e) {
+            log.record(EventCode.INTERNAL_ERROR, "merging the store's answer", e);
+            storeFailed(e);
+        }
+    }
+
+    private void merge(StoreChanges answer) {
+        StoreChanges listing = withUsableEra(answer);
+        if (isOutdated(listing)) {
+            return;
+        }
+        publishedState.merge(listing, "listing", storeWasUnavailable());
+        populated = true;
+        storeAnswered();
+        start();
+    }
+
+    private void mergeWatched(StoreChanges answer) {
+        if (clock.getAsLong() - watchStartedAtMillis > LATE_WATCH_MILLIS) {
+            recoveredAtMillis = clock.getAsLong();
+        }
+        StoreChanges changes = withUsableEra(answer);
+        if (isOutdated(changes)) {
+            return;
+        }
+        relistMillis = INITIAL_BACKOFF_MILLIS;
+        if (changes.position().era() > publishedState.position().era()) {
+            populated = false;
+            recoveredAtMillis = clock.getAsLong();
+        } else {
+            publishedState.merge(changes, "watch", storeWasUnavailable());
+        }
+        storeAnswered();
+        start();
+    }
+
     /** An answer without a usable era counts as one of the era that this VM knows. */
     private StoreChanges withUsableEra(StoreChanges changes) {
         long era = changes.position().era();
--- /dev/null
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FakeSource.java
@@ -0,0 +1,35 @@
+package io.vanillapoint.entry.control;
+
+import io.vanillapoint.core.published.StoreChanges;
+import io.vanillapoint.core.published.StorePosition;
+import io.vanillapoint.entry.port.PublishedSource;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A store whose watches are completed by the test. Safe for use by several threads. */
+final class FakeSource implements PublishedSource {
+    private final BlockingQueue<Promise<StoreChanges>> watches = new LinkedBlockingQueue<>();
+
+    @Override
+    public Future<StoreChanges> list() {
+        return Future.succeededFuture(new StoreChanges(new StorePosition(1, 4), true, List.of()));
+    }
+
+    @Override
+    public Future<StoreChanges> watch(long after, long waitMillis) {
+        Promise<StoreChanges> answer = Promise.promise();
+        watches.add(answer);
+        return answer.future();
+    }
+
+    @Override
+    public void cancelWatch() {}
+
+    Promise<StoreChanges> nextWatch() throws InterruptedException {
+        return watches.poll(30, TimeUnit.SECONDS);
+    }
+}
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreSyncTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreSyncTest.java
@@ -1,26 +1,21 @@
 package io.vanillapoint.entry.control;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
 
-import io.vanillapoint.api.finding.Findings;
-import io.vanillapoint.core.published.GatewayPublication;
-import io.vanillapoint.core.published.PublishedFormat;
+import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.core.published.StoreChanges;
 import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.core.published.StoredItem;
-import io.vanillapoint.core.published.UpstreamReplica;
 import io.vanillapoint.core.upstream.UpstreamPool;
-import io.vanillapoint.entry.port.PublishedSource;
 import io.vanillapoint.entry.port.StoreException;
-import io.vertx.core.Future;
+import io.vanillapoint.entry.traffic.RecordingLog;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
@@ -33,17 +28,17 @@
 
     private final Vertx vertx = Vertx.vertx();
     private final AtomicLong clock = new AtomicLong(START);
+    private final RecordingLog log = new RecordingLog();
     private final FakeSource source = new FakeSource();
     private final PublishedState publishedState =
             new PublishedState(
-                    new NoValues(),
+                    new FaultyValues(),
                     new UpstreamPool(Map.of()),
                     (code, values) -> {},
                     clock::get,
                     publication -> {});
     private final StoreSync sync =
-            new StoreSync(
-                    vertx, source, publishedState, (code, values) -> {}, clock::get, () -> true);
+            new StoreSync(vertx, source, publishedState, log, clock::get, () -> true);
     private Promise<StoreChanges> watch;
 
     @BeforeEach
@@ -83,56 +78,29 @@
         assertThat(sync.storeWasUnavailable(), is(true));
     }
 
+    @Test
+    void storeIsReadOnAfterAValueThatCausesAnUnexpectedError() throws Exception {
+        StoredItem item = new StoredItem(FaultyValues.KEY, 6, false, new byte[0]);
+        watch.complete(StoreChanges.changes(new StorePosition(1, 6), List.of(item)));
+        assertThat(source.nextWatch(), is(notNullValue()));
+        assertThat(log.codes(), hasItem(EventCode.INTERNAL_ERROR));
+    }
+
     private void completeWatch() throws Exception {
         watch.complete(StoreChanges.changes(new StorePosition(1, 5), List.of()));
         watch = source.nextWatch();
     }
 
-    /** A store whose watches are completed by the test. Safe for use by several threads. */
-    private static final class FakeSource implements PublishedSource {
-        private final BlockingQueue<Promise<StoreChanges>> watches = new LinkedBlockingQueue<>();
-
-        @Override
-        public Future<StoreChanges> list() {
-            return Future.succeededFuture(
-                    new StoreChanges(new StorePosition(1, 4), true, List.of()));
-        }
-
-        @Override
-        public Future<StoreChanges> watch(long after, long waitMillis) {
-            Promise<StoreChanges> answer = Promise.promise();
-            watches.add(answer);
-            return answer.future();
-        }
+    /** A format that fails at one key. Stateless. */
+    private static final class FaultyValues extends NoValues {
+        private static final String KEY = "faulty";
 
-        @Override
-        public void cancelWatch() {}
-
-        Promise<StoreChanges> nextWatch() throws InterruptedException {
-            return watches.poll(30, TimeUnit.SECONDS);
-        }
-    }
-
-    /** A format that parses no values. Stateless. */
-    private static final class NoValues implements PublishedFormat {
         @Override
         public Kind kind(String key) {
-            return Kind.OTHER;
-        }
-
-        @Override
-        public String name(String key) {
-            return key;
-        }
-
-        @Override
-        public Optional<GatewayPublication> configuration(StoredItem item, Findings findings) {
-            return Optional.empty();
-        }
-
-        @Override
-        public Optional<UpstreamReplica> replica(StoredItem item, Findings findings) {
-            return Optional.empty();
+            if (key.equals(KEY)) {
+                throw new IllegalStateException("faulty value");
+            }
+            return super.kind(key);
         }
     }
 }
