A VM that sends its copy of the store byte by byte no longer blocks copies

Cause: StoreCopier bounded only the idle time of an answer, and makes one copy at a time. Users saw: a VM that does not read the store itself would get no further change by a copy while the answer lasted. Why it works: an answer must be complete within 5 s; otherwise its request is reset, and the next heartbeat may start a copy. Open: nothing.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopier.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopier.java
@@ -9,11 +9,14 @@
 import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.entry.http.BoundedBody;
 import io.vanillapoint.wire.FleetCodec;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 /**
@@ -31,8 +34,12 @@
     /** Largest message that the codec reads. */
     private static final long MAX_BYTES = 16L * 1_024 * 1_024;
 
+    /** Longest time for the connection, and without a byte of the answer. */
     private static final long TIMEOUT_MILLIS = 800;
 
+    /** Longest time for the complete answer. */
+    private static final long ANSWER_TIMEOUT_MILLIS = 5_000;
+
     private final FleetCodec codec = new FleetCodec();
     private final FleetView fleet;
     private final PublishedState publishedState;
@@ -91,8 +98,7 @@
                         .setConnectTimeout(TIMEOUT_MILLIS)
                         .setTimeout(TIMEOUT_MILLIS);
         client.request(target)
-                .compose(request -> request.send())
-                .compose(response -> BoundedBody.read(response, MAX_BYTES))
+                .compose(StoreCopier::answer)
                 .onComplete(
                         body -> {
                             copyInProgress = false;
@@ -106,6 +112,14 @@
                         });
     }
 
+    /** Another VM that keeps sending bytes never exceeds the idle timeout of the request. */
+    private static Future<Buffer> answer(HttpClientRequest request) {
+        return request.send()
+                .compose(response -> BoundedBody.read(response, MAX_BYTES))
+                .timeout(ANSWER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .onFailure(error -> request.reset());
+    }
+
     private void applyCopy(String vm, Buffer body) {
         try {
             StoreChanges changes = codec.decodeStoreChanges(body.getBytes());
--- /dev/null
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreCopierTest.java
@@ -0,0 +1,114 @@
+package io.vanillapoint.entry.control;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.fleet.FleetReport;
+import io.vanillapoint.core.fleet.FleetTiming;
+import io.vanillapoint.core.fleet.FleetView;
+import io.vanillapoint.core.fleet.MemberInfo;
+import io.vanillapoint.core.fleet.MemberState;
+import io.vanillapoint.core.published.StorePosition;
+import io.vanillapoint.core.upstream.UpstreamPool;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Copies from a VM whose answers never end. */
+class StoreCopierTest {
+    private static final String HOST = "127.0.0.1";
+    private static final int COPIES = 3;
+    private static final long BYTE_INTERVAL_MILLIS = 50;
+    private static final long HEARTBEAT_MILLIS = 50;
+    private static final long WAIT_SECONDS = 20;
+
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final CountDownLatch copies = new CountDownLatch(COPIES);
+
+    @AfterEach
+    void close() throws Exception {
+        vertx.close().await(10, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void copyThatArrivesByteByByteIsGivenUpAndRepeated() throws Exception {
+        HttpServer server =
+                vertx.createHttpServer()
+                        .requestHandler(this::answerByteByByte)
+                        .listen(0, HOST)
+                        .await(10, TimeUnit.SECONDS);
+        Promise<Void> started = Promise.promise();
+        vertx.runOnContext(
+                ignored -> {
+                    start(server.actualPort());
+                    started.complete();
+                });
+        started.future().await(10, TimeUnit.SECONDS);
+        assertThat("copies began", copies.await(WAIT_SECONDS, TimeUnit.SECONDS), is(true));
+    }
+
+    private void start(int port) {
+        LongSupplier clock = () -> System.nanoTime() / 1_000_000;
+        FleetView fleet = new FleetView(vm("vm-1"), FleetTiming.DEFAULT, 2);
+        PublishedState state =
+                new PublishedState(
+                        new NoValues(),
+                        new UpstreamPool(Map.of()),
+                        (code, values) -> {},
+                        clock,
+                        publication -> {});
+        StoreSync sync =
+                new StoreSync(
+                        vertx, new FakeSource(), state, (code, values) -> {}, clock, () -> false);
+        StoreCopier copier =
+                new StoreCopier(
+                        fleet,
+                        state,
+                        sync,
+                        vertx.createHttpClient(),
+                        (code, values) -> {},
+                        clock,
+                        port);
+        long[] sequence = new long[1];
+        vertx.setPeriodic(
+                HEARTBEAT_MILLIS,
+                ignored -> {
+                    FleetReport report =
+                            FleetReport.builder(vm("vm-2"), ++sequence[0])
+                                    .store(new StorePosition(1, 100), true)
+                                    .build();
+                    fleet.receive(report, clock.getAsLong());
+                    copier.copyIfBehind();
+                });
+    }
+
+    private void answerByteByByte(HttpServerRequest request) {
+        copies.countDown();
+        request.response().setChunked(true);
+        long timer =
+                vertx.setPeriodic(BYTE_INTERVAL_MILLIS, ignored -> request.response().write(" "));
+        request.response().exceptionHandler(ignored -> vertx.cancelTimer(timer));
+        request.response().closeHandler(ignored -> vertx.cancelTimer(timer));
+    }
+
+    private static MemberInfo vm(String name) {
+        return new MemberInfo(
+                name,
+                HOST,
+                new RegionId("west"),
+                new ZoneId("west-a"),
+                MemberInfo.ONE_CORE,
+                1,
+                MemberState.READY);
+    }
+}
