Polls whose responses never end free their connections

Cause: LoadPoller and PlatformWatcher stopped waiting for a response after a time limit, but left its connection in use. After five such responses the client's pool for that address was exhausted for as long as they lasted. Users saw: the load of such an upstream was not read any more; such a configuration service could not be read either. Evidence: LoadPollerTest failed before ("condition did not hold in time: the upstream is polled on", 60 s), passes after in 2.8 s; KeyTest and ConfigurationTest pass. Why it works: the request of a response that is not complete in time is reset, which closes its connection. Open: PlatformWatcher has the same cause and the same mend, but no test of its own; its limit of 8 s makes one slow.

--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/platform/LoadPoller.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/platform/LoadPoller.java
@@ -6,9 +6,11 @@
 import io.vanillapoint.api.model.Upstream;
 import io.vanillapoint.api.model.UpstreamKind;
 import io.vanillapoint.server.control.ControlPlane;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
@@ -67,12 +69,19 @@
                         upstream.address().port(),
                         upstream.address().host(),
                         "/load")
-                .compose(request -> request.send())
-                .compose(HttpClientResponse::body)
+                .compose(LoadPoller::report)
                 .timeout(RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .onSuccess(body -> recordReport(upstream, body));
     }
 
+    /** Frees the connection if no complete report arrives in time. */
+    private static Future<Buffer> report(HttpClientRequest request) {
+        return request.send()
+                .compose(HttpClientResponse::body)
+                .timeout(RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .onFailure(error -> request.reset());
+    }
+
     private void recordReport(Upstream upstream, Buffer body) {
         try {
             JsonNode running = MAPPER.readTree(body.getBytes()).path("running");
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/platform/PlatformWatcher.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/platform/PlatformWatcher.java
@@ -13,6 +13,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -70,19 +71,25 @@
                 "/v1/values?since=" + control.completeThroughRevision() + "&wait=" + waitSeconds;
         Future<Buffer> body =
                 client.request(HttpMethod.GET, address.port(), address.host(), uri)
-                        .compose(request -> request.send())
-                        .compose(
-                                response ->
-                                        response.statusCode() == 200
-                                                ? response.body()
-                                                : Future.failedFuture(
-                                                        "status " + response.statusCode()));
+                        .compose(PlatformWatcher::response);
         body.timeout(RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .map(buffer -> applyResponse(requestedAt, buffer))
                 .onSuccess(ignored -> scheduleNextRead())
                 .onFailure(this::onReadFailed);
     }
 
+    /** Frees the connection if no complete response arrives in time. */
+    private static Future<Buffer> response(HttpClientRequest request) {
+        return request.send()
+                .compose(
+                        response ->
+                                response.statusCode() == 200
+                                        ? response.body()
+                                        : Future.failedFuture("status " + response.statusCode()))
+                .timeout(RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .onFailure(error -> request.reset());
+    }
+
     /**
      * Reads again, immediately or, while this VM's share is not active, after a short pause. A
      * newcomer reads often because it needs a fresh list of VMs to activate its share.
