Attempt: an unexpected error while a head is written or read ends the attempt, not the deadline

Cause: UpstreamAttempt runs these two steps in callbacks of the HTTP client; an exception there went to the event loop's handler, and nobody told the request that its attempt was over.

What callers saw: nothing until the deadline of the request, then 504.

Evidence: UpstreamAttemptTest with a format that throws. Before: 2 errors of 2, "TimeoutException" after 10 s each; after: 2 of 2 pass, and RequestRunTest and RelayHandlerTest pass.

Why this works: before the head is written nothing is sent, so the attempt ends as withheld, and the request may be placed again or is refused as not run; a response head that cannot be read is no response to this request (garbled).

Open: no input that raises such an exception is known: heads with bytes of the test's choice (CallerConnectionTest, ReplicaResponseTest) raised none. Exceptions in the listener of the attempt are not covered by this.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
@@ -68,7 +68,13 @@
             fail(AttemptOutcome.WITHHELD, "replica no longer accepts the request", 0);
             return;
         }
-        format.writeCall(call.withRemainingMillis(remaining), request.headers());
+        try {
+            format.writeCall(call.withRemainingMillis(remaining), request.headers());
+        } catch (RuntimeException e) {
+            reset();
+            fail(AttemptOutcome.WITHHELD, "request cannot be written: " + e, 0);
+            return;
+        }
         request.response()
                 .onComplete(
                         answered -> {
@@ -90,7 +96,14 @@
         if (done()) {
             return;
         }
-        ResponseEnvelope head = format.response(response.statusCode(), response.headers());
+        ResponseEnvelope head;
+        try {
+            head = format.response(response.statusCode(), response.headers());
+        } catch (RuntimeException e) {
+            fail(AttemptOutcome.GARBLED, "response cannot be read: " + e, 0);
+            reset();
+            return;
+        }
         Optional<String> defect = defect(head);
         if (defect.isPresent()) {
             fail(AttemptOutcome.GARBLED, defect.get(), 0);
--- /dev/null
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UpstreamAttemptTest.java
@@ -0,0 +1,141 @@
+package io.vanillapoint.entry.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.vanillapoint.core.attempt.AttemptOutcome;
+import io.vanillapoint.core.message.HeaderField;
+import io.vanillapoint.entry.port.RequestEnvelope;
+import io.vanillapoint.entry.port.RequestFormat;
+import io.vanillapoint.entry.port.ResponseEnvelope;
+import io.vanillapoint.entry.port.UpstreamCall;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.RequestOptions;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Attempts whose heads cannot be written or read end at once. */
+class UpstreamAttemptTest {
+    private static final long WAIT_SECONDS = 10;
+
+    private final Vertx vertx = Vertx.vertx();
+    private final AtomicInteger received = new AtomicInteger();
+    private boolean writingFails;
+    private boolean readingFails;
+
+    @AfterEach
+    void close() throws Exception {
+        vertx.close().await(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void attemptWhoseHeadersCannotBeWrittenIsNotSent() throws Exception {
+        writingFails = true;
+        assertThat(outcome(), is(AttemptOutcome.WITHHELD));
+        assertThat(received.get(), is(0));
+    }
+
+    @Test
+    void attemptWhoseResponseHeadCannotBeReadIsGarbled() throws Exception {
+        readingFails = true;
+        assertThat(outcome(), is(AttemptOutcome.GARBLED));
+    }
+
+    private AttemptOutcome outcome() throws Exception {
+        int port =
+                vertx.createHttpServer()
+                        .requestHandler(
+                                request -> {
+                                    received.incrementAndGet();
+                                    request.response().end("answer");
+                                })
+                        .listen(0, "127.0.0.1")
+                        .await(WAIT_SECONDS, TimeUnit.SECONDS)
+                        .actualPort();
+        Promise<AttemptOutcome> outcome = Promise.promise();
+        UpstreamCall call =
+                new UpstreamCall(
+                        List.of(),
+                        "i-1",
+                        Optional.empty(),
+                        4_000,
+                        OptionalInt.empty(),
+                        OptionalLong.empty(),
+                        Optional.empty());
+        UpstreamAttempt attempt =
+                new UpstreamAttempt(
+                        new FailingFormat(),
+                        new EventLoopGate(vertx, () -> 0, new EventLoopLag(200, 0)),
+                        call,
+                        () -> 4_000,
+                        () -> true,
+                        "id-1",
+                        new OutcomeListener(outcome));
+        RequestOptions target = new RequestOptions().setHost("127.0.0.1").setPort(port);
+        vertx.runOnContext(
+                ignored -> attempt.start(vertx.createHttpClient(), target, Buffer.buffer()));
+        return outcome.future().await(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Format that fails where the test says. Confined to one event loop. */
+    private final class FailingFormat implements RequestFormat {
+        private final StubRequestFormat stub = new StubRequestFormat();
+
+        @Override
+        public RequestEnvelope request(MultiMap headers) {
+            return stub.request(headers);
+        }
+
+        @Override
+        public void writeCall(UpstreamCall call, MultiMap headers) {
+            if (writingFails) {
+                throw new IllegalArgumentException("unforeseen");
+            }
+        }
+
+        @Override
+        public List<HeaderField> relayHeaders(RequestEnvelope request, OptionalLong lastEventId) {
+            return stub.relayHeaders(request, lastEventId);
+        }
+
+        @Override
+        public ResponseEnvelope response(int status, MultiMap headers) {
+            if (readingFails) {
+                throw new IllegalArgumentException("unforeseen");
+            }
+            return stub.response(status, headers);
+        }
+    }
+
+    /** Listener that keeps the outcome of a failed attempt. Confined to one event loop. */
+    private record OutcomeListener(Promise<AttemptOutcome> outcome) implements AttemptListener {
+        @Override
+        public void head(ResponseEnvelope head) {
+            // Only failures are expected.
+        }
+
+        @Override
+        public void data(Buffer data) {
+            // Only failures are expected.
+        }
+
+        @Override
+        public void end(boolean framed) {
+            outcome.fail("the attempt succeeded");
+        }
+
+        @Override
+        public void failed(AttemptOutcome result, String cause, long retryAfterMillis) {
+            outcome.complete(result);
+        }
+    }
+}
