A VM that starts after the store's return takes the newest configuration that a VM has in force

Cause: after the store's return from an older copy, VMs keep the newer configuration that they had in force, but hand out only what the store holds. A VM that starts then lists the store, or copies that from another VM, and takes the copy's older configuration.

Callers saw: a withdrawn key served by a VM that had started after the return, until operators wrote a newer version.

Evidence: StoreCopyTest.vmThatStartsAfterTheReturnDoesNotTakeTheConfigurationOfTheCopy before: Expected: is <401> but: was <200> after: Tests of StoreCopyTest and StoreSyncTest pass.

Why it works: once in each era a VM asks the VM that has run longest for the configuration in force. A VM that knows none yet, and whose store has returned at least once, awaits the answer for 0.7 s before it takes the store's and becomes ready. VMs of earlier builds answer 404, which counts as no knowledge.

Open: a VM that hears no other VM for 0.7 s takes the copy's configuration until it hears one. If all VMs that knew the newer configuration have ended, nobody knows it. A starting VM knows of replicas and evacuations only what the copy shows. The cost of the wait in starts was not measured.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
@@ -202,6 +202,8 @@
                     request,
                     OK,
                     control.publishedSince(request.getParam("after"), request.getParam("era")));
+        } else if (request.path().equals(EntryControl.configurationPath())) {
+            respond(request, OK, control.configurationInForce(request.getParam("newerThan")));
         } else {
             respond(request, NOT_FOUND, Buffer.buffer());
         }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
@@ -21,6 +21,7 @@
     private final PublishedState publishedState;
     private final StoreSync storeSync;
     private final StoreCopier storeCopier;
+    private final ConfigurationCopier configurationCopier;
     private final FleetLink fleetLink;
     private final FleetCodec codec = new FleetCodec();
 
@@ -57,6 +58,14 @@
                         context.log(),
                         context.clock(),
                         context.peerPort());
+        configurationCopier =
+                new ConfigurationCopier(
+                        context.fleet(),
+                        publishedState,
+                        context.vmClient(),
+                        context.log(),
+                        context.clock(),
+                        context.peerPort());
         fleetLink =
                 new FleetLink(
                         context.vertx(),
@@ -71,8 +80,12 @@
                             if (report.published().isAfter(publishedState.position())) {
                                 storeCopier.copyIfBehind();
                             }
+                            configurationCopier.copyOnceInEra();
                         },
-                        storeCopier::copyIfBehind);
+                        () -> {
+                            storeCopier.copyIfBehind();
+                            configurationCopier.copyOnceInEra();
+                        });
     }
 
     /**
@@ -142,6 +155,27 @@
         return Buffer.buffer(codec.encode(publishedState.since(position)));
     }
 
+    /**
+     * Path on the peer port at which other VMs copy the configuration in force.
+     *
+     * @return absolute path
+     */
+    public static String configurationPath() {
+        return ConfigurationCopier.PATH;
+    }
+
+    /**
+     * Encodes the configuration in force if another VM lacks it.
+     *
+     * @param newerThan version that the other VM has in force, as decimal text; missing or
+     *     malformed text counts as 0
+     * @return encoded configuration, no items if the other VM's is as new
+     */
+    public Buffer configurationInForce(String newerThan) {
+        long version = number(newerThan).orElse(0);
+        return Buffer.buffer(codec.encode(publishedState.configurationInForce(version)));
+    }
+
     private static OptionalLong number(String text) {
         boolean isNumber = text != null && text.matches("\\d{1,18}");
         return isNumber ? OptionalLong.of(Long.parseLong(text)) : OptionalLong.empty();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
@@ -38,6 +38,15 @@
      */
     private static final long HOLD_BACK_MILLIS = 10_000;
 
+    /** A store that counts a later era has returned from a copy at least once. */
+    private static final long FIRST_ERA = 1;
+
+    /**
+     * Time for which a VM that knows no configuration awaits the word of another VM before it takes
+     * the store's, after the store has returned from a copy.
+     */
+    private static final long OTHERS_MILLIS = 700;
+
     private final PublishedTable table = new PublishedTable();
     private final PublishedFormat format;
     private final UpstreamPool pool;
@@ -46,6 +55,10 @@
     private final Consumer<GatewayPublication> publicationListener;
     private final Map<String, StoredItem> heldBack = new HashMap<>();
     private Optional<GatewayPublication> publication = Optional.empty();
+    private Optional<StoredItem> itemInForce = Optional.empty();
+    private Optional<StoredItem> awaitingOthers = Optional.empty();
+    private long awaitingSinceMillis;
+    private boolean othersAnswered;
     private long heldBackSinceMillis;
     private boolean eraChanged;
 
@@ -108,6 +121,32 @@
         return table.since(newerThan);
     }
 
+    /**
+     * The configuration in force, which may be newer than the store's after its return from a copy.
+     *
+     * @param newerThan version that the other VM has in force
+     * @return the configuration, without a position; no items if it is not newer
+     */
+    public StoreChanges configurationInForce(long newerThan) {
+        boolean newer = publication.filter(known -> known.version() > newerThan).isPresent();
+        return StoreChanges.changes(
+                StorePosition.START, newer ? itemInForce.stream().toList() : List.of());
+    }
+
+    /**
+     * Applies the configuration that another VM has in force, if it is newer.
+     *
+     * @param answer the other VM's configuration, no items if this VM's is as new
+     * @param source name of the other VM, for the log
+     */
+    public void mergeConfigurationInForce(StoreChanges answer, String source) {
+        othersAnswered = true;
+        answer.items().stream()
+                .filter(item -> format.kind(item.key()) == PublishedFormat.Kind.CONFIGURATION)
+                .forEach(item -> applyIsolated(item, () -> applyConfiguration(item, source)));
+        applyAwaiting();
+    }
+
     /**
      * Applies changes. If they are the first of a later era, the store has returned from an older
      * copy: values of the copy that contradict what this VM knew are held back.
@@ -155,8 +194,14 @@
         return apply(adopted, source, true);
     }
 
-    /** Applies values of a copy that were held back and not written again in time. */
+    /**
+     * Applies values of a copy that were held back and not written again in time, and the first
+     * configuration if no other VM has answered.
+     */
     public void applyHeldBack() {
+        if (clock.getAsLong() - awaitingSinceMillis >= OTHERS_MILLIS) {
+            applyAwaiting();
+        }
         if (!heldBack.isEmpty() && clock.getAsLong() - heldBackSinceMillis >= HOLD_BACK_MILLIS) {
             List<StoredItem> items = List.copyOf(heldBack.values());
             heldBack.clear();
@@ -211,6 +256,17 @@
         }
     }
 
+    private void applyAwaiting() {
+        Optional<StoredItem> awaiting = awaitingOthers;
+        awaitingOthers = Optional.empty();
+        othersAnswered |= awaiting.isPresent();
+        awaiting.ifPresent(item -> applyIsolated(item, () -> applyConfiguration(item, "store")));
+    }
+
+    private boolean awaitsOthers() {
+        return publication.isEmpty() && !othersAnswered && table.position().era() > FIRST_ERA;
+    }
+
     private void applyConfiguration(StoredItem item, String source) {
         if (item.removed()) {
             log.record(
@@ -226,6 +282,13 @@
         if (parsed.isEmpty()) {
             return;
         }
+        if (awaitsOthers()) {
+            if (awaitingOthers.isEmpty()) {
+                awaitingSinceMillis = clock.getAsLong();
+            }
+            awaitingOthers = Optional.of(item);
+            return;
+        }
         if (!isNewer(parsed.get())) {
             log.record(
                     EventCode.PUBLICATION_IGNORED,
@@ -236,6 +299,7 @@
             return;
         }
         publication = parsed;
+        itemInForce = Optional.of(item);
         publicationListener.accept(parsed.get());
         log.record(EventCode.PUBLICATION_TAKEN, parsed.get().version(), item.revision(), source);
     }
