--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UpstreamAttemptTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UpstreamAttemptTest.java
@@ -128,6 +128,11 @@
             // Only failures are expected.
         }
 
+        @Override
+        public void stalled() {
+            // Only failures are expected.
+        }
+
         @Override
         public void end(boolean framed) {
             outcome.fail("the attempt succeeded");
