A message of a VM whose handling fails is logged, and the next one is handled

Cause: FrameSocket caught only VanillapointException, so another exception passed through the parser of the connection, which then withheld the frames that had arrived with the message. PeerConnection ignored failures of the control thread. Users saw: forwarded requests and control messages that shared the connection would have waited until more bytes arrived. No message that causes such an error is known. Evidence: FrameSocketTest.messageWhoseHandlingFailsIsLoggedAndTheNextIsHandled failed before ("condition did not hold in time: the last message is handled", 60 s), passes after. Open: nothing.

--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/FrameSocket.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/FrameSocket.java
@@ -116,7 +116,8 @@
                 expectsLength = true;
                 parser.fixedSizeMode(LENGTH_BYTES);
                 clock.observePacked(buffer.getLong(0));
-                codec.decode(buffer.getBytes(TIMESTAMP_BYTES, buffer.length())).ifPresent(receiver);
+                codec.decode(buffer.getBytes(TIMESTAMP_BYTES, buffer.length()))
+                        .ifPresent(this::receive);
             }
         } catch (VanillapointException e) {
             events.record(EventCode.PEER_BAD_FRAME, socket.remoteAddress(), e.getMessage());
@@ -124,6 +125,18 @@
         }
     }
 
+    /** An unexpected error must not reach the parser, which would withhold the next frames. */
+    private void receive(PeerMessage message) {
+        try {
+            receiver.accept(message);
+        } catch (VanillapointException e) {
+            throw e;
+        } catch (RuntimeException e) {
+            events.record(
+                    EventCode.INTERNAL_ERROR, "handling a message of " + socket.remoteAddress(), e);
+        }
+    }
+
     private void expectPayload(int length) {
         int maxLength = TIMESTAMP_BYTES + codec.maxFrameBytes();
         if (length <= TIMESTAMP_BYTES || length > maxLength) {
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/PeerConnection.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/PeerConnection.java
@@ -2,6 +2,7 @@
 
 import io.vanillapoint.api.error.ErrorCode;
 import io.vanillapoint.api.error.VanillapointException;
+import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.model.Customer;
 import io.vanillapoint.api.model.UpstreamKind;
 import io.vanillapoint.api.model.VmId;
@@ -52,7 +53,14 @@
         } else {
             context.control()
                     .receive(peer, message)
-                    .onSuccess(reply -> reply.ifPresent(this::sendReply));
+                    .onSuccess(reply -> reply.ifPresent(this::sendReply))
+                    .onFailure(
+                            error ->
+                                    context.events()
+                                            .record(
+                                                    EventCode.INTERNAL_ERROR,
+                                                    "handling a message of " + peer,
+                                                    error));
         }
     }
 
