Fuzz: requests cut and split at each byte

Two tests of FuzzTest: callers that leave after each byte of a chunked request with a trailer, and two such requests on one connection that are split at every third byte, which get their two responses.

--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/FuzzTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/FuzzTest.java
@@ -1,7 +1,9 @@
 package io.vanillapoint.server;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
 
 import io.vanillapoint.api.model.VmId;
 import io.vanillapoint.core.message.Heartbeat;
@@ -17,6 +19,7 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.AfterEach;
@@ -89,6 +92,48 @@
         assertServes();
     }
 
+    /** The caller leaves after each part of a request; nothing of it is left over. */
+    @Test
+    void requestCutAtEachByteDoesNotStopTheVm() throws IOException {
+        byte[] request = chunkedRequest("").getBytes(StandardCharsets.US_ASCII);
+        for (int length = 1; length <= request.length; length++) {
+            send(gateway.callers("a-1"), Arrays.copyOf(request, length));
+        }
+        assertServes();
+    }
+
+    /** Two requests on one connection, split at each byte, get their two responses. */
+    @Test
+    void requestsSplitAtEachByteGetTheirResponses() throws IOException {
+        byte[] requests =
+                (chunkedRequest("") + chunkedRequest("Connection: close\r\n"))
+                        .getBytes(StandardCharsets.US_ASCII);
+        for (int length = 1; length < requests.length; length += 3) {
+            try (Socket socket = new Socket(Await.HOST, gateway.callers("a-1"))) {
+                socket.setTcpNoDelay(true);
+                OutputStream out = socket.getOutputStream();
+                out.write(requests, 0, length);
+                out.flush();
+                out.write(requests, length, requests.length - length);
+                out.flush();
+                String responses =
+                        new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                int second = responses.indexOf("HTTP/1.1 200", 1);
+                assertThat("split at " + length, responses, startsWith("HTTP/1.1 200"));
+                assertThat("split at " + length, second, greaterThan(0));
+            }
+        }
+        assertServes();
+    }
+
+    private static String chunkedRequest(String header) {
+        return "POST /services/read/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                + Gateway.KEY
+                + "\r\n"
+                + header
+                + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nX-T: t\r\n\r\n";
+    }
+
     private void assertServes() {
         for (int i = 0; i < 10; i++) {
             assertThat(gateway.call("a-1", "GET", "/services/read/x", "").body(), is("ok"));
