Replicas that failed are probed with their status call and used at once when they are back

Cause: a replica that failed twice counted as possibly restarted, so cold, until three seconds after its next answer, and nothing but a caller's request tried it. Replicas that came back unchanged after a cut got the rate of cold ones.

What callers saw: when half of the replicas were out of reach for four seconds, refusals went on for four seconds after they could be reached again, and a request that tried a replica in vain lost up to 300 ms.

Fix: each VM calls GET /-/report of a failing replica itself (ReplicaProber; the decisions are in Ejection and ProbePlan). The same start as in its entry ends the ejection and the suspicion of a restart. A later start keeps the rate of a cold replica until the new entry arrives. An answer without a start (404, malformed, entry without one) shows only that the replica can be reached, and the caution of three seconds stays. While probes can't connect, no caller's request is sent. A replica that answers probes but fails its next request is ejected as before; one that accepts connections but never answered a probe is tried with requests as before. At most one probe of a replica is pending and 20 a second are sent by a VM, with jitter.

ReplicaReturnTest on sockets, without the prober: 6 of 6 fail; replicaThatReturnsUnchangedIsNotHeldForCold with "request 0 Expected: is <true> but: was <false>", the others since no event of a probe is logged. After: all pass. ColdFleetTest, ColdOwnersTest, ColdSendTest and RestartedReplicaTest are unchanged and pass.

Mutants that ReturnedReplicasTest and ReplicaProbeTest catch: a restart taken for the same start (15 to 18 arrivals in a second at a cold replica, 6.9 allowed), no caution without a start (15 to 18), probes that always end an ejection (49 requests lost in 20 s, 7 allowed).

Why it works: the start time of the process that answers is the fact that the three seconds only waited for.

A replica whose restart a probe has shown stays at the cold rate for as long as its entry does not arrive (store out of reach). Whether the status call counts against the rate of a cold replica is not certain (docs/PLATFORM.md).

--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -283,6 +283,11 @@
     /** A request was withheld, since its prompt parts crash engines. */
     PROMPT_WITHHELD(
             2409, EventLevel.INFO, "prompt withheld", "request", "parts", "step", "retry_after_ms"),
+    /** A probe has shown that a replica that failed can be used again. */
+    REPLICA_BACK(2410, EventLevel.INFO, "replica back", "replica", "start", "failing_ms"),
+    /** A replica answered a probe with a status that could not be read. */
+    REPLICA_STATUS_UNUSABLE(
+            2411, EventLevel.WARN, "replica status unusable", "replica", "findings"),
     /** Log lines were omitted to limit the log rate. */
     LINES_LEFT_OUT(2901, EventLevel.WARN, "lines left out", "event", "lines");
 
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -167,7 +167,7 @@
             coldGate.consume();
         }
         if (ejection.failing()) {
-            ejection.probeSent(nowMillis);
+            ejection.trialSent(nowMillis);
         }
         backoff.requestSent(nowMillis);
     }
@@ -214,6 +214,67 @@
         ejection.failed(nowMillis);
     }
 
+    /**
+     * Time since the first of the consecutive failures.
+     *
+     * @param nowMillis monotonic time
+     * @return milliseconds, 0 if the replica is not failing
+     */
+    public long failingMillis(long nowMillis) {
+        return ejection.failingMillis(nowMillis);
+    }
+
+    /** Tells whether a probe would tell more of the replica, now or later. */
+    boolean probeWanted(long nowMillis) {
+        return ejection.probeWanted(nowMillis);
+    }
+
+    /** Tells whether a probe should be sent now. */
+    boolean probeDue(long nowMillis) {
+        return ejection.probeDue(nowMillis);
+    }
+
+    /** Earliest time of the next probe. */
+    long nextProbeMillis() {
+        return ejection.nextProbeMillis();
+    }
+
+    /** Records a probe that is about to be sent, with the jitter of the pause after it. */
+    void probeStarted(long jitterMillis, long nowMillis) {
+        ejection.probeStarted(jitterMillis, nowMillis);
+    }
+
+    /**
+     * Records that the replica answered a probe.
+     *
+     * @param startedAtMillis wall-clock time of its start that it told, 0 if it told none
+     * @param nowMillis monotonic time
+     * @return what this tells about a restart
+     */
+    public RestartEvidence probeAnswered(long startedAtMillis, long nowMillis) {
+        RestartEvidence evidence = RestartEvidence.of(info.startedAtMillis(), startedAtMillis);
+        ejection.probeAnswered(evidence, nowMillis);
+        return evidence;
+    }
+
+    /**
+     * Records that a probe could not connect, or reached another replica at the address.
+     *
+     * @param nowMillis monotonic time
+     */
+    public void probeUnreachable(long nowMillis) {
+        ejection.probeUnreachable(nowMillis);
+    }
+
+    /**
+     * Records that the replica accepted the connection of a probe but did not answer it.
+     *
+     * @param nowMillis monotonic time
+     */
+    public void probeUnanswered(long nowMillis) {
+        ejection.probeUnanswered(nowMillis);
+    }
+
     /**
      * Records that the replica announced in a response that it leaves. Only a restart under the
      * same id clears this.
@@ -267,7 +328,7 @@
         return cold(nowMillis) || ejection.mayHaveRestarted(nowMillis);
     }
 
-    /** Tells whether this VM may probe a failing replica regardless of cold-start ownership. */
+    /** Tells whether this VM may try a failing replica regardless of cold-start ownership. */
     boolean mayProbe(int turn, long nowMillis) {
         return !cold(nowMillis) && ejection.mayProbe(turn, nowMillis);
     }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -22,8 +22,8 @@
  * leaves, has requested a backoff, or whose entry has been removed for longer than the grace time.
  * A cold replica, or one that may have restarted, receives requests only from its owners and only
  * at their part of its rate, and none from a process that can't know yet whether it is an owner.
- * Exception: a VM that has not sent to a failing replica for seconds probes it in its turn.
- * Confined to one thread.
+ * Exception: where probes tell nothing, a VM that has not sent to a failing replica for seconds
+ * tries it in its turn. Confined to one thread.
  */
 public final class UpstreamPool {
     /**
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -20,6 +20,7 @@
 import io.vanillapoint.core.published.GatewayPublication;
 import io.vanillapoint.core.retry.RetryAllowance;
 import io.vanillapoint.core.upstream.PlacementWeights;
+import io.vanillapoint.core.upstream.ProbePlan;
 import io.vanillapoint.core.upstream.ReplicaChooser;
 import io.vanillapoint.core.upstream.UpstreamPool;
 import io.vanillapoint.entry.control.EntryControl;
@@ -39,6 +40,7 @@
 import io.vanillapoint.entry.traffic.EventLoopGate;
 import io.vanillapoint.entry.traffic.EventLoopLag;
 import io.vanillapoint.entry.traffic.PromptGuard;
+import io.vanillapoint.entry.traffic.ReplicaProber;
 import io.vanillapoint.entry.traffic.ResponseMemoryBudget;
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
@@ -86,6 +88,7 @@
     private final CallerHandler callers;
     private final RelayHandler relays;
     private final EntryListeners listeners;
+    private final ReplicaProber prober;
     private final Promise<Void> stopped = Promise.promise();
     private final EventLoopLag lag;
     private final LoadMeter load = new LoadMeter();
@@ -139,6 +142,8 @@
                         this::stopping,
                         () -> refusingRequests);
         relays = new RelayHandler(context, publishedState::publication);
+        ProbePlan probes = new ProbePlan(pool, settings.vm().hashCode() + incarnation, now());
+        prober = new ReplicaProber(context, platform.replicaStatus(), probes);
         control =
                 new EntryControl(
                         context,
@@ -285,6 +290,7 @@
         retries.updateVmCount(fleet.knownVms(), fleet.knowsVmsOf(settings.zones().values()));
         publishedState.applyHeldBack();
         pool.prune(now());
+        prober.check();
         prompts.prune();
         updateRoster();
         log.flush();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/EntryPlatform.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/EntryPlatform.java
@@ -22,6 +22,13 @@
      */
     EntryFormat entry();
 
+    /**
+     * Format of the call with which replicas tell their state.
+     *
+     * @return the format
+     */
+    ReplicaStatusFormat replicaStatus();
+
     /**
      * Format of published values.
      *
