--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -293,6 +293,11 @@
     /** A request was withheld, since its prompt parts crash engines. */
     PROMPT_WITHHELD(
             2409, EventLevel.INFO, "prompt withheld", "request", "parts", "step", "retry_after_ms"),
+    /** A probe has shown that a replica that failed can be used again. */
+    REPLICA_BACK(2410, EventLevel.INFO, "replica back", "replica", "start", "failing_ms"),
+    /** A replica answered a probe with a status that could not be read. */
+    REPLICA_STATUS_UNUSABLE(
+            2411, EventLevel.WARN, "replica status unusable", "replica", "findings"),
     /** Replicas of a service announced that too many rejections crash them. */
     REPLICA_BRITTLE(
             2415,
