--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -120,6 +120,17 @@
         roundTrips.put(region, previous + NEWEST_ROUND_TRIP_WEIGHT * (millis - previous));
     }
 
+    /**
+     * Records that a request is relayed.
+     *
+     * @param service name of its service
+     * @param region region that it is sent to
+     * @param nowMillis monotonic time
+     */
+    public void relayed(String service, RegionId region, long nowMillis) {
+        relayBackoff.relayed(service, region, nowMillis);
+    }
+
     /**
      * Records that a VM of another region had no replica for a relayed request.
      *
@@ -248,7 +259,6 @@
             return new Placement.Local(
                     best.tracker, best.uncachedTokens, (long) best.expectedMillis, source);
         }
-        relayBackoff.relayed(query.service().name(), best.tracker.region(), nowMillis);
         return new Placement.Relay(best.tracker.region(), (long) best.expectedMillis, remote);
     }
 
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/RelayFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/RelayFleet.java
@@ -310,6 +310,7 @@
             List<MemberInfo> targets = relayVms(relay);
             MemberInfo target = targets.get(random.nextInt(targets.size()));
             counts.relays++;
+            receiver.chooser.relayed(SERVICE.name(), relay.region(), fleet.now());
             schedule(delay, () -> placeRelayed(relay.region(), target, delay));
         }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
@@ -100,6 +100,7 @@
     }
 
     void sendToVm(MemberInfo vm, OptionalLong resumeAfter, RunningAttempt running) {
+        context.chooser().relayed(plan.service().name(), vm.region(), context.clock().getAsLong());
         RelayRequest request =
                 new RelayRequest(
                         plan.envelope().requestId(),
