Of a silent attempt and the one beside it, the first to deliver is kept

Cause: an attempt was taken for accepted at its head. Both attempts now keep back what they receive until one has a whole event, or a whole body if the answer isn't a stream; that one is kept and the other one closed. What ends the repeat (a hold of its prompt, an unexpected error) leaves the silent attempt open. While this VM is behind with reading, nobody counts as silent.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/Refusal.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/Refusal.java
@@ -1,5 +1,7 @@
 package io.vanillapoint.entry.traffic;
 
+import io.vanillapoint.core.attempt.AttemptHistory;
+
 /**
  * A final error response of the gateway itself. Immutable.
  *
@@ -63,6 +65,25 @@
         return new Refusal(TOO_MANY_REQUESTS, "rate_exceeded", true, false, retryAfterMillis);
     }
 
+    /**
+     * Ends a request after its attempts, truthful about whether it may have run.
+     *
+     * @param history attempts of the request
+     * @param expired true if its deadline has passed
+     * @param reason reason for the caller
+     * @param retryAfterMillis delay before a retry, if it has not run
+     * @return the refusal
+     */
+    static Refusal after(
+            AttemptHistory history, boolean expired, String reason, long retryAfterMillis) {
+        if (history.mayHaveRun()) {
+            return expired ? timedOut() : failed(reason);
+        }
+        return history.sent() > 0
+                ? rejected(reason, retryAfterMillis)
+                : notRun(reason, retryAfterMillis);
+    }
+
     /**
      * Fails a request that may have run.
      *
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -13,7 +13,6 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /**
  * Executes one admitted request, with its retries, until its response has ended.
@@ -113,8 +112,13 @@
                 current != null
                         && current.use().isPresent()
                         && current.stage(now()) == AttemptStage.WAITING;
-        if (!done && waiting && context.prompts().withholds(plan)) {
+        if (done || !waiting || !context.prompts().withholds(plan)) {
+            return;
+        }
+        if (silent == null) {
             terminate("prompt is withheld", PromptGuard.REASON);
+        } else {
+            reinstateSilent();
         }
     }
 
@@ -138,12 +142,9 @@
     @Override
     public void head(RunningAttempt attempt, ResponseEnvelope head) {
         attempt.headReceived(head, now());
-        if (attempt == silent) {
-            if (!head.success()) {
-                endSilent(AttemptOutcome.FAILED, "status " + head.status());
-                return;
-            }
-            reinstateSilent();
+        if (attempt == silent && !head.success()) {
+            endSilent(AttemptOutcome.FAILED, "status " + head.status());
+            return;
         }
         if (head.notExecuted() || head.misdirected()) {
             reject(attempt, head);
@@ -159,10 +160,9 @@
             attemptEnded(attempt, AttemptOutcome.FAILED, "status " + head.status(), 0);
             return;
         }
-        endSilent(AttemptOutcome.SUPERSEDED, "another replica has answered");
         boolean stream = head.success() && plan.route().kind() == RouteKind.EVENT_STREAM;
         attempt.accept(head, stream);
-        if (stream) {
+        if (stream && silent == null) {
             delivery.beginStream(head);
         }
     }
@@ -172,8 +172,8 @@
         attempt.replicaResponded(now());
         if (attempt.buffered()) {
             bufferData(attempt, data);
-        } else if (attempt == silent) {
-            withholdData(attempt, data);
+        } else if (silent != null) {
+            contend(attempt, data);
         } else {
             streamData(attempt, data);
         }
@@ -181,23 +181,22 @@
 
     @Override
     public void end(RunningAttempt attempt, boolean framed) {
-        if (attempt == silent) {
-            reinstateSilent();
-        }
         boolean streamed = !attempt.buffered();
-        if (streamed && !framed && delivery.streamBrokeOff(attempt.progress().pieces())) {
+        if (streamed && !framed && delivery.brokeOff(attempt)) {
             failed(attempt, AttemptOutcome.LOST, "stream ended inside an event or without any", 0);
             return;
         }
         ResponseEnvelope response = attempt.response();
-        outcomes.completed(attempt);
-        current = null;
         if (response.claimsNotRun()) {
             attempt.release();
             history.recordOutcome(AttemptOutcome.FAILED);
+            current = null;
             giveUp("replica_status_" + response.status(), 0);
             return;
         }
+        settle(attempt);
+        outcomes.completed(attempt);
+        current = null;
         try {
             if (streamed) {
                 delivery.endStream();
@@ -213,7 +212,7 @@
 
     @Override
     public void stalled(RunningAttempt attempt) {
-        if (attempt == current && mayReplace(now())) {
+        if (attempt == current && acquireRepeat(now())) {
             replace(attempt, Reason.SILENT);
         }
     }
@@ -233,9 +232,6 @@
     }
 
     private void bufferData(RunningAttempt attempt, Buffer data) {
-        if (attempt == silent) {
-            reinstateSilent();
-        }
         attempt.progress().received(1);
         if (!attempt.buffer(data)) {
             abandonTooLarge(attempt, "answer");
@@ -257,17 +253,38 @@
         outcomes.progressed(attempt);
         if (sink.isFull()) {
             attempt.pause();
-            sink.onDrain(() -> guarded("resuming a response", this::resume));
+            sink.onDrain(() -> guarded("resuming a response", () -> attempt.resume(now())));
         }
     }
 
-    /** Keeps back what a silent attempt sends until it has completed an event. */
-    private void withholdData(RunningAttempt attempt, Buffer data) {
+    /** Keeps back what the silent attempt and the one beside it send until one has an event. */
+    private void contend(RunningAttempt attempt, Buffer data) {
         attempt.withhold(data);
         if (EventStreamReader.containsEvent(attempt.withheldEvents())) {
-            reinstateSilent();
+            settle(attempt);
         } else if (attempt.withheldEvents().length() > EventStreamReader.MAX_EVENT_BYTES) {
-            endSilent(AttemptOutcome.GARBLED, "event exceeds the size limit");
+            abandonTooLarge(attempt, "event");
+        }
+    }
+
+    /** Keeps the attempt that has answered, and ends the one beside it. */
+    private void settle(RunningAttempt attempt) {
+        if (attempt == silent) {
+            reinstateSilent();
+            return;
+        }
+        endSilent(AttemptOutcome.SUPERSEDED, "another replica has answered");
+        deliverWithheld(attempt);
+    }
+
+    private void deliverWithheld(RunningAttempt attempt) {
+        if (attempt.response() == null || attempt.buffered()) {
+            return;
+        }
+        delivery.beginStream(attempt.response());
+        Buffer withheld = attempt.takeWithheldEvents();
+        if (withheld.length() > 0) {
+            streamData(attempt, withheld);
         }
     }
 
@@ -318,7 +335,7 @@
         search.tried(current.target());
         history.recordSend();
         log.placed(local, history.sent(), now);
-        starter.sendToReplica(local, resumeAfter(), current);
+        starter.sendToReplica(local, delivery.resumeAfter(plan), current);
         startMonitor();
     }
 
@@ -327,12 +344,7 @@
         current = RunningAttempt.atVm(this, context.memory(), vm.vm(), relay.region());
         history.recordSend();
         log.relayed(vm, relay, history.sent(), now);
-        starter.sendToVm(vm, resumeAfter(), current);
-    }
-
-    private OptionalLong resumeAfter() {
-        OptionalLong delivered = delivery.lastEventId();
-        return delivered.isPresent() ? delivered : plan.envelope().lastEventId();
+        starter.sendToVm(vm, delivery.resumeAfter(plan), current);
     }
 
     private void reject(RunningAttempt attempt, ResponseEnvelope head) {
@@ -354,7 +366,7 @@
     private void abandonTooLarge(RunningAttempt attempt, String what) {
         attempt.cancel();
         outcomes.misbehaved(attempt);
-        attemptEnded(attempt, AttemptOutcome.GARBLED, what + " exceeds the size limit", 0);
+        failed(attempt, AttemptOutcome.GARBLED, what + " exceeds the size limit", 0);
     }
 
     /** Retries the request if possible; otherwise the failure goes to the caller. */
@@ -424,28 +436,15 @@
             finish("broken_off");
             return;
         }
-        Refusal refusal = refusal(reason, retryAfterMillis);
-        sink.refuse(refusal);
-        log.refused(refusal, now());
-        finish(refusal.notRun() ? "refused" : "failed");
-    }
-
-    private Refusal refusal(String reason, long retryAfterMillis) {
-        if (history.mayHaveRun()) {
-            boolean expired = plan.deadlineMillis() - now() < MIN_ATTEMPT_MILLIS;
-            return expired ? Refusal.timedOut() : Refusal.failed(reason);
-        }
+        boolean expired = plan.deadlineMillis() - now() < MIN_ATTEMPT_MILLIS;
         long wait =
                 retryAfterMillis > 0
                         ? retryAfterMillis
                         : Math.max(RETRY_AFTER_MILLIS, search.backoffMillis(now()));
-        return history.sent() > 0 ? Refusal.rejected(reason, wait) : Refusal.notRun(reason, wait);
-    }
-
-    private void resume() {
-        if (current != null) {
-            current.resume(now());
-        }
+        Refusal refusal = Refusal.after(history, expired, reason, wait);
+        sink.refuse(refusal);
+        log.refused(refusal, now());
+        finish(refusal.notRun() ? "refused" : "failed");
     }
 
     private void startMonitor() {
@@ -468,7 +467,7 @@
         Optional<Reason> reason = attempt.checkProgress(now);
         if (plan.relayed() && reason.isPresent() && !attempt.paused()) {
             sink.stalled();
-        } else if (reason.isPresent() && mayReplace(now)) {
+        } else if (reason.isPresent() && acquireRepeat(now)) {
             outcomes.noProgress(attempt, reason.get());
             replace(attempt, reason.get());
             return;
@@ -476,9 +475,10 @@
         progressCheck.start(MONITOR_INTERVAL_MILLIS);
     }
 
-    private boolean mayReplace(long now) {
+    private boolean acquireRepeat(long now) {
         return silent == null
                 && !current.paused()
+                && context.gate().receiveDelayMillis() == 0
                 && !plan.relayed()
                 && RetryPolicy.mayReplace(plan.route(), history)
                 && search.finds(now)
@@ -494,6 +494,7 @@
         outcomes.ended(attempt, AttemptOutcome.LOST, reason.text());
         log.attemptSilent(attempt, reason.text(), now());
         attempt.withhold(delivery.partialEvent());
+        delivery.restartEvent();
         silent = attempt;
         current = null;
         scheduleNextAttempt();
@@ -506,15 +507,12 @@
         silent = null;
         if (repeat != null) {
             repeat.close();
-            String cause = "silent replica has gone on";
+            String cause = "silent replica is kept";
             log.attemptEnded(repeat, AttemptOutcome.SUPERSEDED, cause, "over", now());
         }
         delivery.restartEvent();
         startMonitor();
-        Buffer withheld = current.takeWithheldEvents();
-        if (withheld.length() > 0) {
-            streamData(current, withheld);
-        }
+        deliverWithheld(current);
     }
 
     private void endSilent(AttemptOutcome outcome, String cause) {
@@ -556,6 +554,10 @@
             if (history.sent() > 0) {
                 history.recordOutcome(AttemptOutcome.LOST);
             }
+            if (silent != null) {
+                reinstateSilent();
+                return;
+            }
             terminate("internal error", "internal_error");
         } catch (RuntimeException e) {
             context.log().record(EventCode.INTERNAL_ERROR, "refusing, " + id(), e.toString());
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseDelivery.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseDelivery.java
@@ -30,9 +30,9 @@
         return bytesSent;
     }
 
-    /** Id of the last event that was delivered. */
-    OptionalLong lastEventId() {
-        return events.lastId();
+    /** Id of the event after which another attempt goes on, empty for a stream from its start. */
+    OptionalLong resumeAfter(RequestPlan plan) {
+        return events.lastId().isPresent() ? events.lastId() : plan.envelope().lastEventId();
     }
 
     /** Sends the head of a stream, unless an earlier attempt has done so. */
@@ -63,10 +63,12 @@
         events.restart();
     }
 
-    /** Tells whether a stream that ended with its connection, after the given events, broke off. */
-    boolean streamBrokeOff(long eventsOfAttempt) {
-        boolean empty = eventsOfAttempt == 0 && events.lastId().isEmpty();
-        return empty || events.partialEvent().length() > 0;
+    /** Tells whether an attempt whose stream ended with its connection broke off. */
+    boolean brokeOff(RunningAttempt attempt) {
+        boolean empty = attempt.progress().pieces() == 0 && events.lastId().isEmpty();
+        boolean partial =
+                events.partialEvent().length() > 0 || attempt.withheldEvents().length() > 0;
+        return empty || partial;
     }
 
     /** Ends a complete stream. */
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RecordingSink.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RecordingSink.java
@@ -9,6 +9,7 @@
 /** Sink that records its calls as text. Confined to one event loop. */
 final class RecordingSink implements ResponseSink {
     private final StringBuilder calls = new StringBuilder();
+    private final Buffer body = Buffer.buffer();
     private RuntimeException headFailure;
     private boolean full;
     private Consumer<Runnable> drain = Runnable::run;
@@ -29,6 +30,7 @@
     @Override
     public void write(Buffer data) {
         calls.append("data ");
+        body.appendBuffer(data);
     }
 
     @Override
@@ -72,6 +74,11 @@
         drain = drainHandler;
     }
 
+    /** All bytes of the body. */
+    String body() {
+        return body.toString();
+    }
+
     String calls() {
         return calls.toString().strip();
     }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -39,6 +39,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.NetServer;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -62,6 +63,9 @@
                     "m", List.of(new PromptPart("bad", 10), new PromptPart("own", 5)), 15, 5);
     private static final ServiceSpec SERVICE = new ServiceSpec("s", 10, 0, 0, Optional.empty());
 
+    private static final String UNFRAMED_STREAM =
+            "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: a\n\nid: 2\nda";
+
     private final Vertx vertx = Vertx.vertx();
     private LongSupplier clock = () -> System.nanoTime() / 1_000_000;
     private final RetryAllowance retries =
@@ -233,6 +237,103 @@
                 is("head 200 data stalled data end"));
     }
 
+    @Test
+    void halfAnEventOfASilentReplicaIsNotMixedIntoItsRepeat() throws Exception {
+        publishInTurn(
+                request -> request.response().setChunked(true).write("id: 1\ndata: a\n\nid: 2\nda"),
+                request -> request.response().setChunked(true).end("id: 2\ndata: b\n\n"));
+        runToEnd(plan(RouteKind.EVENT_STREAM, false, Optional.empty(), true), run -> {});
+        assertThat(sink.body(), is("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+        assertThat(sink.calls(), is("head 200 data data end"));
+    }
+
+    /** The stream has no length, so the end of its connection looks like its end. */
+    @Test
+    void repeatIsKeptIfTheSilentReplicaBreaksOffFirst() throws Exception {
+        int second =
+                listen(
+                        request ->
+                                vertx.setTimer(
+                                        700,
+                                        ignored ->
+                                                request.response()
+                                                        .setChunked(true)
+                                                        .end("id: 2\ndata: b\n\n")));
+        NetServer first =
+                vertx.createNetServer()
+                        .connectHandler(
+                                socket ->
+                                        socket.handler(
+                                                ignored -> {
+                                                    socket.write(UNFRAMED_STREAM);
+                                                    publish("i-2", second, ReplicaState.READY);
+                                                    vertx.setTimer(900, timer -> socket.close());
+                                                }));
+        publish(first.listen(0, "127.0.0.1").await(10, TimeUnit.SECONDS).actualPort());
+        earnRetries();
+        runToEnd(plan(RouteKind.EVENT_STREAM, false, Optional.empty(), true), run -> {});
+        assertThat(sink.body(), is("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+    }
+
+    @Test
+    void silentReplicaGoesOnIfItsRepeatBreaksOffBeforeItsFirstEvent() throws Exception {
+        publishPausingReplica(
+                request -> {
+                    request.response().setChunked(true).write(":\n\n");
+                    vertx.setTimer(100, ignored -> request.connection().close());
+                });
+        runToEnd(plan(RouteKind.EVENT_STREAM, false, Optional.empty(), true), run -> {});
+        assertThat(sink.calls(), is("head 200 data data end"));
+    }
+
+    @Test
+    void oneByteOfASilentReplicaDoesNotEndItsRepeat() throws Exception {
+        publishInTurn(
+                request ->
+                        vertx.setTimer(
+                                600, ignored -> request.response().setChunked(true).write("x")),
+                request -> vertx.setTimer(400, ignored -> request.response().end("whole")));
+        runToEnd(RouteKind.IDEMPOTENT, run -> {});
+        assertThat(sink.body(), is("whole"));
+    }
+
+    @Test
+    void streamOfASilentReplicaIsCompletedIfItsPromptIsWithheldMeanwhile() throws Exception {
+        publishPausingReplica(request -> {});
+        runToEnd(
+                plan(RouteKind.EVENT_STREAM, false, Optional.of(PROMPT), true),
+                run ->
+                        vertx.setTimer(
+                                900,
+                                ignored -> {
+                                    prompts.merge(holdOf(PROMPT));
+                                    run.recheckPrompt();
+                                }));
+        assertThat(sink.calls(), is("head 200 data data end"));
+    }
+
+    @Test
+    void streamOfASilentReplicaIsCompletedIfItsRepeatMeetsAnUnexpectedError() throws Exception {
+        publishPausingReplica(request -> request.response().setStatusCode(500).end());
+        log.onRecord(
+                code -> {
+                    if (code == EventCode.ATTEMPT_SILENT) {
+                        failingClock.set(true);
+                    }
+                });
+        clock = this::clockThatFailsOnce;
+        runToEnd(plan(RouteKind.EVENT_STREAM, false, Optional.empty(), true), run -> {});
+        assertThat(log.codes(), hasItem(EventCode.INTERNAL_ERROR));
+        assertThat(sink.calls(), is("head 200 data data end"));
+    }
+
+    private long clockThatFailsOnce() {
+        if (failingClock.getAndSet(false)) {
+            throw new IllegalStateException("no time");
+        }
+        return System.nanoTime() / 1_000_000;
+    }
+
     /** The caller reads nothing for a while, so nothing is read from the replica either. */
     @Test
     void replicaOfASlowCallerIsNotTakenForSilent() throws Exception {
@@ -276,6 +377,10 @@
                 request -> (received.getAndIncrement() == 0 ? first : second).handle(request);
         publish("i-1", listen(inTurn), ReplicaState.READY);
         publish("i-2", listen(inTurn), ReplicaState.READY);
+        earnRetries();
+    }
+
+    private void earnRetries() {
         for (int i = 0; i < 30; i++) {
             retries.recordRequest("s", clock.getAsLong());
         }
@@ -292,14 +397,7 @@
 
     @Test
     void requestIsAnsweredIfItCannotBePlaced() throws Exception {
-        clock =
-                () -> {
-                    if (failingClock.get()) {
-                        failingClock.set(false);
-                        throw new IllegalStateException("no time");
-                    }
-                    return System.nanoTime() / 1_000_000;
-                };
+        clock = this::clockThatFailsOnce;
         runToEnd(RouteKind.AT_MOST_ONCE, run -> failingClock.set(true));
         assertThat(sink.calls(), is("refuse 503 internal_error not run"));
     }
