A repeated stream without length that ends before its first event is not complete

What callers saw (by reading): a stream whose first replica broke off was ended as complete, without its last events, when the connection of the second one closed right after its head. Cause: events of the first attempt counted for the second. RequestRunTest.repeatThatEndsBeforeItsFirstEventIsNotComplete, before: the response did not end in an abort ("Expected: is <true> but: was <false>"). A stream whose repeat has nothing left to send and no length is now aborted, which is what can be told from it.

Also, without a change of behaviour: bytes kept back have one name; a stop's aborts are guarded one by one.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptProgress.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptProgress.java
@@ -2,17 +2,11 @@
 
 import io.vanillapoint.core.quarantine.AttemptStage;
 
-/** How much of a response one attempt after the other has received. Confined to one event loop. */
+/** How much of a response an attempt has received. Confined to one event loop. */
 final class AttemptProgress {
     private long headAtMillis = -1;
     private long pieces;
 
-    /** Starts over for the next attempt. */
-    void restart() {
-        headAtMillis = -1;
-        pieces = 0;
-    }
-
     void headReceived(long nowMillis) {
         headAtMillis = nowMillis;
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -18,10 +18,10 @@
  * Executes one admitted request, with its retries, until its response has ended.
  *
  * <p>Invariants: at most one attempt is active beside one whose replica is silent; a silent one
- * stays open until another has been accepted; the sink gets exactly one complete response, one
- * refusal or one abort, unless the caller has disconnected; a refusal marked "not run" is sent only
- * if no attempt may have run; a relayed request runs on one replica at most, since retries are up
- * to the relaying VM. Confined to one event loop.
+ * stays open until another has delivered something; the sink gets exactly one complete response,
+ * one refusal or one abort, unless the caller has disconnected; a refusal marked "not run" is sent
+ * only if no attempt may have run; a relayed request runs on one replica at most, since retries are
+ * up to the relaying VM. Confined to one event loop.
  */
 public final class RequestRun implements RunningAttempt.Owner {
     /** Shortest time in which a replica can answer; no attempt is started with less. */
@@ -103,7 +103,7 @@
 
     /** Ends the request with an error because the process is about to stop. */
     public void abortForShutdown() {
-        terminate("process is stopping", "shutting_down");
+        guarded("stopping", () -> terminate("process is stopping", "shutting_down"));
     }
 
     /** Ends an attempt that has not begun to respond if its prompt is withheld by now. */
@@ -259,10 +259,10 @@
 
     /** Keeps back what the silent attempt and the one beside it send until one has an event. */
     private void contend(RunningAttempt attempt, Buffer data) {
-        attempt.withhold(data);
-        if (EventStreamReader.containsEvent(attempt.withheldEvents())) {
+        attempt.keepBack(data);
+        if (EventStreamReader.containsEvent(attempt.keptBack())) {
             settle(attempt);
-        } else if (attempt.withheldEvents().length() > EventStreamReader.MAX_EVENT_BYTES) {
+        } else if (attempt.keptBack().length() > EventStreamReader.MAX_EVENT_BYTES) {
             abandonTooLarge(attempt, "event");
         }
     }
@@ -274,17 +274,17 @@
             return;
         }
         endSilent(AttemptOutcome.SUPERSEDED, "another replica has answered");
-        deliverWithheld(attempt);
+        deliverKeptBack(attempt);
     }
 
-    private void deliverWithheld(RunningAttempt attempt) {
+    private void deliverKeptBack(RunningAttempt attempt) {
         if (attempt.response() == null || attempt.buffered()) {
             return;
         }
         delivery.beginStream(attempt.response());
-        Buffer withheld = attempt.takeWithheldEvents();
-        if (withheld.length() > 0) {
-            streamData(attempt, withheld);
+        Buffer keptBack = attempt.takeKeptBack();
+        if (keptBack.length() > 0) {
+            streamData(attempt, keptBack);
         }
     }
 
@@ -493,7 +493,7 @@
         history.recordOutcome(AttemptOutcome.LOST);
         outcomes.ended(attempt, AttemptOutcome.LOST, reason.text());
         log.attemptSilent(attempt, reason.text(), now());
-        attempt.withhold(delivery.partialEvent());
+        attempt.keepBack(delivery.partialEvent());
         delivery.restartEvent();
         silent = attempt;
         current = null;
@@ -512,7 +512,7 @@
         }
         delivery.restartEvent();
         startMonitor();
-        deliverWithheld(current);
+        deliverKeptBack(current);
     }
 
     private void endSilent(AttemptOutcome outcome, String cause) {
@@ -548,7 +548,7 @@
         }
     }
 
-    /** Whatever was sent may have run. */
+    /** Ends the attempt that met an error; whatever was sent may have run. */
     private void endAfterError() {
         try {
             if (history.sent() > 0) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseDelivery.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseDelivery.java
@@ -65,9 +65,8 @@
 
     /** Tells whether an attempt whose stream ended with its connection broke off. */
     boolean brokeOff(RunningAttempt attempt) {
-        boolean empty = attempt.progress().pieces() == 0 && events.lastId().isEmpty();
-        boolean partial =
-                events.partialEvent().length() > 0 || attempt.withheldEvents().length() > 0;
+        boolean empty = attempt.progress().pieces() == 0;
+        boolean partial = events.partialEvent().length() > 0 || attempt.keptBack().length() > 0;
         return empty || partial;
     }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RunningAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RunningAttempt.java
@@ -29,7 +29,7 @@
     private Attempt connection;
     private ResponseEnvelope response;
     private Buffer body;
-    private Buffer withheldEvents = Buffer.buffer();
+    private Buffer keptBack = Buffer.buffer();
     private boolean released;
     private boolean paused;
     private long resumedAtMillis = Long.MIN_VALUE;
@@ -126,19 +126,19 @@
     }
 
     /** Bytes of a stream that are kept back while the attempt is not the current one. */
-    Buffer withheldEvents() {
-        return withheldEvents;
+    Buffer keptBack() {
+        return keptBack;
     }
 
     /** Keeps back a copy of bytes that belong before what arrives next. */
-    void withhold(Buffer bytes) {
-        withheldEvents = withheldEvents.copy().appendBuffer(bytes);
+    void keepBack(Buffer bytes) {
+        keptBack = keptBack.copy().appendBuffer(bytes);
     }
 
     /** Returns the bytes that were kept back and forgets them. */
-    Buffer takeWithheldEvents() {
-        Buffer taken = withheldEvents;
-        withheldEvents = Buffer.buffer();
+    Buffer takeKeptBack() {
+        Buffer taken = keptBack;
+        keptBack = Buffer.buffer();
         return taken;
     }
 
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -275,6 +275,28 @@
         assertThat(sink.body(), is("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
     }
 
+    /** Neither stream has a length; the first one breaks off inside its second event. */
+    @Test
+    void repeatThatEndsBeforeItsFirstEventIsNotComplete() throws Exception {
+        publishRaw("i-1", UNFRAMED_STREAM);
+        publishRaw("i-2", UNFRAMED_STREAM.substring(0, UNFRAMED_STREAM.indexOf("id:")));
+        earnRetries();
+        runToEnd(plan(RouteKind.EVENT_STREAM, false, Optional.empty(), true), run -> {});
+        assertThat(sink.calls().endsWith("abort"), is(true));
+    }
+
+    /** Publishes a replica that sends bytes and closes the connection. */
+    private void publishRaw(String id, String bytes) throws Exception {
+        NetServer server =
+                vertx.createNetServer()
+                        .connectHandler(
+                                socket ->
+                                        socket.handler(
+                                                ignored -> socket.end(Buffer.buffer(bytes))));
+        int port = server.listen(0, "127.0.0.1").await(10, TimeUnit.SECONDS).actualPort();
+        publish(id, port, ReplicaState.READY);
+    }
+
     @Test
     void silentReplicaGoesOnIfItsRepeatBreaksOffBeforeItsFirstEvent() throws Exception {
         publishPausingReplica(
