--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/RejectionLimits.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/RejectionLimits.java
@@ -10,8 +10,8 @@
  * requests in a second.
  *
  * <p>Handles an overload of such replicas, in which rejections would make them crash one after the
- * other: a VM that was rejected leaves the replica alone until its part of the limit, as one of the
- * VMs of the region, allows another rejection. An announcement ends by its age. Confined to one
+ * other: a VM that was rejected backs off from the replica until its part of the limit, as one of
+ * the VMs of the region, allows another rejection. An announcement ends by its age. Confined to one
  * thread.
  */
 final class RejectionLimits {
@@ -52,7 +52,7 @@
     }
 
     /**
-     * Time for which a VM leaves a replica alone that has rejected it.
+     * Time for which a VM backs off from a replica that has rejected it.
      *
      * @param service name of the service
      * @param regionVms number of VMs that send to the replica
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -228,7 +228,7 @@
     }
 
     /**
-     * Time for which this VM must leave a replica alone that has rejected a request without asking
+     * Time for which this VM must back off from a replica that rejected a request without asking
      * for a time itself.
      *
      * @param tracker the replica
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
@@ -31,7 +31,7 @@
         return !(choose(nowMillis) instanceof Placement.Refuse);
     }
 
-    /** Time after which a replica may accept the request, 0 if none has asked to be left alone. */
+    /** Time after which a replica may accept the request, 0 if none has requested a backoff. */
     long backoffMillis(long nowMillis) {
         return context.chooser().backoffMillis(query(nowMillis), nowMillis);
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
@@ -103,7 +103,7 @@
         if (head.status() != Refusal.UNAVAILABLE) {
             tracker.recordAccepted(now);
         } else if (head.retryAfterMillis().isEmpty()) {
-            leaveAloneIfBrittle(now);
+            backOffIfBrittle(now);
         } else {
             long requestedMillis = head.retryAfterMillis().getAsLong();
             long jitterMillis = ThreadLocalRandom.current().nextLong(RETURN_JITTER_MILLIS);
@@ -132,7 +132,7 @@
         }
     }
 
-    private void leaveAloneIfBrittle(long now) {
+    private void backOffIfBrittle(long now) {
         context.pool()
                 .rejectionBackoffMillis(tracker, context.roster(), now)
                 .ifPresent(
