--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/finding/Findings.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/finding/Findings.java
@@ -8,6 +8,22 @@
  */
 public final class Findings {
     private final List<Finding> findings = new ArrayList<>();
+    private final int limit;
+    private int omitted;
+
+    /** Creates a collection without a limit. */
+    public Findings() {
+        this(Integer.MAX_VALUE);
+    }
+
+    /**
+     * Creates a collection for a value of any size and origin.
+     *
+     * @param limit largest number of findings that are kept; others are only counted
+     */
+    public Findings(int limit) {
+        this.limit = limit;
+    }
 
     /**
      * Adds a finding.
@@ -17,7 +33,7 @@
      * @param message what was expected and what was found
      */
     public void add(Place place, FindingCode code, String message) {
-        findings.add(new Finding(place, code, message));
+        keep(new Finding(place, code, message));
     }
 
     /**
@@ -26,7 +42,8 @@
      * @param other collection to copy from
      */
     public void addAll(Findings other) {
-        findings.addAll(other.findings);
+        other.findings.forEach(this::keep);
+        omitted += other.omitted;
     }
 
     /**
@@ -53,6 +70,17 @@
         for (Finding finding : findings) {
             text.append(finding).append(System.lineSeparator());
         }
+        if (omitted > 0) {
+            text.append("and ").append(omitted).append(" more").append(System.lineSeparator());
+        }
         return text.toString();
     }
+
+    private void keep(Finding finding) {
+        if (findings.size() < limit) {
+            findings.add(finding);
+        } else {
+            omitted++;
+        }
+    }
 }
--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/model/Endpoint.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/model/Endpoint.java
@@ -9,9 +9,17 @@
 public record Endpoint(String host, int port) {
     private static final int MAX_PORT = 65_535;
 
+    /** Longest host name of the DNS. */
+    private static final int MAX_HOST_LENGTH = 253;
+
+    private static final String HOST_PUNCTUATION = ".-_:[]%";
+
     /** Checks the invariant. */
     public Endpoint {
         Ids.requireName(host, "host");
+        if (host.length() > MAX_HOST_LENGTH || !host.chars().allMatch(Endpoint::isHostCharacter)) {
+            throw new IllegalArgumentException("expected an IP address or a host name");
+        }
         if (port < 1 || port > MAX_PORT) {
             throw new IllegalArgumentException("expected a port from 1 to " + MAX_PORT);
         }
@@ -29,14 +37,24 @@
         if (colon <= 0) {
             throw new IllegalArgumentException("expected host:port, got '" + text + "'");
         }
+        String port = text.substring(colon + 1);
+        if (port.startsWith("+")) {
+            throw new IllegalArgumentException("expected host:port, got '" + text + "'");
+        }
         try {
-            return new Endpoint(
-                    text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+            return new Endpoint(text.substring(0, colon), Integer.parseInt(port));
         } catch (NumberFormatException e) {
             throw new IllegalArgumentException("expected host:port, got '" + text + "'", e);
         }
     }
 
+    private static boolean isHostCharacter(int character) {
+        return character >= 'a' && character <= 'z'
+                || character >= 'A' && character <= 'Z'
+                || character >= '0' && character <= '9'
+                || HOST_PUNCTUATION.indexOf(character) >= 0;
+    }
+
     @Override
     public String toString() {
         return host + ":" + port;
