Nesting of skipped fields in messages between VMs is bounded

Callers saw: nothing yet; a malformed datagram, copy of the store, relayed request or peer frame raised an error that no caller of the codecs expects. Cause: Thrift skips unknown fields recursively, and applies the recursion limit of its configuration to known structs only. Why it works: the depth of skipped fields has a limit of its own, which is set before any codec reads.

--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
@@ -37,7 +37,6 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.apache.thrift.TBase;
-import org.apache.thrift.TConfiguration;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.transport.TMemoryBuffer;
@@ -51,7 +50,6 @@
 public final class FleetCodec {
     private static final int INITIAL_BYTES = 1_024;
     private static final int MAX_BYTES = 16 * 1_024 * 1_024;
-    private static final int MAX_RECURSION = 16;
 
     /**
      * Encodes a heartbeat.
@@ -300,8 +298,9 @@
 
     private static void deserialize(TBase<?, ?> message, byte[] bytes) {
         try {
-            TConfiguration limits = new TConfiguration(MAX_BYTES, MAX_BYTES, MAX_RECURSION);
-            message.read(new TCompactProtocol(new TMemoryInputTransport(limits, bytes)));
+            message.read(
+                    new TCompactProtocol(
+                            new TMemoryInputTransport(MessageLimits.ofSize(MAX_BYTES), bytes)));
         } catch (TException | RuntimeException e) {
             throw badMessage(e.toString());
         }
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/PeerCodec.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/PeerCodec.java
@@ -6,7 +6,6 @@
 import io.vanillapoint.wire.generated.TEnvelope;
 import java.util.Arrays;
 import java.util.Optional;
-import org.apache.thrift.TConfiguration;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.transport.TMemoryBuffer;
@@ -21,7 +20,6 @@
  */
 public final class PeerCodec {
     private static final int INITIAL_BYTES = 512;
-    private static final int MAX_RECURSION = 16;
 
     private final int maxFrameBytes;
 
@@ -77,9 +75,11 @@
             throw badMessage("expected at most " + maxFrameBytes + " bytes, got " + payload.length);
         }
         try {
-            TConfiguration limits = new TConfiguration(maxFrameBytes, maxFrameBytes, MAX_RECURSION);
             TEnvelope envelope = new TEnvelope();
-            envelope.read(new TCompactProtocol(new TMemoryInputTransport(limits, payload)));
+            envelope.read(
+                    new TCompactProtocol(
+                            new TMemoryInputTransport(
+                                    MessageLimits.ofSize(maxFrameBytes), payload)));
             if (!envelope.isSet()) {
                 return Optional.empty();
             }
