Nesting of declarations and published values is bounded

Callers saw: nothing yet; a published value with 500 nested lists ended the read of the configuration service with an error instead of a finding on a small stack. Cause: LocatedNode recurses up to the parser's own limit of 1,000 levels. Why it works: both parsers refuse the 33rd level, which is a finding with its place.

--- a/vanillapoint-config/src/main/java/io/vanillapoint/config/impl/DocumentParser.java
+++ b/vanillapoint-config/src/main/java/io/vanillapoint/config/impl/DocumentParser.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.config.impl;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
 import io.vanillapoint.api.finding.FindingCode;
 import io.vanillapoint.api.finding.Findings;
@@ -41,6 +42,10 @@
      */
     private static final Endpoint PLACEHOLDER_ENDPOINT = new Endpoint("0.0.0.0", 1);
 
+    /** Deepest nesting that is read. Reading a level takes some stack. */
+    private static final StreamReadConstraints LIMITS =
+            StreamReadConstraints.builder().maxNestingDepth(32).build();
+
     private final JsonFactory factory;
 
     private DocumentParser(JsonFactory factory) {
@@ -53,7 +58,7 @@
      * @return a YAML parser
      */
     public static DocumentParser yaml() {
-        return new DocumentParser(new YAMLFactory());
+        return new DocumentParser(YAMLFactory.builder().streamReadConstraints(LIMITS).build());
     }
 
     /**
@@ -62,7 +67,7 @@
      * @return a JSON parser
      */
     public static DocumentParser json() {
-        return new DocumentParser(new JsonFactory());
+        return new DocumentParser(JsonFactory.builder().streamReadConstraints(LIMITS).build());
     }
 
     @Override
