Reading of the store goes on whatever a value or a call does

Callers saw: after one odd entry, a VM never listed or watched the store again; it kept withdrawn keys and replicas that had left, or never became ready. Cause: the next call was made behind the merge of the last one, and the boundaries around one value and one answer let errors of the virtual machine pass. A value whose application failed was in the table already, so it was never applied again. A call whose end is never reported ended the reading too. Why it works: one function ends each call and makes the next one in its finally clause; a periodic check resumes a reader that does not go on; values to apply are kept until they are applied, one by one, with a pause that doubles, and each failure is logged with its key and counted.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/published/PublishedTable.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/published/PublishedTable.java
@@ -43,6 +43,15 @@
         return items.get(key);
     }
 
+    /**
+     * State of all keys, removed ones included.
+     *
+     * @return copy
+     */
+    public List<StoredItem> items() {
+        return List.copyOf(items.values());
+    }
+
     /**
      * Tells whether changes belong to a later era than the table.
      *
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -31,6 +31,7 @@
 import io.vanillapoint.entry.log.DecisionLog;
 import io.vanillapoint.entry.log.EntryMetrics;
 import io.vanillapoint.entry.log.LineWriter;
+import io.vanillapoint.entry.log.UnexpectedErrors;
 import io.vanillapoint.entry.port.EntryPlatform;
 import io.vanillapoint.entry.relay.RelayHandler;
 import io.vanillapoint.entry.relay.VmClientFactory;
@@ -73,6 +74,7 @@
     private final EntrySettings settings;
     private final EntryTuning tuning = EntryTuning.DEFAULT;
     private final DecisionLog log;
+    private final UnexpectedErrors errors;
     private final EntryMetrics metrics = new EntryMetrics();
     private final LongSupplier clock = () -> System.nanoTime() / 1_000_000;
     private final FleetView fleet;
@@ -115,6 +117,7 @@
         this.vertx = vertx;
         this.settings = settings;
         log = new DecisionLog(settings.vm(), System::currentTimeMillis, writer);
+        errors = new UnexpectedErrors(log, metrics);
         fleet = new FleetView(self(incarnation), FleetTiming.DEFAULT, settings.minFleetSize());
         roster = createRoster(fleet.self());
         pager = new ReportPager(settings.vm().hashCode() + incarnation);
@@ -122,7 +125,8 @@
         grants = new GrantMeter(new GrantTolerance(settings.quotaSlackTokens()));
         retries = new RetryAllowance(settings.retries(), now());
         publishedState =
-                new PublishedState(platform.published(), pool, log, clock, this::applyPublication);
+                new PublishedState(
+                        platform.published(), pool, log, errors, clock, this::applyPublication);
         lag = new EventLoopLag(tuning.tickMillis(), now());
         prompts =
                 new PromptGuard(
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
@@ -47,6 +47,7 @@
                         source,
                         publishedState,
                         context.log(),
+                        context.errors(),
                         context.clock(),
                         () -> StoreReaders.reads(context.fleet(), context.clock().getAsLong()));
         storeCopier =
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
@@ -14,9 +14,11 @@
 import io.vanillapoint.core.published.UpstreamReplica;
 import io.vanillapoint.core.upstream.ReplicaTracker;
 import io.vanillapoint.core.upstream.UpstreamPool;
+import io.vanillapoint.entry.log.UnexpectedErrors;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,8 +30,9 @@
  * Published configuration, replicas and evacuations that are in force on this VM.
  *
  * <p>Invariant: the version of the configuration never decreases. A value that can't be parsed is
- * ignored, except that a replica whose entry can't be parsed gets no requests. Confined to one
- * thread.
+ * ignored, except that a replica whose entry can't be parsed gets no requests. A value that can't be
+ * applied because of an unexpected error does not affect others; it is applied again after a pause
+ * that grows, until it is applied or replaced. Confined to one thread.
  */
 public final class PublishedState {
     /**
@@ -47,13 +50,27 @@
      */
     private static final long OTHERS_MILLIS = 700;
 
+    /** Distinguishes the configuration that another VM has in force from that of the store. */
+    private static final String IN_FORCE_ELSEWHERE = "in force elsewhere: ";
+
     private final PublishedTable table = new PublishedTable();
     private final PublishedFormat format;
     private final UpstreamPool pool;
     private final EventSink log;
+    private final UnexpectedErrors errors;
     private final LongSupplier clock;
     private final Consumer<GatewayPublication> publicationListener;
     private final Map<String, StoredItem> heldBack = new HashMap<>();
+
+    /** Values to apply, by key. Empty between two calls unless applying one failed. */
+    private final Map<String, PendingItem> pending = new LinkedHashMap<>();
+
+    /** True if a merge did not end, so that the table may hold values that are not applied. */
+    private boolean mergeIncomplete;
+
+    /** True until the listener has taken the configuration in force. */
+    private boolean listenerPending;
+
     private Optional<GatewayPublication> publication = Optional.empty();
     private Optional<StoredItem> itemInForce = Optional.empty();
     private Optional<StoredItem> awaitingOthers = Optional.empty();
@@ -68,6 +85,7 @@
      * @param format parser of published values
      * @param pool replicas to update
      * @param log records changes
+     * @param errors records unexpected errors
      * @param clock monotonic time in milliseconds
      * @param publicationListener called with each new version of the configuration
      */
@@ -75,11 +93,13 @@
             PublishedFormat format,
             UpstreamPool pool,
             EventSink log,
+            UnexpectedErrors errors,
             LongSupplier clock,
             Consumer<GatewayPublication> publicationListener) {
         this.format = format;
         this.pool = pool;
         this.log = log;
+        this.errors = errors;
         this.clock = clock;
         this.publicationListener = publicationListener;
     }
@@ -143,8 +163,13 @@
         othersAnswered = true;
         answer.items().stream()
                 .filter(item -> format.kind(item.key()) == PublishedFormat.Kind.CONFIGURATION)
-                .forEach(item -> applyIsolated(item, () -> applyConfiguration(item, source)));
+                .forEach(
+                        item ->
+                                pending.put(
+                                        IN_FORCE_ELSEWHERE + item.key(),
+                                        new PendingItem(item, source, false)));
         applyAwaiting();
+        applyPending();
     }
 
     /**
@@ -158,6 +183,17 @@
      * @return number of values that changed
      */
     public int merge(StoreChanges changes, String source, boolean storeWasUnavailable) {
+        boolean previousIncomplete = mergeIncomplete;
+        mergeIncomplete = true;
+        int applied = mergeIntoTable(changes, source, storeWasUnavailable);
+        if (previousIncomplete) {
+            apply(table.items(), source, storeWasUnavailable);
+        }
+        mergeIncomplete = false;
+        return applied;
+    }
+
+    private int mergeIntoTable(StoreChanges changes, String source, boolean storeWasUnavailable) {
         StorePosition before = table.position();
         boolean restored = table.precedesEraOf(changes) && changes.complete();
         if (!restored || before.equals(StorePosition.START)) {
@@ -177,6 +213,7 @@
         for (StoredItem item : table.merge(changes)) {
             if (contradictsKnowledge(item, removedBefore)) {
                 heldBack.put(item.key(), item);
+                pending.remove(item.key());
             } else {
                 adopted.add(item);
             }
@@ -195,8 +232,8 @@
     }
 
     /**
-     * Applies values of a copy that were held back and not written again in time, and the first
-     * configuration if no other VM has answered.
+     * Applies values of a copy that were held back and not written again in time, the first
+     * configuration if no other VM has answered, and values that could not be applied before.
      */
     public void applyHeldBack() {
         if (clock.getAsLong() - awaitingSinceMillis >= OTHERS_MILLIS) {
@@ -207,6 +244,7 @@
             heldBack.clear();
             apply(items, "copy", true);
         }
+        applyPending();
     }
 
     /**
@@ -233,26 +271,57 @@
     }
 
     private int apply(List<StoredItem> changed, String source, boolean storeWasUnavailable) {
-        changed.stream()
-                .filter(item -> format.kind(item.key()) == PublishedFormat.Kind.CONFIGURATION)
-                .forEach(item -> applyIsolated(item, () -> applyConfiguration(item, source)));
         for (StoredItem item : changed) {
-            switch (format.kind(item.key())) {
-                case REPLICA ->
-                        applyIsolated(item, () -> applyReplica(item, source, storeWasUnavailable));
-                case EVACUATION -> applyIsolated(item, () -> applyEvacuation(item, source));
-                default -> {}
-            }
+            pending.put(item.key(), new PendingItem(item, source, storeWasUnavailable));
         }
+        applyPending();
         return changed.size();
     }
 
+    /** Applies configurations before replicas, whose services they define. */
+    private void applyPending() {
+        if (!pending.isEmpty()) {
+            Map<String, PendingItem> items = new LinkedHashMap<>(pending);
+            items.forEach((id, item) -> applyIfDue(id, item, true));
+            items.forEach((id, item) -> applyIfDue(id, item, false));
+        }
+    }
+
     /** Applies one value, so that an unexpected error in it does not stop the others. */
-    private void applyIsolated(StoredItem item, Runnable update) {
+    private void applyIfDue(String id, PendingItem pendingItem, boolean configurations) {
+        if (!pendingItem.due(clock.getAsLong())) {
+            return;
+        }
+        StoredItem item = pendingItem.item();
         try {
-            update.run();
-        } catch (RuntimeException e) {
-            log.record(EventCode.ITEM_REFUSED, item.key(), item.revision(), e.toString());
+            PublishedFormat.Kind kind = format.kind(item.key());
+            if ((kind == PublishedFormat.Kind.CONFIGURATION) != configurations) {
+                return;
+            }
+            apply(kind, pendingItem);
+            pending.remove(id, pendingItem);
+        } catch (Throwable e) {
+            pendingItem.recordFailure(clock.getAsLong());
+            errors.record("applying " + item.key() + " of revision " + item.revision(), e);
+            errors.contain("withdrawing " + item.key(), () -> withdrawReplica(item));
+        }
+    }
+
+    private void apply(PublishedFormat.Kind kind, PendingItem pendingItem) {
+        StoredItem item = pendingItem.item();
+        switch (kind) {
+            case CONFIGURATION -> applyConfiguration(item, pendingItem.source());
+            case REPLICA ->
+                    applyReplica(item, pendingItem.source(), pendingItem.storeWasUnavailable());
+            case EVACUATION -> applyEvacuation(item, pendingItem.source());
+            default -> {}
+        }
+    }
+
+    /** An entry that can't be applied names no replica to use. */
+    private void withdrawReplica(StoredItem item) {
+        if (format.kind(item.key()) == PublishedFormat.Kind.REPLICA) {
+            pool.remove(format.name(item.key()), false, clock.getAsLong());
         }
     }
 
@@ -260,7 +329,8 @@
         Optional<StoredItem> awaiting = awaitingOthers;
         awaitingOthers = Optional.empty();
         othersAnswered |= awaiting.isPresent();
-        awaiting.ifPresent(item -> applyIsolated(item, () -> applyConfiguration(item, "store")));
+        awaiting.ifPresent(
+                item -> pending.putIfAbsent(item.key(), new PendingItem(item, "store", false)));
     }
 
     private boolean awaitsOthers() {
@@ -300,12 +370,18 @@
         }
         publication = parsed;
         itemInForce = Optional.of(item);
+        listenerPending = true;
         publicationListener.accept(parsed.get());
+        listenerPending = false;
         log.record(EventCode.PUBLICATION_TAKEN, parsed.get().version(), item.revision(), source);
     }
 
     private boolean isNewer(GatewayPublication parsed) {
-        return publication.isEmpty() || parsed.version() > publication.get().version();
+        if (publication.isEmpty()) {
+            return true;
+        }
+        long known = publication.get().version();
+        return parsed.version() > known || listenerPending && parsed.version() == known;
     }
 
     private void applyReplica(StoredItem item, String source, boolean storeWasUnavailable) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
@@ -4,20 +4,23 @@
 import io.vanillapoint.api.event.EventSink;
 import io.vanillapoint.core.published.StoreChanges;
 import io.vanillapoint.core.published.StorePosition;
+import io.vanillapoint.entry.log.UnexpectedErrors;
 import io.vanillapoint.entry.port.PublishedSource;
 import io.vanillapoint.entry.port.StoreException;
 import io.vertx.core.AsyncResult;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.ToLongFunction;
 
 /**
  * Applies the platform's store to the published state: one listing, then successive watches.
  *
  * <p>Invariants: at most one call to the store is in progress; once the state is populated, calls
  * are made only while this VM is a store reader. Failed calls are retried with a capped exponential
- * backoff. Confined to one event loop.
+ * backoff. Another call follows each call, whatever its answer does, and also one whose end is
+ * never reported. Confined to one event loop.
  */
 final class StoreSync {
     /** Longest wait of one watch, which bounds the time to detect a stalled connection. */
@@ -41,13 +44,31 @@
     private static final long INITIAL_BACKOFF_MILLIS = 200;
     private static final long MAX_BACKOFF_MILLIS = 1_000;
 
+    /** A call without an end after this time is abandoned. A listing may have many pages. */
+    private static final long MAX_CALL_MILLIS = 30_000;
+
+    /** Interval at which a reader that does not go on is looked for. */
+    private static final long STALL_CHECK_MILLIS = 1_000;
+
+    private static final long NO_PAUSE = 0;
+
     private final Vertx vertx;
     private final PublishedSource source;
     private final PublishedState publishedState;
     private final EventSink log;
+    private final UnexpectedErrors errors;
     private final LongSupplier clock;
     private final BooleanSupplier selectedAsReader;
     private boolean populated;
+
+    /** Number of the newest call; the answer of any other is ignored. */
+    private long currentCall;
+
+    private boolean callInProgress;
+
+    /** Time at which the next call is overdue. */
+    private long stalledAtMillis;
+
     private boolean watching;
     private boolean reading = true;
     private long unavailableSinceMillis = -1;
@@ -66,27 +87,85 @@
             PublishedSource source,
             PublishedState publishedState,
             EventSink log,
+            UnexpectedErrors errors,
             LongSupplier clock,
             BooleanSupplier selectedAsReader) {
         this.vertx = vertx;
         this.source = source;
         this.publishedState = publishedState;
         this.log = log;
+        this.errors = errors;
         this.clock = clock;
         this.selectedAsReader = selectedAsReader;
     }
 
     void start() {
-        if (!populated) {
-            list();
-        } else if (selectedAsReader.getAsBoolean()) {
-            setReading(true);
-            watch();
+        vertx.setPeriodic(STALL_CHECK_MILLIS, ignored -> resumeIfStalled());
+        next();
+    }
+
+    /** Makes the next call, if this VM is to make one. */
+    private void next() {
+        long call = ++currentCall;
+        stalledAtMillis = clock.getAsLong() + MAX_CALL_MILLIS;
+        long pauseMillis = MAX_BACKOFF_MILLIS;
+        try {
+            if (!populated) {
+                callInProgress = true;
+                list(call);
+            } else if (selectedAsReader.getAsBoolean()) {
+                setReading(true);
+                callInProgress = true;
+                watch(call);
+            } else {
+                setReading(false);
+                markAvailable();
+                pauseMillis = READER_CHECK_MILLIS;
+            }
+        } catch (Throwable e) {
+            callInProgress = false;
+            errors.record("calling the store", e);
+        } finally {
+            if (!callInProgress && call == currentCall) {
+                nextAfter(pauseMillis);
+            }
+        }
+    }
+
+    private void nextAfter(long pauseMillis) {
+        callInProgress = false;
+        stalledAtMillis = clock.getAsLong() + pauseMillis + STALL_CHECK_MILLIS;
+        if (pauseMillis == NO_PAUSE) {
+            next();
         } else {
-            setReading(false);
-            markAvailable();
-            vertx.setTimer(READER_CHECK_MILLIS, ignored -> start());
+            long call = currentCall;
+            vertx.setTimer(
+                    pauseMillis,
+                    ignored -> {
+                        if (call == currentCall) {
+                            next();
+                        }
+                    });
+        }
+    }
+
+    private void resumeIfStalled() {
+        if (clock.getAsLong() < stalledAtMillis) {
+            return;
         }
+        if (!callInProgress) {
+            next();
+            return;
+        }
+        currentCall++;
+        watching = false;
+        errors.contain("abandoning a call to the store", source::cancelWatch);
+        end(Future.failedFuture(noAnswer()), this::merge);
+    }
+
+    private static StoreException noAnswer() {
+        return new StoreException(
+                StoreException.Kind.UNREACHABLE, "no answer within " + MAX_CALL_MILLIS + " ms");
     }
 
     private void setReading(boolean newReading) {
@@ -127,53 +206,68 @@
         return unavailableSinceMillis < 0 ? -1 : clock.getAsLong() - unavailableSinceMillis;
     }
 
-    private void list() {
-        source.list().onComplete(answer -> handle(answer, this::merge));
+    private void list(long call) {
+        source.list()
+                .onComplete(
+                        answer -> {
+                            if (call == currentCall) {
+                                end(answer, this::merge);
+                            }
+                        });
     }
 
-    private void watch() {
+    private void watch(long call) {
         watching = true;
         watchStartedAtMillis = clock.getAsLong();
         source.watch(publishedState.position().revision(), WATCH_MILLIS)
                 .onComplete(
                         answer -> {
-                            watching = false;
-                            handle(answer, this::mergeWatched);
+                            if (call == currentCall) {
+                                watching = false;
+                                end(answer, this::mergeWatched);
+                            }
                         });
     }
 
-    /** An unexpected error counts as a failure of the store, so that reading goes on. */
-    private void handle(AsyncResult<StoreChanges> answer, Consumer<StoreChanges> merge) {
-        if (answer.failed()) {
-            storeFailed(answer.cause());
-            return;
-        }
+    /**
+     * Ends a call and makes the next one. The function merges an answer and returns the pause
+     * before the next call. An unexpected error counts as a failure of the store; a listing
+     * follows, since the answer may be merged in part.
+     */
+    private void end(AsyncResult<StoreChanges> answer, ToLongFunction<StoreChanges> merge) {
+        long pauseMillis = MAX_BACKOFF_MILLIS;
         try {
-            merge.accept(answer.result());
-        } catch (RuntimeException e) {
-            log.record(EventCode.INTERNAL_ERROR, "merging the store's answer", e);
-            storeFailed(e);
+            pauseMillis =
+                    answer.failed()
+                            ? storeFailed(answer.cause())
+                            : merge.applyAsLong(answer.result());
+        } catch (Throwable e) {
+            populated = false;
+            errors.record("merging the store's answer", e);
+            errors.contain("recording a failure of the store", () -> storeFailed(e));
+        } finally {
+            nextAfter(pauseMillis);
         }
     }
 
-    private void merge(StoreChanges answer) {
+    private long merge(StoreChanges answer) {
         StoreChanges listing = withUsableEra(answer);
         if (isOutdated(listing)) {
-            return;
+            return storeFailed(outdated(listing));
         }
         publishedState.merge(listing, "listing", storeWasUnavailable());
         populated = true;
         storeAnswered();
-        start();
+        return NO_PAUSE;
     }
 
-    private void mergeWatched(StoreChanges answer) {
+    private long mergeWatched(StoreChanges answer) {
         if (clock.getAsLong() - watchStartedAtMillis > LATE_WATCH_MILLIS) {
             recoveredAtMillis = clock.getAsLong();
         }
         StoreChanges changes = withUsableEra(answer);
         if (isOutdated(changes)) {
-            return;
+            return storeFailed(outdated(changes));
         }
         relistMillis = INITIAL_BACKOFF_MILLIS;
         if (changes.position().era() > publishedState.position().era()) {
@@ -183,7 +277,7 @@
             publishedState.merge(changes, "watch", storeWasUnavailable());
         }
         storeAnswered();
-        start();
+        return NO_PAUSE;
     }
 
     /** An answer without a usable era counts as one of the era that this VM knows. */
@@ -202,19 +296,19 @@
 
     /** An answer of an earlier era changes nothing; the next call is made after a pause. */
     private boolean isOutdated(StoreChanges changes) {
+        return changes.position().era() < publishedState.position().era();
+    }
+
+    private StoreException outdated(StoreChanges changes) {
         long era = changes.position().era();
         long known = publishedState.position().era();
-        if (era >= known) {
-            return false;
-        }
-        storeFailed(
-                new StoreException(
-                        StoreException.Kind.REFUSED,
-                        "answer is of era " + era + ", era " + known + " is known"));
-        return true;
+        return new StoreException(
+                StoreException.Kind.REFUSED,
+                "answer is of era " + era + ", era " + known + " is known");
     }
 
-    private void storeFailed(Throwable cause) {
+    /** Returns the pause before the next call. */
+    private long storeFailed(Throwable cause) {
         if (cause instanceof StoreException failure
                 && failure.kind() == StoreException.Kind.HISTORY_GONE) {
             populated = false;
@@ -226,8 +320,9 @@
             log.record(
                     EventCode.STORE_LOST, cause.getMessage(), publishedState.position().revision());
         }
-        vertx.setTimer(backoffMillis, ignored -> start());
+        long pauseMillis = backoffMillis;
         backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
+        return pauseMillis;
     }
 
     private void storeAnswered() {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EntryContext.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EntryContext.java
@@ -8,6 +8,7 @@
 import io.vanillapoint.core.upstream.ReplicaChooser;
 import io.vanillapoint.core.upstream.UpstreamPool;
 import io.vanillapoint.entry.log.EntryMetrics;
+import io.vanillapoint.entry.log.UnexpectedErrors;
 import io.vanillapoint.entry.port.RequestFormat;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
@@ -51,4 +52,13 @@
         ResponseMemoryBudget memory,
         HttpClient upstreamClient,
         HttpClient vmClient,
-        int peerPort) {}
+        int peerPort) {
+    /**
+     * Boundary for unexpected errors.
+     *
+     * @return a boundary that records in the log and the metrics
+     */
+    public UnexpectedErrors errors() {
+        return new UnexpectedErrors(log, metrics);
+    }
+}
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FakeSource.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FakeSource.java
@@ -6,13 +6,16 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
 /** A store whose watches are completed by the test. Safe for use by several threads. */
 final class FakeSource implements PublishedSource {
     private final BlockingQueue<Promise<StoreChanges>> watches = new LinkedBlockingQueue<>();
+    private final Queue<Error> errors = new ConcurrentLinkedQueue<>();
 
     @Override
     public Future<StoreChanges> list() {
@@ -21,6 +24,10 @@
 
     @Override
     public Future<StoreChanges> watch(long after, long waitMillis) {
+        Error error = errors.poll();
+        if (error != null) {
+            throw error;
+        }
         Promise<StoreChanges> answer = Promise.promise();
         watches.add(answer);
         return answer.future();
@@ -29,6 +36,16 @@
     @Override
     public void cancelWatch() {}
 
+    /** Lets the next watch throw. */
+    void failNextWatch(Error error) {
+        errors.add(error);
+    }
+
+    int pendingWatches() {
+        return watches.size();
+    }
+
+    /** The next watch, or null if there is none within half a minute. */
     Promise<StoreChanges> nextWatch() throws InterruptedException {
         return watches.poll(30, TimeUnit.SECONDS);
     }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreCopierTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreCopierTest.java
@@ -12,6 +12,8 @@
 import io.vanillapoint.core.fleet.MemberState;
 import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.core.upstream.UpstreamPool;
+import io.vanillapoint.entry.log.EntryMetrics;
+import io.vanillapoint.entry.log.UnexpectedErrors;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -33,6 +35,8 @@
     private static final long WAIT_SECONDS = 20;
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final UnexpectedErrors errors =
+            new UnexpectedErrors((code, values) -> {}, new EntryMetrics());
     private final CountDownLatch copies = new CountDownLatch(COPIES);
 
     @AfterEach
@@ -65,11 +69,18 @@
                         new NoValues(),
                         new UpstreamPool(Map.of()),
                         (code, values) -> {},
+                        errors,
                         clock,
                         publication -> {});
         StoreSync sync =
                 new StoreSync(
-                        vertx, new FakeSource(), state, (code, values) -> {}, clock, () -> false);
+                        vertx,
+                        new FakeSource(),
+                        state,
+                        (code, values) -> {},
+                        errors,
+                        clock,
+                        () -> false);
         StoreCopier copier =
                 new StoreCopier(
                         fleet,
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreSyncTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreSyncTest.java
@@ -10,6 +10,8 @@
 import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.core.published.StoredItem;
 import io.vanillapoint.core.upstream.UpstreamPool;
+import io.vanillapoint.entry.log.EntryMetrics;
+import io.vanillapoint.entry.log.UnexpectedErrors;
 import io.vanillapoint.entry.port.StoreException;
 import io.vanillapoint.entry.traffic.RecordingLog;
 import io.vertx.core.Promise;
@@ -29,16 +31,18 @@
     private final Vertx vertx = Vertx.vertx();
     private final AtomicLong clock = new AtomicLong(START);
     private final RecordingLog log = new RecordingLog();
+    private final UnexpectedErrors errors = new UnexpectedErrors(log, new EntryMetrics());
     private final FakeSource source = new FakeSource();
     private final PublishedState publishedState =
             new PublishedState(
                     new FaultyValues(),
                     new UpstreamPool(Map.of()),
                     (code, values) -> {},
+                    errors,
                     clock::get,
                     publication -> {});
     private final StoreSync sync =
-            new StoreSync(vertx, source, publishedState, log, clock::get, () -> true);
+            new StoreSync(vertx, source, publishedState, log, errors, clock::get, () -> true);
     private Promise<StoreChanges> watch;
 
     @BeforeEach
