Errors of the virtual machine end a request of the daemon with an answer

Callers saw: a request that met an OutOfMemoryError or StackOverflowError waited until it gave up, and its place was never freed; a peer connection delivered no further frames. Cause: the boundaries of a request, of a call across contexts, of a peer's message and of the meter let errors pass that are no RuntimeException; the chain of reads of the configuration service recorded a failure before it set its timer. The order of timers in PlatformWatcher and Daemon has no test of its own. Why it works: the boundaries take every Throwable, and timers are set before work that may fail.

--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/Daemon.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/Daemon.java
@@ -129,9 +129,9 @@
             return;
         }
         draining = true;
-        control.drain();
         trafficVertx.setTimer(settings.timeouts().drainMillis(), timer -> abortRunning());
         trafficVertx.setPeriodic(DRAIN_CHECK_MILLIS, this::stopIfIdle);
+        control.drain();
     }
 
     /**
@@ -176,8 +176,8 @@
         }
         aborting = true;
         abortedRequests = running();
-        traffic.forEach(TrafficVerticle::abortRunning);
         trafficVertx.setTimer(ABORT_GRACE_MILLIS, timer -> stop());
+        traffic.forEach(TrafficVerticle::abortRunning);
     }
 
     private void stopIfIdle(long timer) {
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/control/Contexts.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/control/Contexts.java
@@ -33,7 +33,7 @@
     private static <T> Future<T> invoke(Supplier<Future<T>> task) {
         try {
             return task.get();
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             return Future.failedFuture(e);
         }
     }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/FrameSocket.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/peer/FrameSocket.java
@@ -122,6 +122,11 @@
         } catch (VanillapointException e) {
             events.record(EventCode.PEER_BAD_FRAME, socket.remoteAddress(), e.getMessage());
             close();
+        } catch (Throwable e) {
+            // The place of the next frame may be lost.
+            close();
+            events.record(
+                    EventCode.INTERNAL_ERROR, "reading a frame of " + socket.remoteAddress(), e);
         }
     }
 
@@ -131,7 +136,7 @@
             receiver.accept(message);
         } catch (VanillapointException e) {
             throw e;
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             events.record(
                     EventCode.INTERNAL_ERROR, "handling a message of " + socket.remoteAddress(), e);
         }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/platform/PlatformWatcher.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/platform/PlatformWatcher.java
@@ -69,8 +69,16 @@
         int waitSeconds = lastReadSucceeded && control.holdsShare() ? LONG_POLL_SECONDS : 0;
         String uri =
                 "/v1/values?since=" + control.completeThroughRevision() + "&wait=" + waitSeconds;
+        // A composed call also ends if sending it throws.
         Future<Buffer> body =
-                client.request(HttpMethod.GET, address.port(), address.host(), uri)
+                Future.succeededFuture()
+                        .compose(
+                                ignored ->
+                                        client.request(
+                                                HttpMethod.GET,
+                                                address.port(),
+                                                address.host(),
+                                                uri))
                         .compose(PlatformWatcher::response);
         body.timeout(RESPONSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .map(buffer -> applyResponse(requestedAt, buffer))
@@ -127,9 +135,9 @@
     }
 
     private void onReadFailed(Throwable error) {
-        control.recordPlatformFailure(error);
         lastReadSucceeded = false;
         vertx.setTimer(retryDelayMillis, timer -> read());
         retryDelayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, 2 * retryDelayMillis);
+        control.recordPlatformFailure(error);
     }
 }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerHandler.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerHandler.java
@@ -64,7 +64,7 @@
             route(request);
         } catch (VanillapointException e) {
             refuseUnread(request, e, ErrorBody.of(e));
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             VanillapointException error = internalError(request, e);
             refuseUnread(request, error, ErrorBody.of(error));
         }
@@ -190,13 +190,13 @@
             new RequestExecution(context, runRequest, protocol.meter(plan), sink).start();
         } catch (VanillapointException e) {
             fail(request, e);
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             fail(request, internalError(request, e));
         }
     }
 
     /** Logs an unexpected error of this handler, which has sent the request to no upstream. */
-    private VanillapointException internalError(HttpServerRequest request, RuntimeException cause) {
+    private VanillapointException internalError(HttpServerRequest request, Throwable cause) {
         context.events()
                 .record(
                         EventCode.INTERNAL_ERROR,
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestExecution.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/RequestExecution.java
@@ -257,7 +257,7 @@
     private long usedTokens() {
         try {
             return sink.meter.usedTokens(request.plan().tokens());
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             recordInternalError(e);
             return request.plan().tokens();
         }
@@ -303,14 +303,14 @@
         return value -> {
             try {
                 step.handle(value);
-            } catch (RuntimeException e) {
+            } catch (Throwable e) {
                 failUnexpectedly(e);
             }
         };
     }
 
     /** Ends the request, whose caller would get no response otherwise. */
-    private void failUnexpectedly(RuntimeException cause) {
+    private void failUnexpectedly(Throwable cause) {
         recordInternalError(cause);
         if (completion.future().isComplete()) {
             return;
@@ -383,7 +383,7 @@
         private final UsageMeter meter;
         private final RegionId region;
         private final Buffer storedBody;
-        private final Consumer<RuntimeException> onMeterError;
+        private final Consumer<Throwable> onMeterError;
         private boolean failed;
         private boolean headSent;
         private long headNanos;
@@ -395,7 +395,7 @@
                 UsageMeter meter,
                 RegionId region,
                 boolean storeBody,
-                Consumer<RuntimeException> onMeterError) {
+                Consumer<Throwable> onMeterError) {
             this.onMeterError = onMeterError;
             this.region = region;
             this.delegate = delegate;
@@ -434,7 +434,7 @@
             }
             try {
                 step.run();
-            } catch (RuntimeException e) {
+            } catch (Throwable e) {
                 failed = true;
                 onMeterError.accept(e);
             }
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/peer/FrameSocketTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/peer/FrameSocketTest.java
@@ -29,6 +29,7 @@
 /** Frames whose handling fails, and frames that are cut, merged, repeated or reordered. */
 class FrameSocketTest {
     private static final long FAULTY_ID = 13;
+    private static final long OVERFLOWING_ID = 14;
     private static final int FRAMES = 40;
 
     private final Vertx vertx = Vertx.vertx();
@@ -60,10 +61,11 @@
         Await.result(vertx.close());
     }
 
-    @Test
-    void messageWhoseHandlingFailsIsLoggedAndTheNextIsHandled() {
+    @ParameterizedTest
+    @ValueSource(longs = {FAULTY_ID, OVERFLOWING_ID})
+    void messageWhoseHandlingFailsIsLoggedAndTheNextIsHandled(long id) {
         Buffer frames = frame(new Settle(1, 1));
-        frames.appendBuffer(frame(new Settle(FAULTY_ID, 1)));
+        frames.appendBuffer(frame(new Settle(id, 1)));
         frames.appendBuffer(frame(new Settle(2, 1)));
         client.write(frames);
         Await.until("the last message is handled", () -> received.contains(2L));
@@ -113,6 +115,9 @@
         if (settle.id() == FAULTY_ID) {
             throw new IllegalStateException("faulty message");
         }
+        if (settle.id() == OVERFLOWING_ID) {
+            throw new StackOverflowError();
+        }
         received.add(settle.id());
     }
 
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/testing/FaultyProtocolModule.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/testing/FaultyProtocolModule.java
@@ -27,6 +27,9 @@
         if (path.equals(PREFIX + step)) {
             throw new IllegalStateException("faulty " + step);
         }
+        if (path.equals(PREFIX + "memory/" + step)) {
+            throw new OutOfMemoryError("faulty " + step);
+        }
     }
 
     private static final class FaultyProtocol implements RequestProtocol {
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/UnexpectedErrorTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/UnexpectedErrorTest.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -39,7 +38,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"route", "plan"})
+    @ValueSource(strings = {"route", "plan", "memory/route", "memory/plan"})
     void errorBeforeTheRequestRunsIsReportedAsNotRun(String step) {
         CallerResponse response = gateway.call("a-1", "GET", "/faulty/" + step, "");
         assertThat(response.status(), is(500));
@@ -49,7 +48,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"head", "data"})
+    @ValueSource(strings = {"head", "data", "memory/head", "memory/data"})
     void errorInTheResponseIsNotReportedAsNotRun(String step) {
         CallerResponse response = gateway.call("a-1", "GET", "/faulty/" + step, "");
         assertThat(response.status(), is(500));
@@ -58,17 +57,19 @@
         assertLoggedAndFree();
     }
 
-    @Test
-    void errorAfterAPartOfTheResponseCutsIt() {
-        CallerResponse response = gateway.call("a-1", "GET", "/faulty/end", "");
+    @ParameterizedTest
+    @ValueSource(strings = {"end", "memory/end"})
+    void errorAfterAPartOfTheResponseCutsIt(String step) {
+        CallerResponse response = gateway.call("a-1", "GET", "/faulty/" + step, "");
         assertThat(response.complete(), is(false));
         assertThat(runs.get(), is(1));
         assertLoggedAndFree();
     }
 
-    @Test
-    void errorAfterTheResponseFreesThePlace() {
-        CallerResponse response = gateway.call("a-1", "GET", "/faulty/usage", "");
+    @ParameterizedTest
+    @ValueSource(strings = {"usage", "memory/usage"})
+    void errorAfterTheResponseFreesThePlace(String step) {
+        CallerResponse response = gateway.call("a-1", "GET", "/faulty/" + step, "");
         assertThat(response.body(), is("ok"));
         assertLoggedAndFree();
     }
