A copy that another VM does not give is no internal error

Operators saw: event 1902, internal error, for each VM that restarted while another one copied the store from it (connection refused). Cause: both copiers logged every failed call under the name of a defect. A call that could not even be sent left the copier waiting for its end for good, and an answer of the configuration that arrives byte by byte had no total time. Why it works: event 2112, store not copied, names the VM and the error; the call is composed, so that its end is always reported.

--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -122,6 +122,8 @@
             "version_in_force",
             "revision",
             "source"),
+    /** Values could not be copied from another VM; another attempt follows. */
+    STORE_NOT_COPIED(2112, EventLevel.WARN, "store not copied", "from", "error"),
     /** A VM was discovered or changed its state. */
     MEMBER_CHANGED(2201, EventLevel.INFO, "member", "member", "state", "incarnation"),
     /** A VM has stopped sending messages and is no longer listed for callers. */
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/ConfigurationCopier.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/ConfigurationCopier.java
@@ -9,12 +9,15 @@
 import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.entry.http.BoundedBody;
 import io.vanillapoint.wire.FleetCodec;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 /**
@@ -30,6 +33,10 @@
     private static final long MAX_BYTES = 16L * 1_024 * 1_024;
 
     private static final long TIMEOUT_MILLIS = 800;
+
+    /** Longest time for the complete answer. */
+    private static final long ANSWER_TIMEOUT_MILLIS = 5_000;
+
     private static final int NOT_FOUND = 404;
 
     private final FleetCodec codec = new FleetCodec();
@@ -84,27 +91,35 @@
                         .setURI(PATH + "?newerThan=" + version)
                         .setConnectTimeout(TIMEOUT_MILLIS)
                         .setTimeout(TIMEOUT_MILLIS);
-        client.request(target)
-                .compose(request -> request.send())
-                .compose(
-                        response ->
-                                BoundedBody.read(response, MAX_BYTES)
-                                        .map(body -> apply(vm, response.statusCode(), body)))
+        // A composed call also ends if sending it throws.
+        Future.succeededFuture()
+                .compose(ignored -> client.request(target))
+                .compose(request -> answer(vm, request))
                 .onComplete(
                         answer -> {
                             requestInProgress = false;
                             if (answer.succeeded()) {
                                 answeredEra = era;
                             } else {
-                                String place = "copying the configuration from " + vm;
                                 log.record(
-                                        EventCode.INTERNAL_ERROR,
-                                        place,
+                                        EventCode.STORE_NOT_COPIED,
+                                        vm,
                                         answer.cause().getMessage());
                             }
                         });
     }
 
+    /** Another VM that keeps sending bytes never exceeds the idle timeout of the request. */
+    private Future<Void> answer(String vm, HttpClientRequest request) {
+        return request.send()
+                .compose(
+                        response ->
+                                BoundedBody.read(response, MAX_BYTES)
+                                        .map(body -> apply(vm, response.statusCode(), body)))
+                .timeout(ANSWER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .onFailure(error -> request.reset());
+    }
+
     /** A VM of an earlier build does not know the path. */
     private Void apply(String vm, int status, Buffer body) {
         if (status == NOT_FOUND) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopier.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopier.java
@@ -97,15 +97,16 @@
                         .setURI(PATH + "?after=" + position.revision() + "&era=" + position.era())
                         .setConnectTimeout(TIMEOUT_MILLIS)
                         .setTimeout(TIMEOUT_MILLIS);
-        client.request(target)
+        // A composed call also ends if sending it throws.
+        Future.succeededFuture()
+                .compose(ignored -> client.request(target))
                 .compose(StoreCopier::answer)
                 .onComplete(
                         body -> {
                             copyInProgress = false;
                             if (body.failed()) {
-                                String place = "copying the store from " + vm;
                                 log.record(
-                                        EventCode.INTERNAL_ERROR, place, body.cause().getMessage());
+                                        EventCode.STORE_NOT_COPIED, vm, body.cause().getMessage());
                             } else {
                                 applyCopy(vm, body.result());
                             }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreCopierTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreCopierTest.java
@@ -1,8 +1,11 @@
 package io.vanillapoint.entry.control;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
+import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.api.model.ZoneId;
 import io.vanillapoint.core.fleet.FleetReport;
@@ -14,12 +17,16 @@
 import io.vanillapoint.core.upstream.UpstreamPool;
 import io.vanillapoint.entry.log.EntryMetrics;
 import io.vanillapoint.entry.log.UnexpectedErrors;
+import io.vanillapoint.entry.traffic.RecordingLog;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
+import java.lang.reflect.Proxy;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -37,6 +44,7 @@
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final UnexpectedErrors errors =
             new UnexpectedErrors((code, values) -> {}, new EntryMetrics());
+    private final RecordingLog log = new RecordingLog();
     private final CountDownLatch copies = new CountDownLatch(COPIES);
 
     @AfterEach
@@ -54,14 +62,45 @@
         Promise<Void> started = Promise.promise();
         vertx.runOnContext(
                 ignored -> {
-                    start(server.actualPort());
+                    start(server.actualPort(), vertx.createHttpClient());
                     started.complete();
                 });
         started.future().await(10, TimeUnit.SECONDS);
         assertThat("copies began", copies.await(WAIT_SECONDS, TimeUnit.SECONDS), is(true));
     }
 
-    private void start(int port) {
+    @Test
+    void copyThatCannotBeSentIsTriedAgain() throws Exception {
+        HttpClient failing =
+                (HttpClient)
+                        Proxy.newProxyInstance(
+                                HttpClient.class.getClassLoader(),
+                                new Class<?>[] {HttpClient.class},
+                                (proxy, method, arguments) -> {
+                                    copies.countDown();
+                                    throw new OutOfMemoryError("heap");
+                                });
+        vertx.runOnContext(ignored -> start(1, failing));
+        assertThat("copies began", copies.await(WAIT_SECONDS, TimeUnit.SECONDS), is(true));
+        assertThat(log.codes(), hasItem(EventCode.STORE_NOT_COPIED));
+    }
+
+    @Test
+    void refusedConnectionIsNoInternalError() throws Exception {
+        CompletableFuture<Void> logged = new CompletableFuture<>();
+        log.onRecord(
+                code -> {
+                    if (code == EventCode.STORE_NOT_COPIED) {
+                        logged.complete(null);
+                    }
+                });
+        // Port 1 of the loopback address has no listener.
+        vertx.runOnContext(ignored -> start(1, vertx.createHttpClient()));
+        logged.get(WAIT_SECONDS, TimeUnit.SECONDS);
+        assertThat(log.codes(), not(hasItem(EventCode.INTERNAL_ERROR)));
+    }
+
+    private void start(int port, HttpClient client) {
         LongSupplier clock = () -> System.nanoTime() / 1_000_000;
         FleetView fleet = new FleetView(vm("vm-1"), FleetTiming.DEFAULT, 2);
         PublishedState state =
@@ -86,8 +125,8 @@
                         fleet,
                         state,
                         sync,
-                        vertx.createHttpClient(),
-                        (code, values) -> {},
+                        client,
+                        log,
                         clock,
                         port);
         long[] sequence = new long[1];
