Values held back are not applied early after a merge that failed

Callers saw: nothing; found while reading the repair of the merge. Cause: after a merge that did not end, all values of the table were applied, those that are held back for contradicting what the VM knew among them. Evidence: by reading; PublishedStateErrorTest.valuesOfAMergeThatFailedAreInForceAfterTheNextOne covers the merge that failed. Why it works: values that are held back are left out and applied at their time.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
@@ -30,9 +30,9 @@
  * Published configuration, replicas and evacuations that are in force on this VM.
  *
  * <p>Invariant: the version of the configuration never decreases. A value that can't be parsed is
- * ignored, except that a replica whose entry can't be parsed gets no requests. A value that can't be
- * applied because of an unexpected error does not affect others; it is applied again after a pause
- * that grows, until it is applied or replaced. Confined to one thread.
+ * ignored, except that a replica whose entry can't be parsed gets no requests. A value that can't
+ * be applied because of an unexpected error does not affect others; it is applied again after a
+ * pause that grows, until it is applied or replaced. Confined to one thread.
  */
 public final class PublishedState {
     /**
@@ -187,7 +187,9 @@
         mergeIncomplete = true;
         int applied = mergeIntoTable(changes, source, storeWasUnavailable);
         if (previousIncomplete) {
-            apply(table.items(), source, storeWasUnavailable);
+            List<StoredItem> known = new ArrayList<>(table.items());
+            known.removeIf(item -> heldBack.containsKey(item.key()));
+            apply(known, source, storeWasUnavailable);
         }
         mergeIncomplete = false;
         return applied;
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/PublishedStateErrorTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/PublishedStateErrorTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.model.RegionId;
@@ -32,8 +33,7 @@
     private final RecordingLog log = new RecordingLog();
     private final EntryMetrics metrics = new EntryMetrics();
     private final OddValues format = new OddValues();
-    private final UpstreamPool pool =
-            new UpstreamPool(Map.of(new ZoneId("z"), new RegionId("r")));
+    private final UpstreamPool pool = new UpstreamPool(Map.of(new ZoneId("z"), new RegionId("r")));
     private final List<Long> notified = new ArrayList<>();
     private Error listenerError;
     private final PublishedState state =
@@ -111,11 +111,29 @@
         assertThat(state.publication().orElseThrow().version(), is(6L));
     }
 
+    @Test
+    void valuesOfAMergeThatFailedAreInForceAfterTheNextOne() {
+        merge(6, "config");
+        log.onRecord(
+                code -> {
+                    if (code == EventCode.STORE_ERA) {
+                        throw new OutOfMemoryError("heap");
+                    }
+                });
+        StoredItem replica = new StoredItem("replica-1", 3, false, new byte[0]);
+        StoreChanges restored = new StoreChanges(new StorePosition(2, 3), true, List.of(replica));
+        assertThrows(OutOfMemoryError.class, () -> state.merge(restored, "listing", false));
+        log.onRecord(code -> {});
+        state.merge(restored, "listing", false);
+        assertThat(pool.replica("replica-1").isPresent(), is(true));
+    }
+
     private void merge(long revision, String... keys) {
         List<StoredItem> items = new ArrayList<>();
         for (String key : keys) {
             items.add(new StoredItem(key, revision, false, new byte[0]));
         }
-        state.merge(new StoreChanges(new StorePosition(1, revision), true, items), "listing", false);
+        state.merge(
+                new StoreChanges(new StorePosition(1, revision), true, items), "listing", false);
     }
 }
