Errors of the virtual machine end a request of an entry VM with an answer

Callers saw: a request that met a StackOverflowError, an OutOfMemoryError or a missing class had neither an answer nor a refusal before its deadline. Cause: the boundaries of a run, an attempt, an admission and a relayed request took RuntimeException only; sending and reading behind a connection, and the handlers of the listeners, had none. A part of a body that could not be kept was left out of the body. The boundaries of RelayAttempt and of the parts of a body have no test of their own. Why it works: each boundary takes every Throwable and ends the attempt or the request; a listener answers 503 if its handler fails before it has passed anything on.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
@@ -132,11 +132,26 @@
                         .createHttpServer(options)
                         .connectionHandler(
                                 connection -> failureCounter.countFailures(connection, peer))
-                        .requestHandler(handler);
+                        .requestHandler(request -> handle(request, peer, handler));
         servers.add(server);
         return server.listen();
     }
 
+    /** Answers a request whose handler fails; a handler passes nothing on before it returns. */
+    private void handle(
+            HttpServerRequest request, String peer, Handler<HttpServerRequest> handler) {
+        try {
+            handler.handle(request);
+        } catch (Throwable e) {
+            context.errors().record("handling a request of " + peer, e);
+            if (request.response().headWritten()) {
+                request.connection().close();
+            } else {
+                respond(request, UNAVAILABLE, Buffer.buffer());
+            }
+        }
+    }
+
     /**
      * Stops reading requests and closes all connections, idle ones first.
      *
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/http/BoundedBody.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/http/BoundedBody.java
@@ -31,8 +31,14 @@
                         promise.tryFail(
                                 new VanillapointException(ErrorCode.BAD_MESSAGE, "body", message));
                         response.request().reset();
-                    } else {
+                        return;
+                    }
+                    try {
                         body.appendBuffer(data);
+                    } catch (Throwable e) {
+                        // Without this part, the body must not be taken for complete.
+                        promise.tryFail(e);
+                        response.request().reset();
                     }
                 });
         return promise.future();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
@@ -96,7 +96,7 @@
                             if (connected.failed()) {
                                 fail(AttemptOutcome.NOT_SENT, connected.cause().getMessage(), 0);
                             } else {
-                                send(connected.result(), relayed);
+                                guarded("sending", () -> send(connected.result(), relayed));
                             }
                         });
     }
@@ -128,7 +128,9 @@
                             if (answered.failed()) {
                                 fail(AttemptOutcome.LOST, answered.cause().getMessage(), 0);
                             } else {
-                                readResponse(answered.result());
+                                guarded(
+                                        "reading the response",
+                                        () -> readResponse(answered.result()));
                             }
                         });
         connected.end(Buffer.buffer(CODEC.encode(relayed.withRemainingMillis((int) remaining))));
@@ -150,8 +152,8 @@
                 data -> {
                     try {
                         frames.read(data);
-                    } catch (RuntimeException e) {
-                        fail(AttemptOutcome.LOST, e.getMessage(), 0);
+                    } catch (Throwable e) {
+                        fail(AttemptOutcome.LOST, String.valueOf(e), 0);
                         reset();
                     }
                 });
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
@@ -101,19 +101,18 @@
     }
 
     private void run(HttpServerRequest request, RelaySink sink, Buffer body) {
-        sink.acknowledge();
-        if (refusing.getAsBoolean()) {
-            sink.refuse(Refusal.notRun("shutting_down", RETRY_AFTER_MILLIS));
-            return;
-        }
         try {
+            sink.acknowledge();
+            if (refusing.getAsBoolean()) {
+                sink.refuse(Refusal.notRun("shutting_down", RETRY_AFTER_MILLIS));
+                return;
+            }
             admit(sink, body);
         } catch (VanillapointException e) {
             context.log().record(EventCode.PEER_BAD_FRAME, request.remoteAddress(), e.getMessage());
             sink.refuse(Refusal.notRun("bad_message", 0));
-        } catch (RuntimeException e) {
-            context.log()
-                    .record(EventCode.INTERNAL_ERROR, "admitting a relayed request", e.toString());
+        } catch (Throwable e) {
+            context.errors().record("admitting a relayed request", e);
             sink.refuse(Refusal.notRun("internal_error", 0));
         }
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
@@ -126,7 +126,9 @@
         }
         request.handler(
                 data -> {
-                    body.appendBuffer(data);
+                    if (!append(data, body, request, sink)) {
+                        return;
+                    }
                     if (body.length() > limit) {
                         request.handler(null);
                         deny(sink, "", Refusal.denied(TOO_LARGE, "body_too_large"));
@@ -140,6 +142,20 @@
                 });
     }
 
+    /** Refuses a request whose body can't be kept; it must not be passed on with a part missing. */
+    private boolean append(Buffer data, Buffer body, HttpServerRequest request, CallerSink sink) {
+        try {
+            body.appendBuffer(data);
+            return true;
+        } catch (Throwable e) {
+            request.handler(null);
+            request.endHandler(null);
+            context.errors().record("reading the body of a request", e);
+            sink.refuse(Refusal.notRun("internal_error", 0));
+            return false;
+        }
+    }
+
     /**
      * Closes the connection after the response. A chunked request may also carry a Content-Length,
      * which the HTTP library silently drops; a proxy that goes by the length would frame the next
@@ -157,12 +173,8 @@
             HttpServerRequest request, Buffer body, CallerSink sink, long receivedAt) {
         try {
             admit(request, body, sink, receivedAt);
-        } catch (RuntimeException e) {
-            context.log()
-                    .record(
-                            EventCode.INTERNAL_ERROR,
-                            "admitting " + request.method() + " " + request.path(),
-                            e.toString());
+        } catch (Throwable e) {
+            context.errors().record("admitting " + request.method() + " " + request.path(), e);
             sink.refuse(Refusal.notRun("internal_error", 0));
         }
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/HttpAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/HttpAttempt.java
@@ -93,6 +93,22 @@
         clientResponse.exceptionHandler(error -> fail(AttemptOutcome.LOST, error.getMessage(), 0));
     }
 
+    /**
+     * Runs a step of the attempt. An unexpected error in it ends the attempt; what was sent by then
+     * may have run.
+     *
+     * @param step what is done, for the log
+     * @param work the step
+     */
+    protected final void guarded(String step, Runnable work) {
+        try {
+            work.run();
+        } catch (Throwable e) {
+            fail(AttemptOutcome.LOST, step + " failed: " + e, 0);
+            reset();
+        }
+    }
+
     /** Resets the request's connection, if there is one. */
     protected final void reset() {
         if (request != null) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -542,7 +542,7 @@
     private void guarded(String step, Runnable work) {
         try {
             work.run();
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             context.log().record(EventCode.INTERNAL_ERROR, step + ", " + id(), e.toString());
             endAfterError();
         }
@@ -559,7 +559,7 @@
                 return;
             }
             terminate("internal error", "internal_error");
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             context.log().record(EventCode.INTERNAL_ERROR, "refusing, " + id(), e.toString());
             sink.abort();
             finish("failed");
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
@@ -50,7 +50,11 @@
                             if (connected.failed()) {
                                 fail(AttemptOutcome.NOT_SENT, connected.cause().getMessage(), 0);
                             } else {
-                                gate.execute(() -> send(connected.result(), body));
+                                gate.execute(
+                                        () ->
+                                                guarded(
+                                                        "sending",
+                                                        () -> send(connected.result(), body)));
                             }
                         });
     }
@@ -70,7 +74,7 @@
         }
         try {
             format.writeCall(call.withRemainingMillis(remaining), request.headers());
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             reset();
             fail(AttemptOutcome.WITHHELD, "request cannot be written: " + e, 0);
             return;
@@ -81,7 +85,9 @@
                             if (answered.failed()) {
                                 fail(AttemptOutcome.LOST, answered.cause().getMessage(), 0);
                             } else {
-                                readResponse(answered.result());
+                                guarded(
+                                        "reading the response",
+                                        () -> readResponse(answered.result()));
                             }
                         });
         if (body.length() > 0) {
@@ -99,7 +105,7 @@
         ResponseEnvelope head;
         try {
             head = format.response(response.statusCode(), response.headers());
-        } catch (RuntimeException e) {
+        } catch (Throwable e) {
             fail(AttemptOutcome.GARBLED, "response cannot be read: " + e, 0);
             reset();
             return;
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayHandlerTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayHandlerTest.java
@@ -93,6 +93,18 @@
         assertThat(log.codes(), hasItem(EventCode.INTERNAL_ERROR));
     }
 
+    @Test
+    void requestThatMeetsAnErrorOfTheVirtualMachineIsRefusedAsNotRun() throws Exception {
+        ForwardFailure failure =
+                relay(
+                        () -> {
+                            throw new OutOfMemoryError("heap");
+                        });
+        assertThat(failure.message(), is("internal_error"));
+        assertThat(failure.runState(), is(RunState.NOT_RUN));
+        assertThat(log.codes(), hasItem(EventCode.INTERNAL_ERROR));
+    }
+
     private ForwardFailure relay(Supplier<Optional<GatewayPublication>> publication)
             throws Exception {
         RelayHandler handler = new RelayHandler(context(), publication, () -> refusing);
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UnexpectedErrorTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UnexpectedErrorTest.java
@@ -42,9 +42,10 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Requests that meet an unexpected error after their admission end at once, with an answer. */
 class UnexpectedErrorTest {
@@ -68,21 +69,26 @@
         vertx.close().await(WAIT_SECONDS, TimeUnit.SECONDS);
     }
 
+    static Stream<Fault> faults() {
+        return Stream.of(Step.values())
+                .flatMap(step -> Stream.of(Thrown.values()).map(thrown -> new Fault(step, thrown)));
+    }
+
     @ParameterizedTest
-    @EnumSource(Step.class)
-    void bufferedRequestThatMeetsAnErrorEndsBeforeItsDeadline(Step step) throws Exception {
-        assertEnds(step, RouteKind.AT_MOST_ONCE);
+    @MethodSource("faults")
+    void bufferedRequestThatMeetsAnErrorEndsBeforeItsDeadline(Fault fault) throws Exception {
+        assertEnds(fault, RouteKind.AT_MOST_ONCE);
     }
 
     @ParameterizedTest
-    @EnumSource(Step.class)
-    void streamThatMeetsAnErrorEndsBeforeItsDeadline(Step step) throws Exception {
-        assertEnds(step, RouteKind.EVENT_STREAM);
+    @MethodSource("faults")
+    void streamThatMeetsAnErrorEndsBeforeItsDeadline(Fault fault) throws Exception {
+        assertEnds(fault, RouteKind.EVENT_STREAM);
     }
 
-    private void assertEnds(Step step, RouteKind kind) throws Exception {
+    private void assertEnds(Fault fault, RouteKind kind) throws Exception {
         // Port 1 of the loopback address has no listener.
-        int port = step == Step.CONNECT_FAILURE ? 1 : listen();
+        int port = fault.step() == Step.CONNECT_FAILURE ? 1 : listen();
         UpstreamReplica replica =
                 new UpstreamReplica(
                         "i-1",
@@ -97,16 +103,16 @@
         pool.publish(replica, Optional.of(SERVICE), 0);
         log.onRecord(
                 code -> {
-                    step.failIf(Step.PLACING, code == EventCode.PLACED);
-                    step.failIf(Step.CONNECT_FAILURE, code == EventCode.REPLICA_UNREACHABLE);
+                    fault.failIf(Step.PLACING, code == EventCode.PLACED);
+                    fault.failIf(Step.CONNECT_FAILURE, code == EventCode.REPLICA_UNREACHABLE);
                 });
         Promise<Void> ended = Promise.promise();
         vertx.runOnContext(
                 ignored ->
                         new RequestRun(
-                                        context(step),
+                                        context(fault),
                                         plan(kind),
-                                        new FailingSink(step, sink),
+                                        new FailingSink(fault, sink),
                                         ended::complete)
                                 .start());
         ended.future().await(WAIT_SECONDS, TimeUnit.SECONDS);
@@ -121,7 +127,7 @@
                 .actualPort();
     }
 
-    private EntryContext context(Step step) {
+    private EntryContext context(Fault fault) {
         MemberInfo self =
                 new MemberInfo(
                         "vm", "127.0.0.1", REGION, ZONE, MemberInfo.ONE_CORE, 1, MemberState.READY);
@@ -135,7 +141,7 @@
                 new EventLoopGate(vertx, () -> 0, new EventLoopLag(200, 0)),
                 log,
                 metrics,
-                new FailingFormat(step),
+                new FailingFormat(fault),
                 fleet,
                 roster,
                 pool,
@@ -198,17 +204,50 @@
         READING_HEAD,
         WRITING_HEAD,
         WRITING_DATA,
-        ENDING;
+        ENDING
+    }
+
+    /** What is thrown. Immutable. */
+    private enum Thrown {
+        EXCEPTION {
+            @Override
+            void raise() {
+                throw new IllegalStateException("unforeseen");
+            }
+        },
+        STACK_OVERFLOW {
+            @Override
+            void raise() {
+                throw new StackOverflowError();
+            }
+        },
+        OUT_OF_MEMORY {
+            @Override
+            void raise() {
+                throw new OutOfMemoryError("heap");
+            }
+        },
+        MISSING_CLASS {
+            @Override
+            void raise() {
+                throw new NoClassDefFoundError("Missing");
+            }
+        };
+
+        abstract void raise();
+    }
 
-        void failIf(Step other, boolean condition) {
-            if (this == other && condition) {
-                throw new IllegalStateException("unforeseen error while " + this);
+    /** What is thrown at which step. Immutable. */
+    private record Fault(Step step, Thrown thrown) {
+        void failIf(Step current, boolean condition) {
+            if (step == current && condition) {
+                thrown.raise();
             }
         }
     }
 
     /** Format that fails at one step. Stateless. */
-    private record FailingFormat(Step step) implements RequestFormat {
+    private record FailingFormat(Fault fault) implements RequestFormat {
         private static final StubRequestFormat STUB = new StubRequestFormat();
 
         @Override
@@ -218,7 +257,7 @@
 
         @Override
         public void writeCall(UpstreamCall call, MultiMap headers) {
-            step.failIf(Step.SENDING, true);
+            fault.failIf(Step.SENDING, true);
         }
 
         @Override
@@ -228,22 +267,22 @@
 
         @Override
         public ResponseEnvelope response(int status, MultiMap headers) {
-            step.failIf(Step.READING_HEAD, true);
+            fault.failIf(Step.READING_HEAD, true);
             return STUB.response(status, headers);
         }
     }
 
     /** Sink that fails at one step and records the calls before it. Confined to one event loop. */
-    private record FailingSink(Step step, RecordingSink target) implements ResponseSink {
+    private record FailingSink(Fault fault, RecordingSink target) implements ResponseSink {
         @Override
         public void head(int status, List<HeaderField> headers, OptionalLong length) {
-            step.failIf(Step.WRITING_HEAD, true);
+            fault.failIf(Step.WRITING_HEAD, true);
             target.head(status, headers, length);
         }
 
         @Override
         public void write(Buffer data) {
-            step.failIf(Step.WRITING_DATA, true);
+            fault.failIf(Step.WRITING_DATA, true);
             target.write(data);
         }
 
@@ -254,7 +293,7 @@
 
         @Override
         public void end() {
-            step.failIf(Step.ENDING, true);
+            fault.failIf(Step.ENDING, true);
             target.end();
         }
 
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UpstreamAttemptTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UpstreamAttemptTest.java
@@ -31,6 +31,8 @@
     private final AtomicInteger received = new AtomicInteger();
     private boolean writingFails;
     private boolean readingFails;
+    private volatile boolean acceptingFails;
+    private volatile Throwable failure = new IllegalArgumentException("unforeseen");
 
     @AfterEach
     void close() throws Exception {
@@ -50,6 +52,27 @@
         assertThat(outcome(), is(AttemptOutcome.GARBLED));
     }
 
+    @Test
+    void attemptThatMeetsAnErrorWhileItsHeadersAreWrittenIsNotSent() throws Exception {
+        writingFails = true;
+        failure = new StackOverflowError();
+        assertThat(outcome(), is(AttemptOutcome.WITHHELD));
+        assertThat(received.get(), is(0));
+    }
+
+    @Test
+    void attemptThatMeetsAnErrorWhileItsResponseHeadIsReadIsGarbled() throws Exception {
+        readingFails = true;
+        failure = new OutOfMemoryError("heap");
+        assertThat(outcome(), is(AttemptOutcome.GARBLED));
+    }
+
+    @Test
+    void attemptThatMeetsAnErrorWhileItIsSentIsLost() throws Exception {
+        acceptingFails = true;
+        assertThat(outcome(), is(AttemptOutcome.LOST));
+    }
+
     private AttemptOutcome outcome() throws Exception {
         int port =
                 vertx.createHttpServer()
@@ -77,7 +100,12 @@
                         new EventLoopGate(vertx, () -> 0, new EventLoopLag(200, 0)),
                         call,
                         () -> 4_000,
-                        () -> true,
+                        () -> {
+                            if (acceptingFails) {
+                                throw new StackOverflowError();
+                            }
+                            return true;
+                        },
                         "id-1",
                         new OutcomeListener(outcome));
         RequestOptions target = new RequestOptions().setHost("127.0.0.1").setPort(port);
@@ -86,6 +114,13 @@
         return outcome.future().await(WAIT_SECONDS, TimeUnit.SECONDS);
     }
 
+    private static void raise(Throwable failure) {
+        if (failure instanceof Error error) {
+            throw error;
+        }
+        throw (RuntimeException) failure;
+    }
+
     /** Format that fails where the test says. Confined to one event loop. */
     private final class FailingFormat implements RequestFormat {
         private final StubRequestFormat stub = new StubRequestFormat();
@@ -98,7 +133,7 @@
         @Override
         public void writeCall(UpstreamCall call, MultiMap headers) {
             if (writingFails) {
-                throw new IllegalArgumentException("unforeseen");
+                raise(failure);
             }
         }
 
@@ -110,7 +145,7 @@
         @Override
         public ResponseEnvelope response(int status, MultiMap headers) {
             if (readingFails) {
-                throw new IllegalArgumentException("unforeseen");
+                raise(failure);
             }
             return stub.response(status, headers);
         }
