Probes, crash checks and deferred work go on after an error

Callers saw: a replica whose probe met an error was not probed again, so it got no requests. Cause: the end of a probe was recorded behind the steps that may fail. A check of an engine and the timer of deferred work were noted as pending before they were set, so that none followed one that could not be set. EngineCrashMonitor has no test of its own. Why it works: a probe that meets an error ends as unanswered; what is pending is noted once it is set, and a connection that can't be opened ends the check.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EngineCrashMonitor.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EngineCrashMonitor.java
@@ -2,6 +2,7 @@
 
 import io.vanillapoint.core.published.UpstreamReplica;
 import io.vanillapoint.core.upstream.ReplicaTracker;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
@@ -56,8 +57,8 @@
                 return;
             }
             known = new Pending(tracker, tracker.info());
-            pending.put(engine, known);
             vertx.setTimer(SETTLE_MILLIS, ignored -> check(engine));
+            pending.put(engine, known);
         }
         if (known.attempts.size() < MAX_ATTEMPTS) {
             known.attempts.add(attempt);
@@ -72,7 +73,9 @@
 
     private void check(String engine) {
         UpstreamReplica info = pending.get(engine).info;
-        client.connect(info.endpoint().port(), info.endpoint().host())
+        // A composed call also ends if connecting throws.
+        Future.succeededFuture()
+                .compose(ignored -> client.connect(info.endpoint().port(), info.endpoint().host()))
                 .onComplete(
                         connected -> {
                             if (connected.succeeded()) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EventLoopGate.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EventLoopGate.java
@@ -63,8 +63,8 @@
 
     private void scheduleNext() {
         if (!timerSet) {
-            timerSet = true;
             vertx.setTimer(POLL_DELAY_MILLIS, ignored -> runNext());
+            timerSet = true;
         }
     }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaProber.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaProber.java
@@ -10,6 +10,8 @@
 import io.vanillapoint.entry.http.BoundedBody;
 import io.vanillapoint.entry.port.ReplicaStatus;
 import io.vanillapoint.entry.port.ReplicaStatusFormat;
+import io.vertx.core.AsyncResult;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
@@ -55,7 +57,7 @@
 
     /** Sends the probes that are due, and looks again soon as long as any is needed. */
     public void check() {
-        plan.start(now()).forEach(this::connect);
+        plan.start(now()).forEach(replica -> guarded(replica, () -> connect(replica)));
         if (!checkScheduled && plan.wanted(now())) {
             checkScheduled = true;
             context.vertx()
@@ -79,10 +81,22 @@
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
         context.upstreamClient()
                 .request(options)
-                .onSuccess(request -> send(replica, request))
+                .onSuccess(request -> guarded(replica, () -> send(replica, request)))
                 .onFailure(unreachable -> recordUnreachable(replica));
     }
 
+    /**
+     * Runs a step of a probe. One that meets an unexpected error ends it, so that others follow.
+     */
+    private void guarded(ReplicaTracker replica, Runnable step) {
+        try {
+            step.run();
+        } catch (Throwable e) {
+            context.errors().record("probing " + replica.info().id(), e);
+            recordUnanswered(replica);
+        }
+    }
+
     private void send(ReplicaTracker replica, HttpClientRequest request) {
         format.writeCall(replica.info().id(), request.headers());
         // The response future fails with the same error; a reset is initiated by this VM.
@@ -100,7 +114,9 @@
                                 context.vertx().cancelTimer(timer);
                                 recordUnanswered(replica);
                             } else {
-                                readAnswer(replica, answered.result(), timer);
+                                guarded(
+                                        replica,
+                                        () -> readAnswer(replica, answered.result(), timer));
                             }
                         });
     }
@@ -112,19 +128,25 @@
                 .onComplete(
                         body -> {
                             context.vertx().cancelTimer(timer);
-                            ReplicaStatus status = ReplicaStatus.REACHABLE;
-                            if (body.succeeded()) {
-                                status =
-                                        format.parse(
-                                                id, response.statusCode(), body.result(), findings);
-                            } else {
-                                String message = body.cause().getMessage();
-                                findings.add(Place.of(id), FindingCode.SYNTAX, message);
-                            }
-                            recordAnswer(replica, status, findings);
+                            guarded(
+                                    replica,
+                                    () ->
+                                            recordAnswer(
+                                                    replica,
+                                                    status(id, response, body, findings),
+                                                    findings));
                         });
     }
 
+    private ReplicaStatus status(
+            String id, HttpClientResponse response, AsyncResult<Buffer> body, Findings findings) {
+        if (body.succeeded()) {
+            return format.parse(id, response.statusCode(), body.result(), findings);
+        }
+        findings.add(Place.of(id), FindingCode.SYNTAX, String.valueOf(body.cause().getMessage()));
+        return ReplicaStatus.REACHABLE;
+    }
+
     private void recordAnswer(ReplicaTracker replica, ReplicaStatus status, Findings findings) {
         String id = replica.info().id();
         if (!findings.isEmpty()) {
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/EventLoopGateTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/EventLoopGateTest.java
@@ -3,12 +3,15 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -60,6 +63,30 @@
                 new EventLoopGate(vertx, () -> INTERVAL + 900, lag).receiveDelayMillis(), is(900L));
     }
 
+    @Test
+    void deferredWorkRunsAfterATimerThatCouldNotBeSet() throws Exception {
+        AtomicBoolean failed = new AtomicBoolean();
+        Vertx failingOnce =
+                (Vertx)
+                        Proxy.newProxyInstance(
+                                Vertx.class.getClassLoader(),
+                                new Class<?>[] {Vertx.class},
+                                (proxy, method, arguments) -> {
+                                    if (failed.compareAndSet(false, true)) {
+                                        throw new OutOfMemoryError("heap");
+                                    }
+                                    return method.invoke(vertx, arguments);
+                                });
+        EventLoopGate gate = new EventLoopGate(failingOnce, () -> 5_000, lag);
+        Promise<Void> ran = Promise.promise();
+        vertx.runOnContext(
+                ignored -> {
+                    assertThrows(OutOfMemoryError.class, () -> gate.execute(() -> {}));
+                    gate.execute(ran::complete);
+                });
+        ran.future().await(10, TimeUnit.SECONDS);
+    }
+
     @Test
     void workRunsAtOnceIfTheLoopIsNotBehind() throws Exception {
         assertThat(order(INTERVAL), contains("work", "read"));
