Heartbeats, the tick, the log and the stop go on after an error

Operators saw: a VM that met an error beside its requests sent no heartbeats any more, wrote no log, or did not stop within its grace. Cause: one failing step of a heartbeat, of a tick or of the stop left out all steps behind it, and an error ended the thread that writes the log. Why it works: each step is contained by UnexpectedErrors, which logs and counts what it takes; recording an event never throws.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -247,8 +247,8 @@
                             self.zone(),
                             self.incarnation());
                     vertx.setPeriodic(tuning.tickMillis(), unused -> tick());
-                    listeners
-                            .start()
+                    Future.succeededFuture()
+                            .compose(nothing -> listeners.start())
                             .compose(done -> control.start(settings.seeds()))
                             .onComplete(started);
                 });
@@ -290,14 +290,18 @@
     }
 
     private void tick() {
-        updateLag();
+        errors.contain("measuring the event loop", this::updateLag);
+        errors.contain("updating the number of VMs", this::updateVmCount);
+        errors.contain("applying values of the store", publishedState::applyHeldBack);
+        errors.contain("dropping replicas", () -> pool.prune(now()));
+        errors.contain("probing replicas", prober::check);
+        errors.contain("releasing prompts", prompts::prune);
+        errors.contain("updating the list of VMs", this::updateRoster);
+        errors.contain("flushing the log", log::flush);
+    }
+
+    private void updateVmCount() {
         retries.updateVmCount(fleet.knownVms(), fleet.knowsVmsOf(settings.zones().values()));
-        publishedState.applyHeldBack();
-        pool.prune(now());
-        prober.check();
-        prompts.prune();
-        updateRoster();
-        log.flush();
     }
 
     private void updateRoster() {
@@ -331,7 +335,8 @@
         if (stopping()) {
             return;
         }
-        changeState(MemberState.DRAINING, "stop requested");
+        errors.contain(
+                "announcing the stop", () -> changeState(MemberState.DRAINING, "stop requested"));
         vertx.setTimer(tuning.refuseAfterMillis(), ignored -> refusingRequests = true);
         StopSchedule schedule =
                 new StopSchedule(
@@ -353,16 +358,16 @@
     }
 
     private void shutDown() {
-        changeState(MemberState.GONE, "drain finished");
+        errors.contain("announcing the end", () -> changeState(MemberState.GONE, "drain finished"));
         log.record(EventCode.ENTRY_STOPPED, callers.running() + relays.running());
-        callers.abortAll();
-        relays.abortAll();
-        log.flush();
+        errors.contain("ending requests", callers::abortAll);
+        errors.contain("ending relayed requests", relays::abortAll);
+        errors.contain("flushing the log", log::flush);
         listeners
                 .stop(tuning.closeTimeoutMillis())
                 .onComplete(
                         closed -> {
-                            log.flush();
+                            errors.contain("flushing the log", log::flush);
                             stopped.tryComplete();
                         });
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
@@ -73,6 +73,7 @@
                         context.fleet(),
                         FleetTiming.DEFAULT,
                         context.log(),
+                        context.errors(),
                         context.clock(),
                         context.peerPort(),
                         reportSource,
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
@@ -11,6 +11,7 @@
 import io.vanillapoint.core.fleet.MemberInfo;
 import io.vanillapoint.core.fleet.MemberState;
 import io.vanillapoint.core.fleet.ReportKind;
+import io.vanillapoint.entry.log.UnexpectedErrors;
 import io.vanillapoint.wire.FleetCodec;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -48,6 +49,7 @@
     private final HeartbeatPlan plan;
     private final FleetCodec codec = new FleetCodec();
     private final EventSink log;
+    private final UnexpectedErrors errors;
     private final LongSupplier clock;
     private final int port;
     private final ReportSource reportSource;
@@ -64,6 +66,7 @@
             FleetView fleet,
             FleetTiming timing,
             EventSink log,
+            UnexpectedErrors errors,
             LongSupplier clock,
             int port,
             ReportSource reportSource,
@@ -74,6 +77,7 @@
         this.timing = timing;
         plan = new HeartbeatPlan(timing);
         this.log = log;
+        this.errors = errors;
         this.clock = clock;
         this.port = port;
         this.reportSource = reportSource;
@@ -114,7 +118,7 @@
         long now = clock.getAsLong();
         fleet.prune(now);
         logSuspects(now);
-        onHeartbeat.run();
+        errors.contain("following other VMs", onHeartbeat);
         if (fleet.members().isEmpty()) {
             sendToAll();
             return;
@@ -168,6 +172,8 @@
             }
         } catch (VanillapointException e) {
             log.record(EventCode.PEER_BAD_FRAME, packet.sender(), e.getMessage());
+        } catch (Throwable e) {
+            errors.record("handling a heartbeat of " + packet.sender(), e);
         }
     }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/log/AsyncLineWriter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/log/AsyncLineWriter.java
@@ -81,11 +81,21 @@
     }
 
     /** Runs a task; an unexpected error must not end the thread that all later lines need. */
-    private static void runSafely(Runnable task) {
+    private void runSafely(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
-            System.err.println("a task of the log failed, its lines are lost: " + e);
+        } catch (Throwable e) {
+            reportLost(e);
+        }
+    }
+
+    private void reportLost(Throwable cause) {
+        droppedWarnings.incrementAndGet();
+        try {
+            System.err.println("a task of the log failed, its lines are lost: " + cause);
+        } catch (Throwable e) {
+            // The heap may be exhausted; the counter has the loss.
+            droppedWarnings.incrementAndGet();
         }
     }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/log/DecisionLog.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/log/DecisionLog.java
@@ -18,7 +18,8 @@
  * that single lines cause no wake-ups.
  *
  * <p>Invariants: at most a fixed number of lines per event and second is written; the others are
- * dropped, and their number is logged. Recording never blocks. Confined to one thread.
+ * dropped, and their number is logged. Recording never blocks and never throws: an event that can't
+ * be written is dropped too. Confined to one thread.
  */
 public final class DecisionLog implements EventSink {
     /** Enough for twice the decisions of a VM at its planned share of requests. */
@@ -50,6 +51,16 @@
 
     @Override
     public void record(EventCode code, Object... values) {
+        int written = batch.getBuffer().length();
+        try {
+            recordWithinLimit(code, values);
+        } catch (Throwable e) {
+            batch.getBuffer().setLength(written);
+            droppedLines.merge(code, 1, Integer::sum);
+        }
+    }
+
+    private void recordWithinLimit(EventCode code, Object... values) {
         long now = wallMillis.getAsLong();
         startNewSecond(now);
         if (++linesThisSecond[code.ordinal()] > MAX_LINES_PER_EVENT_AND_SECOND) {
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FleetLinkTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FleetLinkTest.java
@@ -16,6 +16,8 @@
 import io.vanillapoint.core.fleet.MemberState;
 import io.vanillapoint.core.fleet.ReportPager;
 import io.vanillapoint.core.quarantine.QuarantineReport;
+import io.vanillapoint.entry.log.EntryMetrics;
+import io.vanillapoint.entry.log.UnexpectedErrors;
 import io.vanillapoint.entry.traffic.RecordingLog;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -26,12 +28,16 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** Sends heartbeats over real UDP sockets. */
 class FleetLinkTest {
+    private static final int REPORTS = 5;
     private static final int PORT = 17_641;
     private static final int VMS = 370;
     private static final String RECEIVER = "127.0.31.1";
@@ -39,6 +45,8 @@
 
     private final Vertx vertx = Vertx.vertx();
     private final RecordingLog log = new RecordingLog();
+    private Runnable onHeartbeat = () -> {};
+    private Consumer<FleetReport> reportListener = report -> {};
 
     @AfterEach
     void close() throws Exception {
@@ -73,8 +81,49 @@
         assertThat(log.codes(), hasItem(EventCode.PEER_BAD_FRAME));
     }
 
+    @Test
+    void heartbeatsGoOnAfterAnErrorInFollowingOtherVms() throws Exception {
+        Promise<FleetReport> received = Promise.promise();
+        AtomicInteger reports = new AtomicInteger();
+        onHeartbeat =
+                () -> {
+                    throw new StackOverflowError();
+                };
+        start(SENDER, List.of(RECEIVER), Promise.promise());
+        onHeartbeat = () -> {};
+        reportListener =
+                report -> {
+                    if (reports.incrementAndGet() == REPORTS) {
+                        received.complete(report);
+                    }
+                };
+        start(RECEIVER, List.of(), Promise.promise());
+        assertThat(received.future().await(10, TimeUnit.SECONDS).self().host(), is(SENDER));
+        assertThat(log.codes(), hasItem(EventCode.INTERNAL_ERROR));
+    }
+
+    @Test
+    void heartbeatThatMeetsAnErrorIsLogged() throws Exception {
+        reportListener =
+                report -> {
+                    throw new OutOfMemoryError("heap");
+                };
+        CompletableFuture<Void> logged = new CompletableFuture<>();
+        log.onRecord(
+                code -> {
+                    if (code == EventCode.INTERNAL_ERROR) {
+                        logged.complete(null);
+                    }
+                });
+        start(RECEIVER, List.of(), Promise.promise());
+        start(SENDER, List.of(RECEIVER), Promise.promise());
+        logged.get(10, TimeUnit.SECONDS);
+    }
+
     private void start(String host, List<String> seeds, Promise<FleetReport> received)
             throws Exception {
+        Runnable heartbeat = onHeartbeat;
+        Consumer<FleetReport> listener = reportListener;
         FleetView fleet = new FleetView(vm(host), FleetTiming.DEFAULT, 6);
         ReportPager pager = new ReportPager(1);
         ReportSource reports =
@@ -99,11 +148,15 @@
                                         fleet,
                                         FleetTiming.DEFAULT,
                                         log,
+                                        new UnexpectedErrors(log, new EntryMetrics()),
                                         () -> System.nanoTime() / 1_000_000,
                                         PORT,
                                         reports,
-                                        received::tryComplete,
-                                        () -> {})
+                                        report -> {
+                                            received.tryComplete(report);
+                                            listener.accept(report);
+                                        },
+                                        heartbeat)
                                 .start(seeds)
                                 .onComplete(started));
         started.future().await(10, TimeUnit.SECONDS);
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreCopierTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreCopierTest.java
@@ -120,15 +120,7 @@
                         errors,
                         clock,
                         () -> false);
-        StoreCopier copier =
-                new StoreCopier(
-                        fleet,
-                        state,
-                        sync,
-                        client,
-                        log,
-                        clock,
-                        port);
+        StoreCopier copier = new StoreCopier(fleet, state, sync, client, log, clock, port);
         long[] sequence = new long[1];
         vertx.setPeriodic(
                 HEARTBEAT_MILLIS,
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/log/DecisionLogTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/log/DecisionLogTest.java
@@ -50,6 +50,25 @@
         assertThat(batches.get(0), containsString("\"event\":2307,\"lines\":9700"));
     }
 
+    @Test
+    void eventThatCannotBeWrittenIsLeftOutAndCounted() {
+        Object unprintable =
+                new Object() {
+                    @Override
+                    public String toString() {
+                        throw new StackOverflowError();
+                    }
+                };
+        log.record(EventCode.REFUSED, "r1", 503, "too_late", 400L, 12L);
+        log.record(EventCode.REFUSED, "r2", 503, unprintable, 400L, 12L);
+        now += 1_000;
+        log.record(EventCode.REFUSED, "r3", 503, "too_late", 400L, 12L);
+        log.flush();
+        assertThat(batches.get(0).lines().count(), is(3L));
+        assertThat(batches.get(0), containsString("\"event\":2307,\"lines\":1}"));
+        assertThat(batches.get(0), containsString("\"request\":\"r3\""));
+    }
+
     @Test
     void rejectedBatchesAreCountedWithoutBlocking() {
         room = false;
