--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -31,6 +31,7 @@
 import io.vanillapoint.entry.log.DecisionLog;
 import io.vanillapoint.entry.log.EntryMetrics;
 import io.vanillapoint.entry.log.LineWriter;
+import io.vanillapoint.entry.log.UnexpectedErrors;
 import io.vanillapoint.entry.port.EntryPlatform;
 import io.vanillapoint.entry.relay.RelayHandler;
 import io.vanillapoint.entry.relay.VmClientFactory;
@@ -73,6 +74,7 @@
     private final EntrySettings settings;
     private final EntryTuning tuning = EntryTuning.DEFAULT;
     private final DecisionLog log;
+    private final UnexpectedErrors errors;
     private final EntryMetrics metrics = new EntryMetrics();
     private final LongSupplier clock = () -> System.nanoTime() / 1_000_000;
     private final FleetView fleet;
@@ -115,6 +117,7 @@
         this.vertx = vertx;
         this.settings = settings;
         log = new DecisionLog(settings.vm(), System::currentTimeMillis, writer);
+        errors = new UnexpectedErrors(log, metrics);
         fleet = new FleetView(self(incarnation), FleetTiming.DEFAULT, settings.minFleetSize());
         roster = createRoster(fleet.self());
         pager = new ReportPager(settings.vm().hashCode() + incarnation);
@@ -122,7 +125,8 @@
         grants = new GrantMeter(new GrantTolerance(settings.quotaSlackTokens()));
         retries = new RetryAllowance(settings.retries(), now());
         publishedState =
-                new PublishedState(platform.published(), pool, log, clock, this::applyPublication);
+                new PublishedState(
+                        platform.published(), pool, log, errors, clock, this::applyPublication);
         lag = new EventLoopLag(tuning.tickMillis(), now());
         prompts =
                 new PromptGuard(
@@ -243,8 +247,8 @@
                             self.zone(),
                             self.incarnation());
                     vertx.setPeriodic(tuning.tickMillis(), unused -> tick());
-                    listeners
-                            .start()
+                    Future.succeededFuture()
+                            .compose(nothing -> listeners.start())
                             .compose(done -> control.start(settings.seeds()))
                             .onComplete(started);
                 });
@@ -286,14 +290,18 @@
     }
 
     private void tick() {
-        updateLag();
+        errors.contain("measuring the event loop", this::updateLag);
+        errors.contain("updating the number of VMs", this::updateVmCount);
+        errors.contain("applying values of the store", publishedState::applyHeldBack);
+        errors.contain("dropping replicas", () -> pool.prune(now()));
+        errors.contain("probing replicas", prober::check);
+        errors.contain("releasing prompts", prompts::prune);
+        errors.contain("updating the list of VMs", this::updateRoster);
+        errors.contain("flushing the log", log::flush);
+    }
+
+    private void updateVmCount() {
         retries.updateVmCount(fleet.knownVms(), fleet.knowsVmsOf(settings.zones().values()));
-        publishedState.applyHeldBack();
-        pool.prune(now());
-        prober.check();
-        prompts.prune();
-        updateRoster();
-        log.flush();
     }
 
     private void updateRoster() {
@@ -327,7 +335,8 @@
         if (stopping()) {
             return;
         }
-        changeState(MemberState.DRAINING, "stop requested");
+        errors.contain(
+                "announcing the stop", () -> changeState(MemberState.DRAINING, "stop requested"));
         vertx.setTimer(tuning.refuseAfterMillis(), ignored -> refusingRequests = true);
         StopSchedule schedule =
                 new StopSchedule(
@@ -349,16 +358,16 @@
     }
 
     private void shutDown() {
-        changeState(MemberState.GONE, "drain finished");
+        errors.contain("announcing the end", () -> changeState(MemberState.GONE, "drain finished"));
         log.record(EventCode.ENTRY_STOPPED, callers.running() + relays.running());
-        callers.abortAll();
-        relays.abortAll();
-        log.flush();
+        errors.contain("ending requests", callers::abortAll);
+        errors.contain("ending relayed requests", relays::abortAll);
+        errors.contain("flushing the log", log::flush);
         listeners
                 .stop(tuning.closeTimeoutMillis())
                 .onComplete(
                         closed -> {
-                            log.flush();
+                            errors.contain("flushing the log", log::flush);
                             stopped.tryComplete();
                         });
     }
