Fault: a success that states that it has not run was taken for a refusal

Callers were told "not run, try again" (503) for at-most-once requests that two replicas had got.

Cause: a replica that breaks off inside the head of an answer and then writes the refusal of an earlier request gives one well-formed head: status 200, Not-Executed, and two values of Request-Id, of which only the first was compared. Not-Executed alone made it a refusal, whatever the status.

RepeatedRefusalTest, 16 cases on real sockets: before, 2 failed (refusalAfterPartOfAHeadIsNotBelieved, successThatSaysThatItHasNotRunIsNotBelieved, each "Expected: is <502> but: was <503>"), now none. The others show that refusals written twice, late, for another request, behind a 100, inside and after an answer do no harm, as each attempt has a connection of its own.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
@@ -127,6 +127,9 @@
         if (!head.isFinal()) {
             return Optional.of("status " + head.status() + " is not final");
         }
+        if (head.success() && head.notExecuted()) {
+            return Optional.of("success that states that the request has not run");
+        }
         boolean otherRequest = head.requestId().filter(id -> !id.equals(requestId)).isPresent();
         boolean unsigned = head.success() && !head.signed();
         return otherRequest || unsigned
