Fault: a refusal without a request id was taken for one of this request

A replica that runs a request and first writes a refusal that names no request had its caller told "not run, try again" (503), or made it run at a second replica.

Cause: an id was compared only where there was one. Now Not-Executed counts only together with the request's own id. A 421 needs none: a replica at a reused address refuses by Expect-Instance, and the platform's example of it has no id.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
@@ -130,6 +130,12 @@
         if (head.success() && head.notExecuted()) {
             return Optional.of("success that states that the request has not run");
         }
+        // A replica at a reused address refuses what is not meant for it without reading the id.
+        boolean unattributed =
+                head.requestId().isEmpty() && head.notExecuted() && !head.misdirected();
+        if (unattributed) {
+            return Optional.of("refusal without a request id");
+        }
         boolean otherRequest = head.requestId().filter(id -> !id.equals(requestId)).isPresent();
         boolean unsigned = head.success() && !head.signed();
         return otherRequest || unsigned
