Fault: a repeat lost its first bytes when the silent replica beside it failed

Callers of resumable streams got half an event without its id, at the end the other half, and a clean end; or 502 internal_error although the repeat went on.

Cause: while a silent attempt is open, what the repeat sends is kept back until it is a whole event. If the silent attempt failed first, it was dropped without passing on the head and the bytes of the repeat; its next bytes went into the stream alone, the kept ones behind its last event.

Now the end of the silent attempt, for whatever reason, goes on with the head and the bytes that were kept back.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/ResponseEnvelope.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/ResponseEnvelope.java
@@ -34,6 +34,7 @@
         List<HeaderField> headers) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
+    private static final int FIRST_SERVER_ERROR = 500;
     private static final int LAST_STATUS = 999;
 
     /** Statuses that tell a caller that its request has not run. */
@@ -64,6 +65,15 @@
         return status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
     }
 
+    /**
+     * Tells whether the upstream failed.
+     *
+     * @return true for a status from 500
+     */
+    public boolean serverError() {
+        return status >= FIRST_SERVER_ERROR;
+    }
+
     /**
      * Tells whether the status would tell a caller that its request has not run, although the
      * upstream does not state that. The caller must not get it, since the request may have run.
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
@@ -11,6 +11,8 @@
  * event loop.
  */
 final class PlacementSearch {
+    private static final long MIN_RETRY_AFTER_MILLIS = 300;
+
     private final EntryContext context;
     private final RequestPlan plan;
     private final Set<String> triedReplicas = new HashSet<>();
@@ -31,9 +33,10 @@
         return !(choose(nowMillis) instanceof Placement.Refuse);
     }
 
-    /** Time after which a replica may accept the request, 0 if none has requested a backoff. */
-    long backoffMillis(long nowMillis) {
-        return context.chooser().backoffMillis(query(nowMillis), nowMillis);
+    /** Time after which a replica may accept the request. */
+    long retryAfterMillis(long nowMillis) {
+        long backoffMillis = context.chooser().backoffMillis(query(nowMillis), nowMillis);
+        return Math.max(MIN_RETRY_AFTER_MILLIS, backoffMillis);
     }
 
     /** Leaves out a replica that was tried. */
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -30,9 +30,6 @@
     /** Interval between two checks of a replica's progress. */
     private static final long MONITOR_INTERVAL_MILLIS = 150;
 
-    private static final long RETRY_AFTER_MILLIS = 300;
-    private static final int FIRST_SERVER_ERROR = 500;
-
     private final EntryContext context;
     private final RequestPlan plan;
     private final ResponseSink sink;
@@ -143,14 +140,14 @@
     public void head(RunningAttempt attempt, ResponseEnvelope head) {
         attempt.headReceived(head, now());
         if (attempt == silent && !head.success()) {
-            endSilent(AttemptOutcome.FAILED, "status " + head.status());
+            dropSilent(AttemptOutcome.FAILED, "status " + head.status());
             return;
         }
         if (head.notExecuted() || head.misdirected()) {
             reject(attempt, head);
             return;
         }
-        boolean failure = head.status() >= FIRST_SERVER_ERROR;
+        boolean failure = head.serverError();
         if (failure && retryAfterFailure(attempt, head)) {
             return;
         }
@@ -225,7 +222,7 @@
         }
         if (attempt == silent) {
             outcomes.ended(attempt, outcome, cause);
-            endSilent(outcome, cause);
+            dropSilent(outcome, cause);
         } else {
             attemptEnded(attempt, outcome, cause, retryAfterMillis);
         }
@@ -273,12 +270,17 @@
             reinstateSilent();
             return;
         }
-        endSilent(AttemptOutcome.SUPERSEDED, "another replica has answered");
-        deliverKeptBack(attempt);
+        dropSilent(AttemptOutcome.SUPERSEDED, "another replica has answered");
+    }
+
+    /** Ends the silent attempt and goes on with the one beside it, if there is one by now. */
+    private void dropSilent(AttemptOutcome outcome, String cause) {
+        endSilent(outcome, cause);
+        deliverKeptBack(current);
     }
 
     private void deliverKeptBack(RunningAttempt attempt) {
-        if (attempt.response() == null || attempt.buffered()) {
+        if (attempt == null || attempt.response() == null || attempt.buffered()) {
             return;
         }
         delivery.beginStream(attempt.response());
@@ -293,20 +295,14 @@
      * connection may be queued behind the current event.
      */
     private void scheduleNextAttempt() {
-        context.vertx()
-                .runOnContext(
-                        ignored ->
-                                context.gate()
-                                        .execute(() -> guarded("placing", this::startNextIfDue)));
-    }
-
-    private void startNextIfDue() {
-        if (!done && !callerDisconnected && current == null) {
-            startNext();
-        }
+        Runnable place = () -> guarded("placing", this::startNext);
+        context.vertx().runOnContext(ignored -> context.gate().execute(place));
     }
 
     private void startNext() {
+        if (done || callerDisconnected || current != null) {
+            return;
+        }
         long now = now();
         if (plan.deadlineMillis() - now < MIN_ATTEMPT_MILLIS) {
             giveUp("no_time", 0);
@@ -385,8 +381,7 @@
         }
         attempt.cancel();
         outcomes.failedBeforeRetry(attempt);
-        String cause = "status " + head.status();
-        log.attemptEnded(attempt, AttemptOutcome.FAILED, cause, "again", now);
+        log.attemptEnded(attempt, AttemptOutcome.FAILED, "status " + head.status(), "again", now);
         attempt.release();
         place(placement, now);
         return true;
@@ -437,10 +432,7 @@
             return;
         }
         boolean expired = plan.deadlineMillis() - now() < MIN_ATTEMPT_MILLIS;
-        long wait =
-                retryAfterMillis > 0
-                        ? retryAfterMillis
-                        : Math.max(RETRY_AFTER_MILLIS, search.backoffMillis(now()));
+        long wait = retryAfterMillis > 0 ? retryAfterMillis : search.retryAfterMillis(now());
         Refusal refusal = Refusal.after(history, expired, reason, wait);
         sink.refuse(refusal);
         log.refused(refusal, now());
