Fault: what the next replica answered was added to a broken stream as it was

Callers of resumable streams found an error's text, an event of nobody, or a stream with a missing event behind the events that they had, with a clean end.

Cause: the next attempt was taken for the rest of the stream if its status was 200 and it was signed. Its content type, its encoding and its events were not looked at, and a framed end counted as the end of the stream even if there was no event, or half of one, before it. Inside a stream without a length, the head of another response passed for an event, since it ends with a blank line.

Now an attempt goes on with a stream only with the media type of its first response, with events that have ids and, where ids were consecutive, without a gap, and it has to end behind a new event. A head of another response inside an event ends the attempt. A stream whose events have no ids is not resumed. A success with a Content-Encoding is not passed on. Whatever fails this is tried elsewhere, goes on with the silent replica, or is visibly broken off.

RequestRunTest, EventStreamReaderTest, UnexpectedErrorTest pass.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/ResponseEnvelope.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/ResponseEnvelope.java
@@ -2,6 +2,7 @@
 
 import io.vanillapoint.core.message.HeaderField;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -83,4 +84,32 @@
     public boolean claimsNotRun() {
         return !notExecuted && NOT_RUN_STATUSES.contains(status);
     }
+
+    /**
+     * Media type of the body.
+     *
+     * @return type in lower case without parameters, empty text if the response states none
+     */
+    public String mediaType() {
+        return header("content-type").split(";", 2)[0].strip().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Tells whether the body is encoded. No request asks for that, so such a body is not the
+     * upstream's.
+     *
+     * @return true if the response states an encoding
+     */
+    public boolean encoded() {
+        String encoding = header("content-encoding");
+        return !encoding.isEmpty() && !encoding.equalsIgnoreCase("identity");
+    }
+
+    private String header(String name) {
+        return headers.stream()
+                .filter(header -> header.name().equalsIgnoreCase(name))
+                .map(HeaderField::value)
+                .findFirst()
+                .orElse("");
+    }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EventStreamReader.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EventStreamReader.java
@@ -2,14 +2,19 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.regex.Pattern;
 
 /**
  * Splits an event stream into complete events, so that the bytes passed on never end inside one.
  *
- * <p>Invariant: bytes are passed on unchanged and in order; events that an earlier attempt has
- * already delivered are skipped by their id. Confined to one event loop.
+ * <p>Invariants: bytes are passed on unchanged and in order; events that an earlier attempt has
+ * already delivered are skipped by their id; nothing is passed on from a block of lines that cannot
+ * belong to the stream. Confined to one event loop.
  */
 final class EventStreamReader {
     private static final byte LINE_FEED = '\n';
@@ -17,14 +22,29 @@
     private static final String COMMENT = ":";
     private static final String ID_FIELD = "id:";
 
+    private static final List<String> CONTENT_FIELDS = List.of("data:", "event:", "retry:");
+    private static final String HTTP_VERSION = "HTTP/1.";
+
+    /** Status line and header of another response, which a faulty replica may write anywhere. */
+    private static final Pattern RESPONSE_HEAD =
+            Pattern.compile(
+                    "HTTP/1\\.[01] \\d{3}[^\\r\\n]*\\r?\\n(?!data:|event:|retry:|id:|:|\\r?\\n)");
+
     /** Largest event that is buffered, in bytes; events of engines have a few hundred. */
     static final int MAX_EVENT_BYTES = 256 * 1_024;
 
+    private static final Optional<String> TOO_LARGE = Optional.of("event exceeds the size limit");
+
     private final Consumer<Buffer> events;
     private Buffer pending = Buffer.buffer();
     private int scanned;
     private long lastId = -1;
     private long eventCount;
+    private boolean resumed;
+    private boolean consecutive;
+    private boolean gapSeen;
+    private boolean unnumberedSeen;
+    private Optional<String> defect = Optional.empty();
 
     EventStreamReader(Consumer<Buffer> events) {
         this.events = events;
@@ -33,7 +53,7 @@
     /**
      * Reads bytes of the current attempt's response.
      *
-     * @return false if an event exceeds the size limit, so that the attempt has to be abandoned
+     * @return false if the attempt has to be abandoned because of {@link #defect()}
      */
     boolean read(Buffer data) {
         pending.appendBuffer(data);
@@ -44,13 +64,31 @@
             scanned = 0;
             deliver(completeEvents);
         }
-        return pending.length() <= MAX_EVENT_BYTES;
+        if (defect.isEmpty() && pending.length() > MAX_EVENT_BYTES) {
+            defect = TOO_LARGE;
+        }
+        return defect.isEmpty();
     }
 
-    /** Discards a partial event before another attempt resumes the stream. */
+    /** Why the current attempt has to be abandoned, empty if there is no reason. */
+    Optional<String> defect() {
+        return defect;
+    }
+
+    /**
+     * Discards a partial event before another attempt resumes the stream, whose events have to go
+     * on behind the last one that was passed on.
+     */
     void restart() {
         pending = Buffer.buffer();
         scanned = 0;
+        defect = Optional.empty();
+        resumed = true;
+    }
+
+    /** Tells whether another attempt can go on behind the last event that was passed on. */
+    boolean resumable() {
+        return !unnumberedSeen;
     }
 
     /**
@@ -78,13 +116,20 @@
                 end = endOfNextEvent(completeEvents, start)) {
             String event = completeEvents.getString(start, end);
             long id = idOf(event);
-            if (id > lastId || (id < 0 && !isComment(event))) {
+            defect = defect(event, id);
+            if (defect.isPresent()) {
+                flush(completeEvents, flushFrom, start);
+                return;
+            }
+            if (isNew(event, id)) {
                 eventCount++;
+                unnumberedSeen |= id < 0;
             }
             if (id >= 0 && id <= lastId) {
                 flush(completeEvents, flushFrom, start);
                 flushFrom = end;
             } else if (id >= 0) {
+                recordStep(id);
                 lastId = id;
             }
             start = end;
@@ -92,6 +137,39 @@
         flush(completeEvents, flushFrom, completeEvents.length());
     }
 
+    private boolean isNew(String event, long id) {
+        return id > lastId || (id < 0 && !isComment(event));
+    }
+
+    private void recordStep(long id) {
+        if (lastId >= 0) {
+            consecutive |= id == lastId + 1;
+            gapSeen |= id > lastId + 1;
+        }
+    }
+
+    /** Tells why an event cannot belong to the stream behind the last event. */
+    private Optional<String> defect(String event, long id) {
+        if (event.contains(HTTP_VERSION) && RESPONSE_HEAD.matcher(event).find()) {
+            return Optional.of("head of another response inside the stream");
+        }
+        if (!resumed || isComment(event)) {
+            return Optional.empty();
+        }
+        if (event.lines().noneMatch(EventStreamReader::isContent)) {
+            return Optional.of("bytes that are no event");
+        }
+        if (lastId >= 0 && id < 0) {
+            return Optional.of("event without an id in a resumed stream");
+        }
+        boolean gap = consecutive && !gapSeen && id > lastId + 1;
+        return gap ? Optional.of("event " + id + " after event " + lastId) : Optional.empty();
+    }
+
+    private static boolean isContent(String line) {
+        return CONTENT_FIELDS.stream().anyMatch(line::startsWith);
+    }
+
     private void flush(Buffer completeEvents, int from, int to) {
         if (to > from) {
             events.accept(
@@ -101,16 +179,35 @@
         }
     }
 
-    /** Tells whether bytes contain a complete event that is more than a comment. */
-    static boolean containsEvent(Buffer bytes) {
+    /** Tells whether bytes of an attempt contain a complete event that has not been passed on. */
+    boolean containsNewEvent(Buffer bytes) {
+        return eventsOf(bytes).stream().anyMatch(event -> isNew(event, idOf(event)));
+    }
+
+    /** Tells why bytes of an attempt cannot go on with the stream. */
+    Optional<String> defectIn(Buffer bytes) {
+        List<String> complete = eventsOf(bytes);
+        if (complete.isEmpty() && bytes.length() > MAX_EVENT_BYTES) {
+            return TOO_LARGE;
+        }
+        for (String event : complete) {
+            long id = idOf(event);
+            Optional<String> found = defect(event, id);
+            if (found.isPresent() || isNew(event, id)) {
+                return found;
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static List<String> eventsOf(Buffer bytes) {
+        List<String> complete = new ArrayList<>();
         int start = 0;
         for (int end = endOfNextEvent(bytes, 0); end > 0; end = endOfNextEvent(bytes, start)) {
-            if (!isComment(bytes.getString(start, end))) {
-                return true;
-            }
+            complete.add(bytes.getString(start, end));
             start = end;
         }
-        return false;
+        return complete;
     }
 
     /** Index after the last blank line, 0 if there is none. */
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -158,6 +158,10 @@
             return;
         }
         boolean stream = head.success() && plan.route().kind() == RouteKind.EVENT_STREAM;
+        if (stream && !delivery.accepts(head)) {
+            abandon(attempt, "response is of another type than the stream");
+            return;
+        }
         attempt.accept(head, stream);
         if (stream && silent == null) {
             delivery.beginStream(head);
@@ -179,7 +183,7 @@
     @Override
     public void end(RunningAttempt attempt, boolean framed) {
         boolean streamed = !attempt.buffered();
-        if (streamed && !framed && delivery.brokeOff(attempt)) {
+        if (streamed && delivery.brokeOff(attempt, framed)) {
             failed(attempt, AttemptOutcome.LOST, "stream ended inside an event or without any", 0);
             return;
         }
@@ -231,7 +235,7 @@
     private void bufferData(RunningAttempt attempt, Buffer data) {
         attempt.progress().received(1);
         if (!attempt.buffer(data)) {
-            abandonTooLarge(attempt, "answer");
+            abandon(attempt, "answer exceeds the size limit");
         }
     }
 
@@ -242,7 +246,7 @@
         attempt.ifAtReplica(ReplicaUse::recordFirstEvent);
         long newEvents = delivery.readStream(data);
         if (newEvents < 0) {
-            abandonTooLarge(attempt, "event");
+            abandon(attempt, delivery.defect().orElseThrow());
             return;
         }
         attempt.progress().received(newEvents);
@@ -257,10 +261,11 @@
     /** Keeps back what the silent attempt and the one beside it send until one has an event. */
     private void contend(RunningAttempt attempt, Buffer data) {
         attempt.keepBack(data);
-        if (EventStreamReader.containsEvent(attempt.keptBack())) {
+        Optional<String> defect = delivery.defectIn(attempt.keptBack());
+        if (defect.isPresent()) {
+            abandon(attempt, defect.get());
+        } else if (delivery.containsNewEvent(attempt.keptBack())) {
             settle(attempt);
-        } else if (attempt.keptBack().length() > EventStreamReader.MAX_EVENT_BYTES) {
-            abandonTooLarge(attempt, "event");
         }
     }
 
@@ -358,11 +363,11 @@
         attemptEnded(attempt, AttemptOutcome.REJECTED, cause, wait);
     }
 
-    /** Abandons a response that exceeds a size limit; the request has run. */
-    private void abandonTooLarge(RunningAttempt attempt, String what) {
+    /** Abandons a response that cannot be passed on; the request has run. */
+    private void abandon(RunningAttempt attempt, String cause) {
         attempt.cancel();
         outcomes.misbehaved(attempt);
-        failed(attempt, AttemptOutcome.GARBLED, what + " exceeds the size limit", 0);
+        failed(attempt, AttemptOutcome.GARBLED, cause, 0);
     }
 
     /** Retries the request if possible; otherwise the failure goes to the caller. */
@@ -403,6 +408,7 @@
         history.recordOutcome(outcome);
         boolean again =
                 !callerDisconnected
+                        && delivery.resumable()
                         && RetryPolicy.mayRetry(plan.route(), history, outcome)
                         && (!history.mayHaveRun() || !plan.relayed())
                         && (!outcome.mayHaveReached() || RetryGate.tryAcquire(context, plan));
@@ -470,6 +476,7 @@
     private boolean acquireRepeat(long now) {
         return silent == null
                 && !current.paused()
+                && delivery.resumable()
                 && context.gate().receiveDelayMillis() == 0
                 && !plan.relayed()
                 && RetryPolicy.mayReplace(plan.route(), history)
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseDelivery.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseDelivery.java
@@ -2,6 +2,7 @@
 
 import io.vanillapoint.entry.port.ResponseEnvelope;
 import io.vertx.core.buffer.Buffer;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -16,6 +17,8 @@
     private final EventStreamReader events = new EventStreamReader(this::writeEvents);
     private long bytesSent;
     private boolean begun;
+    private boolean resumed;
+    private String mediaType;
 
     ResponseDelivery(ResponseSink sink) {
         this.sink = sink;
@@ -39,14 +42,25 @@
     void beginStream(ResponseEnvelope head) {
         if (!begun) {
             sink.head(head.status(), head.headers(), OptionalLong.empty());
+            mediaType = head.mediaType();
             begun = true;
         }
     }
 
+    /** Tells whether a successful response can go on with the stream that has begun, if any. */
+    boolean accepts(ResponseEnvelope head) {
+        return !begun || head.mediaType().equals(mediaType);
+    }
+
+    /** Tells whether another attempt can go on with the response. */
+    boolean resumable() {
+        return events.resumable();
+    }
+
     /**
      * Reads bytes of a stream and delivers the events that they complete.
      *
-     * @return number of new events, negative if an event exceeds the size limit
+     * @return number of new events, negative if the attempt has to be abandoned
      */
     long readStream(Buffer data) {
         long previousCount = events.eventCount();
@@ -58,16 +72,37 @@
         return events.partialEvent();
     }
 
+    /** Why the attempt that was read last has to be abandoned. */
+    Optional<String> defect() {
+        return events.defect();
+    }
+
+    /** Tells why bytes of an attempt cannot go on with the stream. */
+    Optional<String> defectIn(Buffer bytes) {
+        return events.defectIn(bytes);
+    }
+
+    /** Tells whether bytes of an attempt contain a complete event that has not been delivered. */
+    boolean containsNewEvent(Buffer bytes) {
+        return events.containsNewEvent(bytes);
+    }
+
     /** Discards a partial event before another attempt goes on with the stream. */
     void restartEvent() {
-        events.restart();
+        if (begun) {
+            events.restart();
+            resumed = true;
+        }
     }
 
-    /** Tells whether an attempt whose stream ended with its connection broke off. */
-    boolean brokeOff(RunningAttempt attempt) {
+    /**
+     * Tells whether a stream that has ended broke off: one that ended with its connection, or that
+     * resumes another one, has to end behind a new event.
+     */
+    boolean brokeOff(RunningAttempt attempt, boolean framed) {
         boolean empty = attempt.progress().pieces() == 0;
         boolean partial = events.partialEvent().length() > 0 || attempt.keptBack().length() > 0;
-        return empty || partial;
+        return (!framed || resumed) && (empty || partial);
     }
 
     /** Ends a complete stream. */
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
@@ -130,6 +130,9 @@
         if (head.success() && head.notExecuted()) {
             return Optional.of("success that states that the request has not run");
         }
+        if (head.success() && head.encoded()) {
+            return Optional.of("success with an encoded body");
+        }
         // A replica at a reused address refuses what is not meant for it without reading the id.
         boolean unattributed =
                 head.requestId().isEmpty() && head.notExecuted() && !head.misdirected();
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/EventStreamReaderTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/EventStreamReaderTest.java
@@ -47,6 +47,41 @@
         assertThat(delivered.toString(), is(events(1, 6)));
     }
 
+    /** Ids need not be consecutive; only what the stream showed so far is expected of its rest. */
+    @Test
+    void resumedStreamKeepsItsSteps() {
+        reader.read(Buffer.buffer("id: 6\ndata: a\n\nid: 12\ndata: b\n\n"));
+        reader.restart();
+        assertThat(reader.read(Buffer.buffer("id: 18\ndata: c\n\n")), is(true));
+        assertThat(reader.lastId(), is(OptionalLong.of(18)));
+    }
+
+    @Test
+    void resumedStreamThatSkipsAnEventIsAbandoned() {
+        reader.read(Buffer.buffer(events(1, 3)));
+        reader.restart();
+        assertThat(reader.read(Buffer.buffer(events(5, 6))), is(false));
+        assertThat(delivered.toString(), is(events(1, 3)));
+    }
+
+    @Test
+    void headOfAnotherResponseIsNotPassedOn() {
+        String head = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n\r\n";
+        assertThat(reader.read(Buffer.buffer(events(1, 2) + "id: 3\ndata: t" + head)), is(false));
+        assertThat(delivered.toString(), is(events(1, 2)));
+    }
+
+    @Test
+    void dataMayQuoteTheHeadOfAResponse() {
+        String quoting =
+                "version: 2\nid: 1\ndata: HTTP/1.1 503 Busy\ndata: Not-Executed: 1\n\n"
+                        + "id: 2\ndata: HTTP/1.1 200 OK\n\n";
+        assertThat(reader.read(Buffer.buffer(quoting)), is(true));
+        reader.restart();
+        assertThat(reader.read(Buffer.buffer("version: 3\n" + events(3, 3))), is(true));
+        assertThat(delivered.toString(), is(quoting + "version: 3\n" + events(3, 3)));
+    }
+
     @Test
     void linesMayEndWithCarriageReturns() {
         String stream = "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n";
