Relays: a refusal after the head of a response is not believed

A frame that says "not run" behind the head of the same response made the request count as not run, although a replica had begun to respond.

Tests: RelayAttemptTest.refusalAfterTheHeadOfAResponseIsNotBelieved failed before ('Expected: is "LOST" but: was "REJECTED"') and passes now. refusalWrittenTwiceIsNotTakenForTheNextRequest (a whole response again, in the same segment and 20 ms later, on a kept connection between VMs) passed before: the HTTP client closes the connection.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
@@ -48,6 +48,7 @@
     private final LongConsumer acknowledgementListener;
     private long acknowledgementTimer = -1;
     private long sentAtNanos;
+    private boolean headReceived;
 
     /**
      * Creates an attempt that has not been sent.
@@ -165,6 +166,7 @@
             stopTimer();
             acknowledgementListener.accept((System.nanoTime() - sentAtNanos) / 1_000_000);
         } else if (message instanceof ForwardHead head) {
+            headReceived = true;
             MultiMap headers = MultiMap.caseInsensitiveMultiMap();
             for (HeaderField header : head.headers()) {
                 headers.add(header.name(), header.value());
@@ -181,8 +183,9 @@
         }
     }
 
-    private static AttemptOutcome outcome(ForwardFailure failure) {
-        if (failure.runState() != RunState.NOT_RUN) {
+    /** A request whose response has begun has run, whatever the failure states. */
+    private AttemptOutcome outcome(ForwardFailure failure) {
+        if (headReceived || failure.runState() != RunState.NOT_RUN) {
             return AttemptOutcome.LOST;
         }
         if (failure.message().equals(PromptGuard.REASON)) {
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayAttemptTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayAttemptTest.java
@@ -3,13 +3,18 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import io.vanillapoint.api.error.ErrorCode;
+import io.vanillapoint.api.error.RunState;
 import io.vanillapoint.core.attempt.AttemptOutcome;
 import io.vanillapoint.core.message.ForwardCredit;
 import io.vanillapoint.core.message.ForwardEnd;
+import io.vanillapoint.core.message.ForwardFailure;
+import io.vanillapoint.core.message.ForwardHead;
 import io.vanillapoint.core.message.ForwardStalled;
 import io.vanillapoint.core.message.RelayRequest;
 import io.vanillapoint.entry.port.ResponseEnvelope;
 import io.vanillapoint.entry.traffic.AttemptListener;
+import io.vanillapoint.entry.traffic.StubRequestFormat;
 import io.vanillapoint.wire.FleetCodec;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -22,15 +27,21 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Relays requests to a VM of another region over real connections. */
 class RelayAttemptTest {
     private static final long WAIT_SECONDS = 30;
     private static final int LONG_RESPONSES = 300;
 
+    /** Time after which all copies of a response have arrived. */
+    private static final long COPIES_READ_MILLIS = 200;
+
     private final Vertx vertx = Vertx.vertx();
     private final FleetCodec codec = new FleetCodec();
     private final FrameWriter frames = new FrameWriter();
@@ -115,6 +126,69 @@
         assertThat(reports.poll(WAIT_SECONDS, TimeUnit.SECONDS), is("end"));
     }
 
+    @Test
+    void refusalAfterTheHeadOfAResponseIsNotBelieved() throws Exception {
+        int port = listen();
+        HttpClient client = VmClientFactory.create(vertx, connection -> {});
+        vertx.runOnContext(ignored -> start(client, port, "r1"));
+        HttpServerRequest request = requests.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        request.response()
+                .write(frames.frame(new ForwardHead(0, 200, List.of())).appendBuffer(refusal()));
+        assertThat(reports.poll(WAIT_SECONDS, TimeUnit.SECONDS), is("LOST"));
+    }
+
+    /** The other VM writes a whole response again, before the next request is sent. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 20})
+    void refusalWrittenTwiceIsNotTakenForTheNextRequest(long delayMillis) throws Exception {
+        Buffer refused = rawResponse(acknowledgement().appendBuffer(refusal()));
+        Buffer answered =
+                rawResponse(acknowledgement().appendBuffer(frames.frame(new ForwardEnd(0, 0))));
+        AtomicInteger arrived = new AtomicInteger();
+        int port =
+                vertx.createNetServer()
+                        .connectHandler(
+                                socket ->
+                                        socket.handler(
+                                                data -> {
+                                                    if (arrived.getAndIncrement() > 0) {
+                                                        socket.write(answered);
+                                                    } else if (delayMillis == 0) {
+                                                        socket.write(
+                                                                refused.copy()
+                                                                        .appendBuffer(refused));
+                                                    } else {
+                                                        socket.write(refused);
+                                                        vertx.setTimer(
+                                                                delayMillis,
+                                                                late -> socket.write(refused));
+                                                    }
+                                                }))
+                        .listen(0, "127.0.0.1")
+                        .await(WAIT_SECONDS, TimeUnit.SECONDS)
+                        .actualPort();
+        HttpClient client = VmClientFactory.create(vertx, connection -> {});
+        vertx.runOnContext(ignored -> start(client, port, "r1"));
+        assertThat(reports.poll(WAIT_SECONDS, TimeUnit.SECONDS), is("REJECTED"));
+        TimeUnit.MILLISECONDS.sleep(COPIES_READ_MILLIS);
+        vertx.runOnContext(ignored -> start(client, port, "r2"));
+        assertThat(reports.poll(WAIT_SECONDS, TimeUnit.SECONDS), is("end"));
+    }
+
+    private Buffer acknowledgement() {
+        return frames.frame(new ForwardCredit(0, 0));
+    }
+
+    private Buffer refusal() {
+        return frames.frame(
+                new ForwardFailure(0, ErrorCode.OVERLOADED, "busy", RunState.NOT_RUN, 0));
+    }
+
+    private static Buffer rawResponse(Buffer body) {
+        return Buffer.buffer("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n")
+                .appendBuffer(body);
+    }
+
     private int listen() throws Exception {
         return vertx.createHttpServer()
                 .requestHandler(
@@ -141,7 +215,7 @@
     private void start(HttpClient client, int port, String id) {
         new RelayAttempt(
                         vertx,
-                        null,
+                        new StubRequestFormat(),
                         remainingMillis::get,
                         () -> true,
                         new RecordingListener(),
@@ -182,7 +256,7 @@
 
         @Override
         public void failed(AttemptOutcome end, String cause, long retryAfterMillis) {
-            reports.add("failed: " + cause);
+            reports.add(end.name());
         }
     }
 }
