--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayAttemptTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayAttemptTest.java
@@ -22,6 +22,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.PoolOptions;
+import io.vertx.core.net.NetSocket;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
@@ -29,6 +30,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -146,27 +148,17 @@
                 rawResponse(acknowledgement().appendBuffer(frames.frame(new ForwardEnd(0, 0))));
         AtomicInteger arrived = new AtomicInteger();
         int port =
-                vertx.createNetServer()
-                        .connectHandler(
-                                socket ->
-                                        socket.handler(
-                                                data -> {
-                                                    if (arrived.getAndIncrement() > 0) {
-                                                        socket.write(answered);
-                                                    } else if (delayMillis == 0) {
-                                                        socket.write(
-                                                                refused.copy()
-                                                                        .appendBuffer(refused));
-                                                    } else {
-                                                        socket.write(refused);
-                                                        vertx.setTimer(
-                                                                delayMillis,
-                                                                late -> socket.write(refused));
-                                                    }
-                                                }))
-                        .listen(0, "127.0.0.1")
-                        .await(WAIT_SECONDS, TimeUnit.SECONDS)
-                        .actualPort();
+                listenRaw(
+                        socket -> {
+                            if (arrived.getAndIncrement() > 0) {
+                                socket.write(answered);
+                            } else if (delayMillis == 0) {
+                                socket.write(refused.copy().appendBuffer(refused));
+                            } else {
+                                socket.write(refused);
+                                vertx.setTimer(delayMillis, late -> socket.write(refused));
+                            }
+                        });
         HttpClient client = VmClientFactory.create(vertx, connection -> {});
         vertx.runOnContext(ignored -> start(client, port, "r1"));
         assertThat(reports.poll(WAIT_SECONDS, TimeUnit.SECONDS), is("REJECTED"));
@@ -175,6 +167,38 @@
         assertThat(reports.poll(WAIT_SECONDS, TimeUnit.SECONDS), is("end"));
     }
 
+    /** The request may have arrived before the connection closed. */
+    @Test
+    void requestOnAPooledConnectionThatClosesIsLost() throws Exception {
+        Buffer answered =
+                rawResponse(acknowledgement().appendBuffer(frames.frame(new ForwardEnd(0, 0))));
+        AtomicInteger arrived = new AtomicInteger();
+        int port =
+                listenRaw(
+                        socket -> {
+                            if (arrived.getAndIncrement() > 0) {
+                                socket.close();
+                            } else {
+                                socket.write(answered);
+                            }
+                        });
+        HttpClient client = VmClientFactory.create(vertx, connection -> {});
+        vertx.runOnContext(ignored -> start(client, port, "r1"));
+        assertThat(reports.poll(WAIT_SECONDS, TimeUnit.SECONDS), is("end"));
+        vertx.runOnContext(ignored -> start(client, port, "r2"));
+        assertThat(reports.poll(WAIT_SECONDS, TimeUnit.SECONDS), is("LOST"));
+        assertThat(arrived.get(), is(2));
+    }
+
+    /** Listens on raw connections; the action runs for each request. */
+    private int listenRaw(Consumer<NetSocket> onRequest) throws Exception {
+        return vertx.createNetServer()
+                .connectHandler(socket -> socket.handler(data -> onRequest.accept(socket)))
+                .listen(0, "127.0.0.1")
+                .await(WAIT_SECONDS, TimeUnit.SECONDS)
+                .actualPort();
+    }
+
     private Buffer acknowledgement() {
         return frames.frame(new ForwardCredit(0, 0));
     }
