--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/ResponseEnvelope.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/ResponseEnvelope.java
@@ -2,6 +2,7 @@
 
 import io.vanillapoint.core.message.HeaderField;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -34,6 +35,7 @@
         List<HeaderField> headers) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
+    private static final int FIRST_SERVER_ERROR = 500;
     private static final int LAST_STATUS = 999;
 
     /** Statuses that tell a caller that its request has not run. */
@@ -64,6 +66,15 @@
         return status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
     }
 
+    /**
+     * Tells whether the upstream failed.
+     *
+     * @return true for a status from 500
+     */
+    public boolean serverError() {
+        return status >= FIRST_SERVER_ERROR;
+    }
+
     /**
      * Tells whether the status would tell a caller that its request has not run, although the
      * upstream does not state that. The caller must not get it, since the request may have run.
@@ -73,4 +84,32 @@
     public boolean claimsNotRun() {
         return !notExecuted && NOT_RUN_STATUSES.contains(status);
     }
+
+    /**
+     * Media type of the body.
+     *
+     * @return type in lower case without parameters, empty text if the response states none
+     */
+    public String mediaType() {
+        return header("content-type").split(";", 2)[0].strip().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Tells whether the body is encoded. No request asks for that, so such a body is not the
+     * upstream's.
+     *
+     * @return true if the response states an encoding
+     */
+    public boolean encoded() {
+        String encoding = header("content-encoding");
+        return !encoding.isEmpty() && !encoding.equalsIgnoreCase("identity");
+    }
+
+    private String header(String name) {
+        return headers.stream()
+                .filter(header -> header.name().equalsIgnoreCase(name))
+                .map(HeaderField::value)
+                .findFirst()
+                .orElse("");
+    }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -30,9 +30,6 @@
     /** Interval between two checks of a replica's progress. */
     private static final long MONITOR_INTERVAL_MILLIS = 150;
 
-    private static final long RETRY_AFTER_MILLIS = 300;
-    private static final int FIRST_SERVER_ERROR = 500;
-
     private final EntryContext context;
     private final RequestPlan plan;
     private final ResponseSink sink;
@@ -143,14 +140,14 @@
     public void head(RunningAttempt attempt, ResponseEnvelope head) {
         attempt.headReceived(head, now());
         if (attempt == silent && !head.success()) {
-            endSilent(AttemptOutcome.FAILED, "status " + head.status());
+            dropSilent(AttemptOutcome.FAILED, "status " + head.status());
             return;
         }
         if (head.notExecuted() || head.misdirected()) {
             reject(attempt, head);
             return;
         }
-        boolean failure = head.status() >= FIRST_SERVER_ERROR;
+        boolean failure = head.serverError();
         if (failure && retryAfterFailure(attempt, head)) {
             return;
         }
@@ -161,6 +158,10 @@
             return;
         }
         boolean stream = head.success() && plan.route().kind() == RouteKind.EVENT_STREAM;
+        if (stream && !delivery.accepts(head)) {
+            abandon(attempt, "response is of another type than the stream");
+            return;
+        }
         attempt.accept(head, stream);
         if (stream && silent == null) {
             delivery.beginStream(head);
@@ -182,7 +183,7 @@
     @Override
     public void end(RunningAttempt attempt, boolean framed) {
         boolean streamed = !attempt.buffered();
-        if (streamed && !framed && delivery.brokeOff(attempt)) {
+        if (streamed && delivery.brokeOff(attempt, framed)) {
             failed(attempt, AttemptOutcome.LOST, "stream ended inside an event or without any", 0);
             return;
         }
@@ -225,7 +226,7 @@
         }
         if (attempt == silent) {
             outcomes.ended(attempt, outcome, cause);
-            endSilent(outcome, cause);
+            dropSilent(outcome, cause);
         } else {
             attemptEnded(attempt, outcome, cause, retryAfterMillis);
         }
@@ -234,7 +235,7 @@
     private void bufferData(RunningAttempt attempt, Buffer data) {
         attempt.progress().received(1);
         if (!attempt.buffer(data)) {
-            abandonTooLarge(attempt, "answer");
+            abandon(attempt, "answer exceeds the size limit");
         }
     }
 
@@ -245,7 +246,7 @@
         attempt.ifAtReplica(ReplicaUse::recordFirstEvent);
         long newEvents = delivery.readStream(data);
         if (newEvents < 0) {
-            abandonTooLarge(attempt, "event");
+            abandon(attempt, delivery.defect().orElseThrow());
             return;
         }
         attempt.progress().received(newEvents);
@@ -260,10 +261,11 @@
     /** Keeps back what the silent attempt and the one beside it send until one has an event. */
     private void contend(RunningAttempt attempt, Buffer data) {
         attempt.keepBack(data);
-        if (EventStreamReader.containsEvent(attempt.keptBack())) {
+        Optional<String> defect = delivery.defectIn(attempt.keptBack());
+        if (defect.isPresent()) {
+            abandon(attempt, defect.get());
+        } else if (delivery.containsNewEvent(attempt.keptBack())) {
             settle(attempt);
-        } else if (attempt.keptBack().length() > EventStreamReader.MAX_EVENT_BYTES) {
-            abandonTooLarge(attempt, "event");
         }
     }
 
@@ -273,12 +275,17 @@
             reinstateSilent();
             return;
         }
-        endSilent(AttemptOutcome.SUPERSEDED, "another replica has answered");
-        deliverKeptBack(attempt);
+        dropSilent(AttemptOutcome.SUPERSEDED, "another replica has answered");
+    }
+
+    /** Ends the silent attempt and goes on with the one beside it, if there is one by now. */
+    private void dropSilent(AttemptOutcome outcome, String cause) {
+        endSilent(outcome, cause);
+        deliverKeptBack(current);
     }
 
     private void deliverKeptBack(RunningAttempt attempt) {
-        if (attempt.response() == null || attempt.buffered()) {
+        if (attempt == null || attempt.response() == null || attempt.buffered()) {
             return;
         }
         delivery.beginStream(attempt.response());
@@ -293,20 +300,14 @@
      * connection may be queued behind the current event.
      */
     private void scheduleNextAttempt() {
-        context.vertx()
-                .runOnContext(
-                        ignored ->
-                                context.gate()
-                                        .execute(() -> guarded("placing", this::startNextIfDue)));
-    }
-
-    private void startNextIfDue() {
-        if (!done && !callerDisconnected && current == null) {
-            startNext();
-        }
+        Runnable place = () -> guarded("placing", this::startNext);
+        context.vertx().runOnContext(ignored -> context.gate().execute(place));
     }
 
     private void startNext() {
+        if (done || callerDisconnected || current != null) {
+            return;
+        }
         long now = now();
         if (plan.deadlineMillis() - now < MIN_ATTEMPT_MILLIS) {
             giveUp("no_time", 0);
@@ -362,11 +363,11 @@
         attemptEnded(attempt, AttemptOutcome.REJECTED, cause, wait);
     }
 
-    /** Abandons a response that exceeds a size limit; the request has run. */
-    private void abandonTooLarge(RunningAttempt attempt, String what) {
+    /** Abandons a response that cannot be passed on; the request has run. */
+    private void abandon(RunningAttempt attempt, String cause) {
         attempt.cancel();
         outcomes.misbehaved(attempt);
-        failed(attempt, AttemptOutcome.GARBLED, what + " exceeds the size limit", 0);
+        failed(attempt, AttemptOutcome.GARBLED, cause, 0);
     }
 
     /** Retries the request if possible; otherwise the failure goes to the caller. */
@@ -385,8 +386,7 @@
         }
         attempt.cancel();
         outcomes.failedBeforeRetry(attempt);
-        String cause = "status " + head.status();
-        log.attemptEnded(attempt, AttemptOutcome.FAILED, cause, "again", now);
+        log.attemptEnded(attempt, AttemptOutcome.FAILED, "status " + head.status(), "again", now);
         attempt.release();
         place(placement, now);
         return true;
@@ -408,6 +408,7 @@
         history.recordOutcome(outcome);
         boolean again =
                 !callerDisconnected
+                        && delivery.resumable()
                         && RetryPolicy.mayRetry(plan.route(), history, outcome)
                         && (!history.mayHaveRun() || !plan.relayed())
                         && (!outcome.mayHaveReached() || RetryGate.tryAcquire(context, plan));
@@ -437,10 +438,7 @@
             return;
         }
         boolean expired = plan.deadlineMillis() - now() < MIN_ATTEMPT_MILLIS;
-        long wait =
-                retryAfterMillis > 0
-                        ? retryAfterMillis
-                        : Math.max(RETRY_AFTER_MILLIS, search.backoffMillis(now()));
+        long wait = retryAfterMillis > 0 ? retryAfterMillis : search.retryAfterMillis(now());
         Refusal refusal = Refusal.after(history, expired, reason, wait);
         sink.refuse(refusal);
         log.refused(refusal, now());
@@ -478,6 +476,7 @@
     private boolean acquireRepeat(long now) {
         return silent == null
                 && !current.paused()
+                && delivery.resumable()
                 && context.gate().receiveDelayMillis() == 0
                 && !plan.relayed()
                 && RetryPolicy.mayReplace(plan.route(), history)
