A draining VM admits what it can finish

Callers saw: from 2.8 s after a SIGTERM on, a VM that ran until its grace was over refused every new request with 503 and Retry-After 0.5, though most of them would have ended before the process. Beside two rolling restarts that overlap, whole regions consisted of such VMs for seconds.

Cause: refusals began at a fixed time, whatever the request had left.

Now a VM admits, from that time on, the requests whose deadline (the caller's or the route's) falls before the time at which it cuts what still runs. What is admitted late is therefore never cut. The same holds for requests that other VMs relay to it, which were admitted until the end.

StopScheduleTest.lateRequestThatEndsBeforeTheCutoffIsAdmitted has the bounds.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -93,8 +93,9 @@
     private final EventLoopLag lag;
     private final LoadMeter load = new LoadMeter();
     private final ReportPager pager;
+    private final StopSchedule stopSchedule;
     private long behindSinceMillis = -1;
-    private boolean refusingRequests;
+    private long stopRequestedAtMillis;
     private boolean rosterSettled;
 
     /**
@@ -121,6 +122,12 @@
         pool = new UpstreamPool(settings.zones());
         grants = new GrantMeter(new GrantTolerance(settings.quotaSlackTokens()));
         retries = new RetryAllowance(settings.retries(), now());
+        stopSchedule =
+                new StopSchedule(
+                        tuning.minDrainMillis(),
+                        tuning.admitAllMillis(),
+                        settings.graceMillis() - tuning.killMarginMillis(),
+                        tuning.tickMillis());
         publishedState =
                 new PublishedState(platform.published(), pool, log, clock, this::applyPublication);
         lag = new EventLoopLag(tuning.tickMillis(), now());
@@ -136,12 +143,8 @@
         EntryContext context = createContext(platform);
         callers =
                 new CallerHandler(
-                        context,
-                        publishedState::publication,
-                        grants,
-                        this::stopping,
-                        () -> refusingRequests || gone());
-        relays = new RelayHandler(context, publishedState::publication, this::gone);
+                        context, publishedState::publication, grants, this::stopping, this::admits);
+        relays = new RelayHandler(context, publishedState::publication, this::admits);
         ProbePlan probes = new ProbePlan(pool, settings.vm().hashCode() + incarnation, now());
         prober = new ReplicaProber(context, platform.replicaStatus(), probes);
         control =
@@ -327,24 +330,17 @@
         if (stopping()) {
             return;
         }
+        stopRequestedAtMillis = now();
         changeState(MemberState.DRAINING, "stop requested");
-        vertx.setTimer(tuning.refuseAfterMillis(), ignored -> refusingRequests = true);
-        StopSchedule schedule =
-                new StopSchedule(
-                        tuning.minDrainMillis(),
-                        settings.graceMillis() - tuning.killMarginMillis(),
-                        tuning.tickMillis());
-        stopIfDue(schedule, now());
+        stopIfDue();
     }
 
-    private void stopIfDue(StopSchedule schedule, long stopRequestedAtMillis) {
+    private void stopIfDue() {
         long elapsed = now() - stopRequestedAtMillis;
-        if (schedule.shouldStop(elapsed, callers.running() + relays.running() == 0)) {
+        if (stopSchedule.shouldStop(elapsed, callers.running() + relays.running() == 0)) {
             shutDown();
         } else {
-            vertx.setTimer(
-                    schedule.nextCheckDelayMillis(elapsed),
-                    ignored -> stopIfDue(schedule, stopRequestedAtMillis));
+            vertx.setTimer(stopSchedule.nextCheckDelayMillis(elapsed), ignored -> stopIfDue());
         }
     }
 
@@ -373,9 +369,13 @@
         return fleet.self().state().compareTo(MemberState.READY) > 0;
     }
 
-    /** True while the last connections close; they may still deliver requests. */
-    private boolean gone() {
-        return fleet.self().state() == MemberState.GONE;
+    /** Admits none while the last connections close; they may still deliver requests. */
+    private boolean admits(long deadlineMillis) {
+        boolean gone = fleet.self().state() == MemberState.GONE;
+        long now = now();
+        return !stopping()
+                || (!gone
+                        && stopSchedule.admits(now - stopRequestedAtMillis, deadlineMillis - now));
     }
 
     private void receiveReport(FleetReport report) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryTuning.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryTuning.java
@@ -8,7 +8,8 @@
  *     directory does not answer before
  * @param minDrainMillis time after the stop request during which callers may still connect, because
  *     they cache directory responses
- * @param refuseAfterMillis time after the stop request from which new requests are refused
+ * @param admitAllMillis time after the stop request from which only requests are admitted that end
+ *     before the process does
  * @param killMarginMillis safety margin before the time at which the process is killed
  * @param closeTimeoutMillis part of that margin during which the last responses may still be
  *     written
@@ -19,7 +20,7 @@
         int directoryTtlSeconds,
         long membershipWarmupMillis,
         long minDrainMillis,
-        long refuseAfterMillis,
+        long admitAllMillis,
         long killMarginMillis,
         long closeTimeoutMillis,
         long tickMillis) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StopSchedule.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StopSchedule.java
@@ -1,16 +1,31 @@
 package io.vanillapoint.entry.control;
 
 /**
- * Decides when a draining VM checks whether it can stop, and when it stops regardless.
+ * Decides which requests a draining VM admits, when it checks whether it can stop, and when it
+ * stops regardless.
  *
- * <p>Invariant: one check falls exactly on the cutoff, so that the process ends by itself before
- * the platform kills it. Immutable.
+ * <p>Invariants: one check falls exactly on the cutoff, so that the process ends by itself before
+ * the platform kills it; a request that is admitted late ends before the cutoff. Immutable.
  *
  * @param minDrainMillis time after the stop request during which callers may still connect
+ * @param admitAllMillis time after the stop request during which all requests are admitted, since
+ *     most of them end long before their deadlines
  * @param cutoffMillis time after the stop request at which running requests are cut off
  * @param checkIntervalMillis interval between two checks
  */
-public record StopSchedule(long minDrainMillis, long cutoffMillis, long checkIntervalMillis) {
+public record StopSchedule(
+        long minDrainMillis, long admitAllMillis, long cutoffMillis, long checkIntervalMillis) {
+    /**
+     * Tells whether a new request is admitted.
+     *
+     * @param elapsedMillis time since the stop request
+     * @param remainingMillis time until the deadline of the request
+     * @return false if the request might be cut off
+     */
+    public boolean admits(long elapsedMillis, long remainingMillis) {
+        return elapsedMillis < admitAllMillis || elapsedMillis + remainingMillis <= cutoffMillis;
+    }
+
     /**
      * Time until the next check.
      *
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
@@ -21,7 +21,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
+import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 
 /**
@@ -33,7 +33,7 @@
 
     private final EntryContext context;
     private final Supplier<Optional<GatewayPublication>> publication;
-    private final BooleanSupplier refusing;
+    private final LongPredicate admits;
     private final FleetCodec codec = new FleetCodec();
     private final Set<RequestRun> running = new HashSet<>();
     private final OpenResponses openResponses = new OpenResponses();
@@ -43,15 +43,16 @@
      *
      * @param context services shared by all requests
      * @param publication supplies the configuration in force
-     * @param refusing true if the process is about to end and refuses new requests
+     * @param admits tells whether a request with this deadline, a monotonic time in milliseconds,
+     *     can end before the process does
      */
     public RelayHandler(
             EntryContext context,
             Supplier<Optional<GatewayPublication>> publication,
-            BooleanSupplier refusing) {
+            LongPredicate admits) {
         this.context = context;
         this.publication = publication;
-        this.refusing = refusing;
+        this.admits = admits;
     }
 
     /**
@@ -102,10 +103,6 @@
 
     private void run(HttpServerRequest request, RelaySink sink, Buffer body) {
         sink.acknowledge();
-        if (refusing.getAsBoolean()) {
-            sink.refuse(Refusal.notRun("shutting_down", RETRY_AFTER_MILLIS));
-            return;
-        }
         try {
             admit(sink, body);
         } catch (VanillapointException e) {
@@ -121,7 +118,13 @@
     /** Starts a run; until this returns, no attempt has been made. */
     private void admit(RelaySink sink, Buffer body) {
         RelayRequest relayed = codec.decodeRelayRequest(body.getBytes());
-        Optional<RequestPlan> plan = plan(relayed);
+        long now = context.clock().getAsLong();
+        long deadline = now + relayed.remainingMillis() - context.gate().receiveDelayMillis();
+        if (!admits.test(deadline)) {
+            sink.refuse(Refusal.notRun("shutting_down", RETRY_AFTER_MILLIS));
+            return;
+        }
+        Optional<RequestPlan> plan = plan(relayed, now, deadline);
         if (plan.isEmpty()) {
             sink.refuse(Refusal.notRun("not_known_here", RETRY_AFTER_MILLIS));
             return;
@@ -141,7 +144,7 @@
         run.start();
     }
 
-    private Optional<RequestPlan> plan(RelayRequest relayed) {
+    private Optional<RequestPlan> plan(RelayRequest relayed, long now, long deadline) {
         Optional<GatewayPublication> current = publication.get();
         Optional<RouteSpec> route =
                 current.flatMap(configuration -> configuration.route(relayed.route()));
@@ -162,7 +165,6 @@
         for (HeaderField header : relayed.headers()) {
             headers.add(header.name(), header.value());
         }
-        long now = context.clock().getAsLong();
         RequestPlan plan =
                 new RequestPlan(
                         context.format().request(headers),
@@ -173,7 +175,7 @@
                         service.get(),
                         customer,
                         now,
-                        now + relayed.remainingMillis() - context.gate().receiveDelayMillis(),
+                        deadline,
                         true);
         boolean allowed = plan.allowedIn(context.fleet().self().region());
         return allowed ? Optional.of(plan) : Optional.empty();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
@@ -22,6 +22,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 
 /**
@@ -49,7 +50,7 @@
     private final Supplier<Optional<GatewayPublication>> publication;
     private final GrantMeter grants;
     private final BooleanSupplier closing;
-    private final BooleanSupplier refusing;
+    private final LongPredicate admits;
     private final Set<RequestRun> running = new HashSet<>();
     private final OpenResponses openResponses = new OpenResponses();
     private final Set<HttpConnection> closingConnections = new HashSet<>();
@@ -61,19 +62,20 @@
      * @param publication supplies the configuration in force
      * @param grants meters customers' tokens
      * @param closing true if connections are to be closed after the response
-     * @param refusing true if the VM is about to stop and refuses new requests
+     * @param admits tells whether a request with this deadline, a monotonic time in milliseconds,
+     *     can end before the VM stops
      */
     public CallerHandler(
             EntryContext context,
             Supplier<Optional<GatewayPublication>> publication,
             GrantMeter grants,
             BooleanSupplier closing,
-            BooleanSupplier refusing) {
+            LongPredicate admits) {
         this.context = context;
         this.publication = publication;
         this.grants = grants;
         this.closing = closing;
-        this.refusing = refusing;
+        this.admits = admits;
     }
 
     /**
@@ -176,9 +178,12 @@
             return;
         }
         Optional<GatewayPublication> available = publication.get();
-        if (available.isEmpty() || refusing.getAsBoolean()) {
-            String reason = available.isEmpty() ? "not_ready" : "shutting_down";
-            refuse(sink, envelope, Refusal.notRun(reason, STARTUP_RETRY_AFTER_MILLIS), receivedAt);
+        if (available.isEmpty()) {
+            refuse(
+                    sink,
+                    envelope,
+                    Refusal.notRun("not_ready", STARTUP_RETRY_AFTER_MILLIS),
+                    receivedAt);
             return;
         }
         GatewayPublication current = available.get();
@@ -216,10 +221,7 @@
                         receivedAt,
                         receivedAt + timeoutMillis - context.gate().receiveDelayMillis(),
                         false);
-        Optional<Refusal> unfit =
-                fitsEngines(plan)
-                        ? context.prompts().check(plan, "admit")
-                        : Optional.of(Refusal.notRun("larger_than_engines", 0));
+        Optional<Refusal> unfit = unfit(plan);
         if (unfit.isPresent()) {
             refuse(sink, envelope, unfit.get(), receivedAt);
         } else if (takeTokens(plan, sink, now)) {
@@ -227,6 +229,15 @@
         }
     }
 
+    private Optional<Refusal> unfit(RequestPlan plan) {
+        if (!admits.test(plan.deadlineMillis())) {
+            return Optional.of(Refusal.notRun("shutting_down", STARTUP_RETRY_AFTER_MILLIS));
+        }
+        return fitsEngines(plan)
+                ? context.prompts().check(plan, "admit")
+                : Optional.of(Refusal.notRun("larger_than_engines", 0));
+    }
+
     /** Tells whether an engine's memory can hold the prompt; if none can, no replica runs it. */
     private static boolean fitsEngines(RequestPlan plan) {
         long promptTokens = plan.envelope().prompt().map(PromptSummary::promptTokens).orElse(0L);
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StopScheduleTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StopScheduleTest.java
@@ -7,10 +7,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Times at which a draining VM checks whether it can stop. */
+/** What a draining VM admits, and times at which it checks whether it can stop. */
 class StopScheduleTest {
     private static final long CUTOFF_MILLIS = 7_600;
-    private final StopSchedule schedule = new StopSchedule(2_000, CUTOFF_MILLIS, 200);
+    private final StopSchedule schedule = new StopSchedule(2_000, 2_800, CUTOFF_MILLIS, 200);
 
     /**
      * Guards against checks at fixed intervals, the last of which came up to 0.2 s after the cutoff
@@ -32,4 +32,14 @@
         assertThat(schedule.shouldStop(2_000, true), is(true));
         assertThat(schedule.shouldStop(2_000, false), is(false));
     }
+
+    /** Guards against refusals of requests that a draining VM can answer. */
+    @Test
+    void lateRequestThatEndsBeforeTheCutoffIsAdmitted() {
+        assertThat(schedule.admits(2_799, 15_000), is(true));
+        assertThat(schedule.admits(2_800, 4_800), is(true));
+        assertThat(schedule.admits(2_800, 4_801), is(false));
+        assertThat(schedule.admits(5_600, 2_000), is(true));
+        assertThat(schedule.admits(CUTOFF_MILLIS, 15), is(false));
+    }
 }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayHandlerTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayHandlerTest.java
@@ -95,7 +95,7 @@
 
     private ForwardFailure relay(Supplier<Optional<GatewayPublication>> publication)
             throws Exception {
-        RelayHandler handler = new RelayHandler(context(), publication, () -> refusing);
+        RelayHandler handler = new RelayHandler(context(), publication, deadline -> !refusing);
         int port =
                 vertx.createHttpServer()
                         .requestHandler(handler::handle)
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/CallerHandlerTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/CallerHandlerTest.java
@@ -55,7 +55,7 @@
                         Optional::empty,
                         new GrantMeter(new GrantTolerance(0)),
                         () -> false,
-                        () -> false);
+                        deadline -> true);
         int port =
                 vertx.createHttpServer()
                         .requestHandler(handler::handle)
