A draining VM refuses relayed requests that it may cut

Nothing excuses such an end: the VM with the caller's connection was not yet at the end of its grace.

Cause: while a region has no ready VM, others relay requests to VMs there that have just begun to drain. These admitted whatever came, though only requests that may run again survive being cut: the relaying VM goes on with them elsewhere.

Now a draining VM admits a relayed request that may run once only if its deadline falls before the cutoff. Otherwise the relaying VM is told at once that it has not run and places it elsewhere.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -94,8 +94,8 @@
     private final LoadMeter load = new LoadMeter();
     private final ReportPager pager;
     private final StopSchedule stopSchedule;
+    private final DrainAdmission admission;
     private long behindSinceMillis = -1;
-    private long stopRequestedAtMillis;
     private boolean rosterSettled;
 
     /**
@@ -141,10 +141,20 @@
                         this::probesPrompts,
                         this::recheckPrompts);
         EntryContext context = createContext(platform);
+        admission = new DrainAdmission(context, stopSchedule);
         callers =
                 new CallerHandler(
-                        context, publishedState::publication, grants, this::stopping, this::admits);
-        relays = new RelayHandler(context, publishedState::publication, this::admits);
+                        context,
+                        publishedState::publication,
+                        grants,
+                        this::stopping,
+                        admission::admits);
+        relays =
+                new RelayHandler(
+                        context,
+                        publishedState::publication,
+                        admission::ending,
+                        admission::admitsRelayed);
         ProbePlan probes = new ProbePlan(pool, settings.vm().hashCode() + incarnation, now());
         prober = new ReplicaProber(context, platform.replicaStatus(), probes);
         control =
@@ -330,13 +340,13 @@
         if (stopping()) {
             return;
         }
-        stopRequestedAtMillis = now();
+        admission.stopRequested();
         changeState(MemberState.DRAINING, "stop requested");
         stopIfDue();
     }
 
     private void stopIfDue() {
-        long elapsed = now() - stopRequestedAtMillis;
+        long elapsed = admission.elapsedMillis();
         if (stopSchedule.shouldStop(elapsed, callers.running() + relays.running() == 0)) {
             shutDown();
         } else {
@@ -345,6 +355,7 @@
     }
 
     private void shutDown() {
+        admission.end();
         changeState(MemberState.GONE, "drain finished");
         log.record(EventCode.ENTRY_STOPPED, callers.running() + relays.running());
         callers.abortAll();
@@ -369,15 +380,6 @@
         return fleet.self().state().compareTo(MemberState.READY) > 0;
     }
 
-    /** Admits none while the last connections close; they may still deliver requests. */
-    private boolean admits(long deadlineMillis) {
-        boolean gone = fleet.self().state() == MemberState.GONE;
-        long now = now();
-        return !stopping()
-                || (!gone
-                        && stopSchedule.admits(now - stopRequestedAtMillis, deadlineMillis - now));
-    }
-
     private void receiveReport(FleetReport report) {
         long now = now();
         roster.observe(report, now);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StopSchedule.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StopSchedule.java
@@ -23,7 +23,18 @@
      * @return false if the request might be cut off
      */
     public boolean admits(long elapsedMillis, long remainingMillis) {
-        return elapsedMillis < admitAllMillis || elapsedMillis + remainingMillis <= cutoffMillis;
+        return elapsedMillis < admitAllMillis || finishes(elapsedMillis, remainingMillis);
+    }
+
+    /**
+     * Tells whether a request ends before the cutoff.
+     *
+     * @param elapsedMillis time since the stop request
+     * @param durationMillis time that the request takes from now
+     * @return true if it does
+     */
+    public boolean finishes(long elapsedMillis, long durationMillis) {
+        return elapsedMillis + durationMillis <= cutoffMillis;
     }
 
     /**
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
@@ -21,7 +21,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.LongPredicate;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -33,7 +34,8 @@
 
     private final EntryContext context;
     private final Supplier<Optional<GatewayPublication>> publication;
-    private final LongPredicate admits;
+    private final BooleanSupplier ending;
+    private final Predicate<RequestPlan> admits;
     private final FleetCodec codec = new FleetCodec();
     private final Set<RequestRun> running = new HashSet<>();
     private final OpenResponses openResponses = new OpenResponses();
@@ -43,15 +45,18 @@
      *
      * @param context services shared by all requests
      * @param publication supplies the configuration in force
-     * @param admits tells whether a request with this deadline, a monotonic time in milliseconds,
-     *     can end before the process does
+     * @param ending true if the process is about to end and refuses new requests
+     * @param admits tells whether a request can end before the process does, or another VM can go
+     *     on with it
      */
     public RelayHandler(
             EntryContext context,
             Supplier<Optional<GatewayPublication>> publication,
-            LongPredicate admits) {
+            BooleanSupplier ending,
+            Predicate<RequestPlan> admits) {
         this.context = context;
         this.publication = publication;
+        this.ending = ending;
         this.admits = admits;
     }
 
@@ -103,6 +108,10 @@
 
     private void run(HttpServerRequest request, RelaySink sink, Buffer body) {
         sink.acknowledge();
+        if (ending.getAsBoolean()) {
+            sink.refuse(Refusal.notRun("shutting_down", RETRY_AFTER_MILLIS));
+            return;
+        }
         try {
             admit(sink, body);
         } catch (VanillapointException e) {
@@ -118,17 +127,15 @@
     /** Starts a run; until this returns, no attempt has been made. */
     private void admit(RelaySink sink, Buffer body) {
         RelayRequest relayed = codec.decodeRelayRequest(body.getBytes());
-        long now = context.clock().getAsLong();
-        long deadline = now + relayed.remainingMillis() - context.gate().receiveDelayMillis();
-        if (!admits.test(deadline)) {
-            sink.refuse(Refusal.notRun("shutting_down", RETRY_AFTER_MILLIS));
-            return;
-        }
-        Optional<RequestPlan> plan = plan(relayed, now, deadline);
+        Optional<RequestPlan> plan = plan(relayed);
         if (plan.isEmpty()) {
             sink.refuse(Refusal.notRun("not_known_here", RETRY_AFTER_MILLIS));
             return;
         }
+        if (!admits.test(plan.get())) {
+            sink.refuse(Refusal.notRun("shutting_down", RETRY_AFTER_MILLIS));
+            return;
+        }
         context.log()
                 .record(
                         EventCode.RELAY_ACCEPTED,
@@ -144,7 +151,7 @@
         run.start();
     }
 
-    private Optional<RequestPlan> plan(RelayRequest relayed, long now, long deadline) {
+    private Optional<RequestPlan> plan(RelayRequest relayed) {
         Optional<GatewayPublication> current = publication.get();
         Optional<RouteSpec> route =
                 current.flatMap(configuration -> configuration.route(relayed.route()));
@@ -165,6 +172,7 @@
         for (HeaderField header : relayed.headers()) {
             headers.add(header.name(), header.value());
         }
+        long now = context.clock().getAsLong();
         RequestPlan plan =
                 new RequestPlan(
                         context.format().request(headers),
@@ -175,7 +183,7 @@
                         service.get(),
                         customer,
                         now,
-                        deadline,
+                        now + relayed.remainingMillis() - context.gate().receiveDelayMillis(),
                         true);
         boolean allowed = plan.allowedIn(context.fleet().self().region());
         return allowed ? Optional.of(plan) : Optional.empty();
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayHandlerTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayHandlerTest.java
@@ -95,7 +95,8 @@
 
     private ForwardFailure relay(Supplier<Optional<GatewayPublication>> publication)
             throws Exception {
-        RelayHandler handler = new RelayHandler(context(), publication, deadline -> !refusing);
+        RelayHandler handler =
+                new RelayHandler(context(), publication, () -> refusing, plan -> true);
         int port =
                 vertx.createHttpServer()
                         .requestHandler(handler::handle)
