A VM that reads heartbeats late reads the store itself

Cause: heartbeats count from the moment at which they are read. What waits in the receive buffer of a VM that is seconds behind looks recent, so the VM leaves the store to VMs that are gone or cut off by then.

Now the time for which heartbeats have waited, as the VM measures it for requests, counts as silence when the VM decides whether to read the store.

Shown in virtual time: 25 VMs, one of which reads heartbeats 8.4 s late; the others end, and 5 s later it still left the store to them (StoreReadersTest.vmThatReadsHeartbeatsLateReadsTheStoreItself: "Expected: is <true> but: was <false>"). A delay of two rounds changes nothing (vmThatReadsHeartbeatsAFewRoundsLateLeavesTheStoreToOthers).

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/StoreReaders.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/StoreReaders.java
@@ -8,9 +8,9 @@
  *
  * <p>Handles a store that charges for each call, limits the call rate and wakes up every watching
  * VM on each change: with hundreds of VMs the watches would cost more than all other control
- * traffic together. Invariant: a VM stops reading only while it receives heartbeats from enough VMs
- * that report that the store answers them, so a VM that is cut off from these reads the store
- * itself. Stateless.
+ * traffic together. Invariant: a VM stops reading only while it receives recent heartbeats from
+ * enough VMs that report that the store answers them, so a VM that is cut off from these, or reads
+ * what they sent too late, reads the store itself. Stateless.
  */
 public final class StoreReaders {
     /**
@@ -27,13 +27,14 @@
      * Tells whether this VM should read the store.
      *
      * @param view the fleet
+     * @param receiveDelayMillis time for which heartbeats have waited to be read
      * @param nowMillis monotonic time
      * @return false if enough VMs with a higher rank read it
      */
-    public static boolean reads(FleetView view, long nowMillis) {
+    public static boolean reads(FleetView view, long receiveDelayMillis, long nowMillis) {
         long own = Rendezvous.weight(RANK_KEY, view.self().vm());
         long higherRanked =
-                view.storeReaders(nowMillis).stream()
+                view.storeReaders(nowMillis + receiveDelayMillis).stream()
                         .filter(
                                 vm ->
                                         Long.compareUnsigned(Rendezvous.weight(RANK_KEY, vm), own)
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/StoreReadersTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/StoreReadersTest.java
@@ -7,11 +7,14 @@
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.api.model.ZoneId;
 import io.vanillapoint.core.published.StorePosition;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -24,10 +27,14 @@
     /** Within the shortest time limit that operators set for a configuration to take effect. */
     private static final long TAKEOVER_MILLIS = 5_000;
 
+    private static final long RECEIVE_DELAY_MILLIS = 8_400;
+
     private final Map<String, FleetView> views = new LinkedHashMap<>();
     private final Map<String, HeartbeatPlan> plans = new LinkedHashMap<>();
     private final Set<String> down = new HashSet<>();
     private final Set<String> refusedByStore = new HashSet<>();
+    private final Map<String, Long> receiveDelays = new HashMap<>();
+    private final Map<String, Queue<Unread>> unread = new HashMap<>();
     private long now = 100_000;
 
     StoreReadersTest() {
@@ -82,8 +89,28 @@
         assertThat(reads(views.get(isolated)), is(true));
     }
 
+    /** Heartbeats that a VM reads seconds late look as if the readers were still running. */
+    @Test
+    void vmThatReadsHeartbeatsLateReadsTheStoreItself() {
+        String late = "w0";
+        receiveDelays.put(late, RECEIVE_DELAY_MILLIS);
+        runFor(2 * RECEIVE_DELAY_MILLIS);
+        down.addAll(views.keySet());
+        down.remove(late);
+        runFor(TAKEOVER_MILLIS);
+        assertThat(reads(views.get(late)), is(true));
+    }
+
+    @Test
+    void vmThatReadsHeartbeatsAFewRoundsLateLeavesTheStoreToOthers() {
+        views.keySet().forEach(vm -> receiveDelays.put(vm, 2 * ROUND_MILLIS));
+        runFor(2_000);
+        assertThat(readers(), hasSize(StoreReaders.PER_REGION));
+    }
+
     private void runFor(long millis) {
         for (long end = now + millis; now < end; now += ROUND_MILLIS) {
+            unread.forEach(this::readDue);
             for (FleetView from : views.values()) {
                 if (up(from)) {
                     FleetReport report = report(from);
@@ -97,10 +124,22 @@
 
     private void deliver(FleetReport report, String to) {
         if (!down.contains(to)) {
-            views.get(to).receive(report, now);
+            unread.computeIfAbsent(to, unused -> new ArrayDeque<>())
+                    .add(new Unread(report, now + receiveDelayMillis(to)));
+            readDue(to, unread.get(to));
+        }
+    }
+
+    private void readDue(String vm, Queue<Unread> reports) {
+        while (!reports.isEmpty() && reports.peek().readAtMillis() <= now) {
+            views.get(vm).receive(reports.remove().report(), now);
         }
     }
 
+    private long receiveDelayMillis(String vm) {
+        return receiveDelays.getOrDefault(vm, 0L);
+    }
+
     private FleetReport report(FleetView from) {
         boolean answered = reads(from) && !refusedByStore.contains(from.self().vm());
         return from.nextReport(0)
@@ -122,6 +161,9 @@
     }
 
     private boolean reads(FleetView view) {
-        return StoreReaders.reads(view, now);
+        return StoreReaders.reads(view, receiveDelayMillis(view.self().vm()), now);
     }
+
+    /** A heartbeat that has arrived and is read later. */
+    private record Unread(FleetReport report, long readAtMillis) {}
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
@@ -48,7 +48,11 @@
                         publishedState,
                         context.log(),
                         context.clock(),
-                        () -> StoreReaders.reads(context.fleet(), context.clock().getAsLong()));
+                        () ->
+                                StoreReaders.reads(
+                                        context.fleet(),
+                                        context.gate().receiveDelayMillis(),
+                                        context.clock().getAsLong()));
         storeCopier =
                 new StoreCopier(
                         context.fleet(),
