Callers stay with their homes while these drain

All five VMs of the homes were draining from 15.6 s on, from 17.6 to 19.7 s none of them for less than 2 s; when a VM of the third region was back, the directory named it.

Cause: VMs that drain are named for 2 s only, though a draining VM goes on for up to 7.6 s and since admits what it can finish.

Now, if none of them has begun to drain within 2 s, the directory names the VMs of the homes that have been draining for less than 5 s, rather than VMs of all regions. Nothing changes for relays, nor for hosts without homes.

Before: FleetViewTest.callersAreNotSentToOtherRegionsWhileTheirHomesDrain: "Expected: iterable containing ["e1-host"] but: item 0: was "w1-host"".

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetTiming.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetTiming.java
@@ -10,6 +10,8 @@
  * @param suspectMillis silence after which a VM is suspected and no longer returned to callers
  * @param drainAcceptMillis time after the start of a drain in which other VMs still send requests
  *     to the draining VM if no VM is ready; shorter than the time for which it accepts them
+ * @param drainFinishMillis time after the start of a drain in which the draining VM still admits
+ *     requests that end soon
  * @param forgetMillis silence after which a VM is removed from the fleet; longer than network
  *     partitions between regions usually last
  */
@@ -20,8 +22,9 @@
         long otherSilenceMillis,
         long suspectMillis,
         long drainAcceptMillis,
+        long drainFinishMillis,
         long forgetMillis) {
     /** Tolerates two consecutive lost heartbeats; three count as silence. */
     public static final FleetTiming DEFAULT =
-            new FleetTiming(200, 400, 700, 1_000, 2_000, 2_000, 300_000);
+            new FleetTiming(200, 400, 700, 1_000, 2_000, 2_000, 5_000, 300_000);
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -243,7 +243,8 @@
     /**
      * Chooses the VMs that a caller may be sent to: those that carry the requests of the caller's
      * region, else of the regions in which its requests may be processed; if all of these are
-     * draining, those that still accept requests; else VMs of all regions.
+     * draining, those that still accept requests, or else requests that end soon; else VMs of all
+     * regions.
      *
      * @param region region of the caller, may be one without VMs
      * @param homes regions in which the caller's requests may be processed, empty for all
@@ -260,10 +261,12 @@
         }
         List<VmLoad> inHomes = matching(ready, vm -> homes.contains(vm.region()));
         if (inHomes.isEmpty() && !homes.isEmpty()) {
-            inHomes =
-                    matching(
-                            drainingVms(nowMillis),
-                            vm -> vm.region().equals(region) || homes.contains(vm.region()));
+            Predicate<MemberInfo> near =
+                    vm -> vm.region().equals(region) || homes.contains(vm.region());
+            inHomes = matching(drainingVms(timing.drainAcceptMillis(), nowMillis), near);
+            if (inHomes.isEmpty()) {
+                inHomes = matching(drainingVms(timing.drainFinishMillis(), nowMillis), near);
+            }
         }
         return TrafficVmSelector.select(inHomes.isEmpty() && !homesOnly ? ready : inHomes);
     }
@@ -343,8 +346,12 @@
     }
 
     private boolean acceptsWhileDraining(Member member, long nowMillis) {
+        return drainsSince(member, timing.drainAcceptMillis(), nowMillis);
+    }
+
+    private static boolean drainsSince(Member member, long lessThanMillis, long nowMillis) {
         return member.info().state() == MemberState.DRAINING
-                && nowMillis - member.drainingSinceMillis() < timing.drainAcceptMillis();
+                && nowMillis - member.drainingSinceMillis() < lessThanMillis;
     }
 
     /**
@@ -552,15 +559,15 @@
         return ready;
     }
 
-    /** VMs that have just begun to drain and still accept requests. */
-    private List<VmLoad> drainingVms(long nowMillis) {
+    /** VMs that have been draining for less than a time. */
+    private List<VmLoad> drainingVms(long lessThanMillis, long nowMillis) {
         List<VmLoad> candidates = new ArrayList<>();
-        boolean selfAccepts = nowMillis - selfDrainingSinceMillis < timing.drainAcceptMillis();
+        boolean selfAccepts = nowMillis - selfDrainingSinceMillis < lessThanMillis;
         if (self.state() == MemberState.DRAINING && selfAccepts) {
             candidates.add(new VmLoad(self, selfLoad));
         }
         for (Member member : members.values()) {
-            if (acceptsWhileDraining(member, nowMillis) && alive(member, nowMillis)) {
+            if (drainsSince(member, lessThanMillis, nowMillis) && alive(member, nowMillis)) {
                 candidates.add(new VmLoad(member.info(), member.load()));
             }
         }
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
@@ -61,6 +61,19 @@
         assertThat(hosts(NORTH, homes, NOW + 2_200), contains("e2-host"));
     }
 
+    /** A VM that drains still serves what it can finish; other regions may not process the data. */
+    @Test
+    void callersAreNotSentToOtherRegionsWhileTheirHomesDrain() {
+        Set<RegionId> homes = Set.of(EAST);
+        view.receive(report(vm("e1", EAST, 1, MemberState.READY), 1), NOW);
+        view.receive(report(vm("e1", EAST, 1, MemberState.DRAINING), 2), NOW + 100);
+        view.receive(report(vm("e1", EAST, 1, MemberState.DRAINING), 3), NOW + 4_000);
+        assertThat(hosts(EAST, homes, NOW + 4_100), contains("e1-host"));
+        assertThat(hosts(NORTH, homes, NOW + 4_100), contains("e1-host"));
+        assertThat(view.isReachable(EAST, NOW + 4_100), is(false));
+        assertThat(hosts(EAST, homes, NOW + 5_200), contains("w1-host"));
+    }
+
     @Test
     void requestsAreRelayedToADrainingVmIfThereIsNoOther() {
         view.receive(report(vm("e1", EAST, 1, MemberState.READY), 1), NOW);
