--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -95,8 +95,9 @@
     private final EventLoopLag lag;
     private final LoadMeter load = new LoadMeter();
     private final ReportPager pager;
+    private final StopSchedule stopSchedule;
+    private final DrainAdmission admission;
     private long behindSinceMillis = -1;
-    private boolean refusingRequests;
     private boolean rosterSettled;
 
     /**
@@ -124,28 +125,27 @@
         pool = new UpstreamPool(settings.zones());
         grants = new GrantMeter(new GrantTolerance(settings.quotaSlackTokens()));
         retries = new RetryAllowance(settings.retries(), now());
+        stopSchedule = createStopSchedule();
         publishedState =
                 new PublishedState(
                         platform.published(), pool, log, errors, clock, this::applyPublication);
         lag = new EventLoopLag(tuning.tickMillis(), now());
-        prompts =
-                new PromptGuard(
-                        vertx,
-                        clock,
-                        log,
-                        metrics,
-                        settings.vm().hashCode() + incarnation,
-                        this::probesPrompts,
-                        this::recheckPrompts);
+        prompts = createPromptGuard(incarnation);
         EntryContext context = createContext(platform);
+        admission = new DrainAdmission(context, stopSchedule);
         callers =
                 new CallerHandler(
                         context,
                         publishedState::publication,
                         grants,
                         this::stopping,
-                        () -> refusingRequests || gone());
-        relays = new RelayHandler(context, publishedState::publication, this::gone);
+                        admission::admits);
+        relays =
+                new RelayHandler(
+                        context,
+                        publishedState::publication,
+                        admission::ending,
+                        admission::admitsRelayed);
         ProbePlan probes = new ProbePlan(pool, settings.vm().hashCode() + incarnation, now());
         prober = new ReplicaProber(context, platform.replicaStatus(), probes);
         control =
@@ -169,6 +169,25 @@
         registerGauges(writer);
     }
 
+    private StopSchedule createStopSchedule() {
+        return new StopSchedule(
+                tuning.minDrainMillis(),
+                tuning.admitAllMillis(),
+                settings.graceMillis() - tuning.killMarginMillis(),
+                tuning.tickMillis());
+    }
+
+    private PromptGuard createPromptGuard(long incarnation) {
+        return new PromptGuard(
+                vertx,
+                clock,
+                log,
+                metrics,
+                settings.vm().hashCode() + incarnation,
+                this::probesPrompts,
+                this::recheckPrompts);
+    }
+
     private EntryContext createContext(EntryPlatform platform) {
         return new EntryContext(
                 vertx,
@@ -335,29 +354,23 @@
         if (stopping()) {
             return;
         }
+        admission.stopRequested();
         errors.contain(
                 "announcing the stop", () -> changeState(MemberState.DRAINING, "stop requested"));
-        vertx.setTimer(tuning.refuseAfterMillis(), ignored -> refusingRequests = true);
-        StopSchedule schedule =
-                new StopSchedule(
-                        tuning.minDrainMillis(),
-                        settings.graceMillis() - tuning.killMarginMillis(),
-                        tuning.tickMillis());
-        stopIfDue(schedule, now());
+        stopIfDue();
     }
 
-    private void stopIfDue(StopSchedule schedule, long stopRequestedAtMillis) {
-        long elapsed = now() - stopRequestedAtMillis;
-        if (schedule.shouldStop(elapsed, callers.running() + relays.running() == 0)) {
+    private void stopIfDue() {
+        long elapsed = admission.elapsedMillis();
+        if (stopSchedule.shouldStop(elapsed, callers.running() + relays.running() == 0)) {
             shutDown();
         } else {
-            vertx.setTimer(
-                    schedule.nextCheckDelayMillis(elapsed),
-                    ignored -> stopIfDue(schedule, stopRequestedAtMillis));
+            vertx.setTimer(stopSchedule.nextCheckDelayMillis(elapsed), ignored -> stopIfDue());
         }
     }
 
     private void shutDown() {
+        admission.end();
         errors.contain("announcing the end", () -> changeState(MemberState.GONE, "drain finished"));
         log.record(EventCode.ENTRY_STOPPED, callers.running() + relays.running());
         errors.contain("ending requests", callers::abortAll);
@@ -382,11 +395,6 @@
         return fleet.self().state().compareTo(MemberState.READY) > 0;
     }
 
-    /** True while the last connections close; they may still deliver requests. */
-    private boolean gone() {
-        return fleet.self().state() == MemberState.GONE;
-    }
-
     private void receiveReport(FleetReport report) {
         long now = now();
         roster.observe(report, now);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
@@ -49,7 +49,11 @@
                         context.log(),
                         context.errors(),
                         context.clock(),
-                        () -> StoreReaders.reads(context.fleet(), context.clock().getAsLong()));
+                        () ->
+                                StoreReaders.reads(
+                                        context.fleet(),
+                                        context.gate().receiveDelayMillis(),
+                                        context.clock().getAsLong()));
         storeCopier =
                 new StoreCopier(
                         context.fleet(),
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -33,7 +34,8 @@
 
     private final EntryContext context;
     private final Supplier<Optional<GatewayPublication>> publication;
-    private final BooleanSupplier refusing;
+    private final BooleanSupplier ending;
+    private final Predicate<RequestPlan> admits;
     private final FleetCodec codec = new FleetCodec();
     private final Set<RequestRun> running = new HashSet<>();
     private final OpenResponses openResponses = new OpenResponses();
@@ -43,15 +45,19 @@
      *
      * @param context services shared by all requests
      * @param publication supplies the configuration in force
-     * @param refusing true if the process is about to end and refuses new requests
+     * @param ending true if the process is about to end and refuses new requests
+     * @param admits tells whether a request can end before the process does, or another VM can go
+     *     on with it
      */
     public RelayHandler(
             EntryContext context,
             Supplier<Optional<GatewayPublication>> publication,
-            BooleanSupplier refusing) {
+            BooleanSupplier ending,
+            Predicate<RequestPlan> admits) {
         this.context = context;
         this.publication = publication;
-        this.refusing = refusing;
+        this.ending = ending;
+        this.admits = admits;
     }
 
     /**
@@ -103,7 +109,7 @@
     private void run(HttpServerRequest request, RelaySink sink, Buffer body) {
         try {
             sink.acknowledge();
-            if (refusing.getAsBoolean()) {
+            if (ending.getAsBoolean()) {
                 sink.refuse(Refusal.notRun("shutting_down", RETRY_AFTER_MILLIS));
                 return;
             }
@@ -125,6 +131,10 @@
             sink.refuse(Refusal.notRun("not_known_here", RETRY_AFTER_MILLIS));
             return;
         }
+        if (!admits.test(plan.get())) {
+            sink.refuse(Refusal.notRun("shutting_down", RETRY_AFTER_MILLIS));
+            return;
+        }
         context.log()
                 .record(
                         EventCode.RELAY_ACCEPTED,
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayHandlerTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayHandlerTest.java
@@ -107,7 +107,8 @@
 
     private ForwardFailure relay(Supplier<Optional<GatewayPublication>> publication)
             throws Exception {
-        RelayHandler handler = new RelayHandler(context(), publication, () -> refusing);
+        RelayHandler handler =
+                new RelayHandler(context(), publication, () -> refusing, plan -> true);
         int port =
                 vertx.createHttpServer()
                         .requestHandler(handler::handle)
