VMs learn from heartbeats that replicas crash if they reject too much

Callers that moved to VMs without requests for such replicas saw the replicas crash one after the other: a VM learned of the limit only from a response of its own, so until then it sent whatever it got to full replicas, and after five seconds without a request it forgot the limit.

Heartbeats now carry the limits that replicas announced to the sender in the last second (peer.thrift, field 18 of TFleetReport). VMs of the region apply them as if they had received them; they do not report them further, so a limit ends after the replicas stop announcing it. Up to 60 bytes of a packet are taken from the page of upstreams while there are limits. Builds without the field skip it, and send none.

Packets of ReportPacketTest, with limits of four services, stay within 1,200 bytes, and all four are reported.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPager.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPager.java
@@ -17,10 +17,10 @@
  * <p>Handles fleets whose dozens of VMs, upstreams and customers no longer fit one datagram: a
  * datagram that is longer than a packet is lost if any of its fragments is lost, and one that is
  * longer than the receiver's buffer is truncated. Content is added by priority: the sender itself,
- * then customers by the size of their unreported change, one page of unreachable replicas and of
- * upstreams, prompt parts that crash engines, other VMs, and sessions last. Invariant: the estimate
- * of a report's encoded size is an upper bound and never exceeds {@link #PACKET_BYTES}. Confined to
- * one thread.
+ * then customers by the size of their unreported change, rejection limits, one page of unreachable
+ * replicas and of upstreams, prompt parts that crash engines, other VMs, and sessions last.
+ * Invariant: the estimate of a report's encoded size is an upper bound and never exceeds {@link
+ * #PACKET_BYTES}. Confined to one thread.
  */
 public final class ReportPager {
     /** Size of a datagram that every link carries in one packet, with room for tunnel headers. */
@@ -49,6 +49,12 @@
     /** Bytes taken from upstreams while prompt parts are withheld or suspected. */
     private static final int QUARANTINE_BYTES = 120;
 
+    /** Bytes taken from upstreams while replicas announce rejection limits; one or two fit. */
+    private static final int REJECTION_LIMIT_BYTES = 60;
+
+    /** Field header, size and types of a map. */
+    private static final int MAP_OVERHEAD_BYTES = 8;
+
     /**
      * Picks pages and VMs at random: in a fixed rotation, a receiver that gets every eighth
      * heartbeat would see the same half of them over and over.
@@ -81,6 +87,8 @@
         int remaining = PACKET_BYTES - HEADER_BYTES - size(self);
         Map<String, CustomerUse> customers = chooseCustomers(content.customers());
         remaining -= customers.entrySet().stream().mapToInt(ReportPager::customerSize).sum();
+        Map<String, Integer> rejectionLimits = chooseRejectionLimits(content.rejectionLimits());
+        remaining -= size(rejectionLimits);
         int pageCount = pageCount(content);
         boolean customersLeftOut = customers.size() < content.customers().size();
         ReportPage page = new ReportPage(random.nextInt(pageCount), pageCount, customersLeftOut);
@@ -116,25 +124,14 @@
             }
             others.add(observation);
         }
-        List<SessionCacheEntry> reads = new ArrayList<>();
-        for (SessionCacheEntry read : content.reads()) {
-            remaining -=
-                    NUMBER_BYTES
-                            + textSize(read.upstream())
-                            + SHORT_NUMBER_BYTES
-                            + STRUCT_END_BYTES;
-            if (remaining < 0) {
-                break;
-            }
-            reads.add(read);
-        }
         report.page(page)
                 .customers(customers)
+                .rejectionLimits(rejectionLimits)
                 .unreachable(unreachable)
                 .upstreams(upstreams)
                 .quarantine(quarantine.chosen())
                 .others(others)
-                .reads(reads);
+                .reads(chooseReads(content.reads(), remaining));
     }
 
     /**
@@ -161,6 +158,42 @@
         return chosen;
     }
 
+    /** Chooses the first sessions that fit. */
+    private static List<SessionCacheEntry> chooseReads(
+            List<SessionCacheEntry> reads, int maxBytes) {
+        List<SessionCacheEntry> chosen = new ArrayList<>();
+        int remaining = maxBytes;
+        for (SessionCacheEntry read : reads) {
+            remaining -=
+                    NUMBER_BYTES
+                            + textSize(read.upstream())
+                            + SHORT_NUMBER_BYTES
+                            + STRUCT_END_BYTES;
+            if (remaining < 0) {
+                break;
+            }
+            chosen.add(read);
+        }
+        return chosen;
+    }
+
+    /** Chooses limits at random as far as they fit. */
+    private Map<String, Integer> chooseRejectionLimits(Map<String, Integer> limits) {
+        List<String> services = new ArrayList<>(limits.keySet());
+        Map<String, Integer> chosen = new HashMap<>();
+        int remaining = REJECTION_LIMIT_BYTES - MAP_OVERHEAD_BYTES;
+        int first = services.isEmpty() ? 0 : random.nextInt(services.size());
+        for (int i = 0; i < services.size(); i++) {
+            String service = services.get((first + i) % services.size());
+            int size = textSize(service) + SHORT_NUMBER_BYTES;
+            if (size <= remaining) {
+                chosen.put(service, limits.get(service));
+                remaining -= size;
+            }
+        }
+        return chosen;
+    }
+
     private LastReported lastReported(Map.Entry<String, CustomerUse> use) {
         return lastReported.getOrDefault(use.getKey(), LastReported.NEVER);
     }
@@ -169,11 +202,20 @@
         int bytes =
                 content.upstreams().keySet().stream().mapToInt(ReportPager::size).sum()
                         + content.unreachable().stream().mapToInt(ReportPager::textSize).sum();
-        boolean quarantine = !content.quarantine().isEmpty();
-        int pageBytes = quarantine ? UPSTREAM_BYTES - QUARANTINE_BYTES : UPSTREAM_BYTES;
+        int pageBytes = UPSTREAM_BYTES;
+        pageBytes -= content.quarantine().isEmpty() ? 0 : QUARANTINE_BYTES;
+        pageBytes -= content.rejectionLimits().isEmpty() ? 0 : REJECTION_LIMIT_BYTES;
         return Math.max(1, (bytes + pageBytes - 1) / pageBytes);
     }
 
+    private static int size(Map<String, Integer> limits) {
+        int bytes = limits.isEmpty() ? 0 : MAP_OVERHEAD_BYTES;
+        for (String service : limits.keySet()) {
+            bytes += textSize(service) + SHORT_NUMBER_BYTES;
+        }
+        return bytes;
+    }
+
     private static int customerSize(Map.Entry<String, CustomerUse> use) {
         return textSize(use.getKey()) + 2 * NUMBER_BYTES + STRUCT_END_BYTES;
     }
@@ -205,6 +247,7 @@
      * @param members other VMs
      * @param quarantine prompt parts that crash engines
      * @param unreachable ids of the replicas of the sender's region that it can't reach
+     * @param rejectionLimits rejections in a second that replicas survive, by service
      */
     public record Content(
             Map<String, CustomerUse> customers,
@@ -212,7 +255,8 @@
             List<SessionCacheEntry> reads,
             List<MemberObservation> members,
             QuarantineReport quarantine,
-            Set<String> unreachable) {}
+            Set<String> unreachable,
+            Map<String, Integer> rejectionLimits) {}
 
     /** What was last reported for a customer. Immutable. */
     private record LastReported(long tokens, int reportNumber) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -227,6 +227,26 @@
         return rejectionLimits.announced(tracker.info().service(), perSecond, nowMillis);
     }
 
+    /**
+     * Records the rejection limits that another VM of the region reports.
+     *
+     * @param limits rejections in a second that a replica survives, by service
+     * @param nowMillis monotonic time
+     */
+    public void mergeRejectionLimits(Map<String, Integer> limits, long nowMillis) {
+        rejectionLimits.merge(limits, nowMillis);
+    }
+
+    /**
+     * Rejection limits that replicas have announced to this VM, for the heartbeat.
+     *
+     * @param nowMillis monotonic time
+     * @return new map of rejections in a second that a replica survives, by service
+     */
+    public Map<String, Integer> receivedRejectionLimits(long nowMillis) {
+        return rejectionLimits.received(nowMillis);
+    }
+
     /**
      * Time for which this VM must back off from a replica that rejected a request without asking
      * for a time itself.
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/SimulatedFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/SimulatedFleet.java
@@ -333,7 +333,8 @@
                             List.of(),
                             view.observations(now),
                             listener.quarantine(Node.this),
-                            listener.unreachable(Node.this));
+                            listener.unreachable(Node.this),
+                            Map.of());
             pager.fill(next, view.self(), content, kind.maxMembers());
             return listener.reportsReach(Node.this) ? next.build() : withoutReach(next.build());
         }
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/BrittleReplicaFleetTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/BrittleReplicaFleetTest.java
@@ -48,10 +48,13 @@
     /** Announced from the start, so that all VMs know it well before load is judged. */
     private static final int JUDGED_FROM_MILLIS = 5_000;
 
+    private static final int MOVED_AT_MILLIS = 11_000;
+
     private final Map<String, Replica> replicas = new HashMap<>();
     private final List<Vm> vms = new ArrayList<>();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>((a, b) -> Long.compare(a.atMillis, b.atMillis));
+    private Callers callers = (now, random) -> random.nextInt(vms.size());
     private int served;
 
     @ParameterizedTest
@@ -88,6 +91,16 @@
         assertThat("served", served, greaterThan(capacity * 8 / 10));
     }
 
+    @ParameterizedTest
+    @CsvSource({"16,3,1", "16,3,2", "16,5,3", "31,3,4", "31,5,5", "31,3,6", "31,3,7"})
+    void callersThatMoveToVmsWithoutRequestsDoNotCrashReplicas(int vmCount, int limit, int seed) {
+        callers =
+                (now, random) ->
+                        random.nextInt(vmCount / 2) + (now < MOVED_AT_MILLIS ? 0 : vmCount / 2);
+        play(vmCount, limit, seed);
+        assertFewCrashes();
+    }
+
     private void play(int vmCount, int limit, int seed) {
         Random random = new Random(seed);
         List<String> names = IntStream.range(0, vmCount).mapToObj(i -> "vm-" + i).toList();
@@ -105,12 +118,17 @@
             }
             if (random.nextInt(1_000) < perSecond * (now < JUDGED_FROM_MILLIS ? 1 : 2) / 4) {
                 for (int i = 0; i < 2; i++) {
-                    vms.get(random.nextInt(vmCount)).request(now, new HashSet<>(), random);
+                    vms.get(callers.vm(now, random)).request(now, new HashSet<>(), random);
                 }
             }
         }
     }
 
+    /** Which VM the next caller uses. */
+    private interface Callers {
+        int vm(long now, Random random);
+    }
+
     private void after(long atMillis, Runnable action) {
         events.add(new Event(atMillis, action));
     }
@@ -179,10 +197,16 @@
             FleetReport report =
                     FleetReport.builder(self, ++sequence)
                             .upstreams(pool.outstandingByReplica())
+                            .rejectionLimits(pool.receivedRejectionLimits(now))
                             .build();
             vms.stream()
                     .filter(vm -> vm != this)
-                    .forEach(vm -> after(now + 1, () -> vm.fleet.receive(report, now + 1)));
+                    .forEach(vm -> after(now + 1, () -> vm.receive(report, now + 1)));
+        }
+
+        private void receive(FleetReport report, long now) {
+            fleet.receive(report, now);
+            pool.mergeRejectionLimits(report.rejectionLimits(), now);
         }
 
         void request(long now, Set<String> tried, Random random) {
--- a/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
@@ -92,7 +92,8 @@
                         sessions.recentReads(now),
                         view.observations(now),
                         QuarantineReport.EMPTY,
-                        pool.unreachable(region, now));
+                        pool.unreachable(region, now),
+                        pool.receivedRejectionLimits(now));
         reportPager.fill(report, view.self(), content, ReportKind.BEAT.maxMembers());
         return report.build();
     }
@@ -101,5 +102,8 @@
         roster.observe(report, now);
         view.receive(report, now);
         sessions.mergeReads(report.reads(), now);
+        if (report.self().region().equals(region)) {
+            pool.mergeRejectionLimits(report.rejectionLimits(), now);
+        }
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -384,6 +384,9 @@
         List<CustomerSpend> spends = fleet.receive(report, now);
         sessions.mergeReads(report.reads(), now);
         prompts.merge(report.quarantine());
+        if (report.self().region().equals(fleet.self().region())) {
+            pool.mergeRejectionLimits(report.rejectionLimits(), now);
+        }
         if (!spends.isEmpty()) {
             grants.chargeRemote(spends, fleet.heardFraction(now), now);
         }
@@ -429,7 +432,8 @@
                         sessions.recentReads(now),
                         fleet.observations(now),
                         prompts.report(),
-                        pool.unreachable(fleet.self().region(), now)),
+                        pool.unreachable(fleet.self().region(), now),
+                        pool.receivedRejectionLimits(now)),
                 kind.maxMembers());
         return report.build();
     }
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
@@ -93,6 +93,9 @@
             message.setQuarantine(QuarantineCodec.encode(report.quarantine()));
         }
         report.unreachable().ifPresent(ids -> message.setUnreachable(List.copyOf(ids)));
+        if (!report.rejectionLimits().isEmpty()) {
+            message.setRejectionLimits(report.rejectionLimits());
+        }
         message.setLoad(report.load());
         message.setFleetSize(report.fleetSize());
         message.setRegionVms(report.regionVms());
@@ -157,6 +160,9 @@
         if (message.isSetUnreachable()) {
             report.unreachable(Set.copyOf(message.getUnreachable()));
         }
+        if (message.isSetRejectionLimits()) {
+            report.rejectionLimits(message.getRejectionLimits());
+        }
         return report.build();
     }
 
--- a/vanillapoint-wire/src/main/thrift/peer.thrift
+++ b/vanillapoint-wire/src/main/thrift/peer.thrift
@@ -89,7 +89,7 @@
   8: bool readsStore, 9: i32 load, 10: i32 fleetSize,
   11: optional i32 upstreamPage, 12: optional i32 upstreamPages, 13: optional bool customersLeftOut,
   14: optional i32 regionVms, 15: optional TQuarantine quarantine, 16: optional i64 storeEra,
-  17: optional list<string> unreachable
+  17: optional list<string> unreachable, 18: optional map<string, i32> rejectionLimits
 }
 struct TStoredItem { 1: string key, 2: i64 revision, 3: bool removed, 4: binary value }
 struct TStoredDelta { 1: i64 revision, 2: list<TStoredItem> items, 3: bool complete, 4: optional i64 era }
--- a/vanillapoint-wire/src/test/java/io/vanillapoint/wire/FleetCodecProperties.java
+++ b/vanillapoint-wire/src/test/java/io/vanillapoint/wire/FleetCodecProperties.java
@@ -144,6 +144,7 @@
                 .upstreams(Map.of("i-7f3a91c2", new UpstreamUse(3, 900)))
                 .reads(List.of(new SessionCacheEntry(123_456_789_012L, "i-7f3a91c2", 40)))
                 .others(List.of(new MemberObservation(vm("b"), 30)))
+                .rejectionLimits(Map.of("service-1", 3))
                 .build();
     }
 
--- a/vanillapoint-wire/src/test/java/io/vanillapoint/wire/FleetCodecTest.java
+++ b/vanillapoint-wire/src/test/java/io/vanillapoint/wire/FleetCodecTest.java
@@ -19,9 +19,19 @@
 import io.vanillapoint.core.published.StoreChanges;
 import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.core.published.StoredItem;
+import io.vanillapoint.wire.generated.TFleetMember;
+import io.vanillapoint.wire.generated.TFleetReport;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.protocol.TField;
+import org.apache.thrift.protocol.TMap;
+import org.apache.thrift.protocol.TStruct;
+import org.apache.thrift.protocol.TType;
+import org.apache.thrift.transport.TMemoryBuffer;
 import org.junit.jupiter.api.Test;
 
 /** Encodes and decodes heartbeats and store copies. */
@@ -37,6 +47,7 @@
                     .upstreams(Map.of("u", new UpstreamUse(2, 900)))
                     .reads(List.of(new SessionCacheEntry(9, "u", 30)))
                     .others(List.of(new MemberObservation(vm("vm-2", MemberState.DRAINING), 150)))
+                    .rejectionLimits(Map.of("s", 3))
                     .build();
 
     @Test
@@ -53,6 +64,34 @@
         assertThat(decoded.customers(), is(report.customers()));
     }
 
+    @Test
+    void reportOfAnOlderBuildHasNoRejectionLimits() throws TException {
+        TFleetReport message = new TFleetReport();
+        message.setSender(new TFleetMember().setVm("vm-1").setHost("10.0.0.1").setCapacity(360));
+        message.getSender().setRegion("west").setZone("west-a").setState(1);
+        message.setCustomers(List.of()).setUpstreams(List.of()).setReads(List.of());
+        message.setOthers(List.of());
+        byte[] bytes = new TSerializer(new TCompactProtocol.Factory()).serialize(message);
+        assertThat(codec.decodeReport(bytes).rejectionLimits(), is(Map.of()));
+    }
+
+    /** An older build reads the limits of a later one as such a field. */
+    @Test
+    void unknownMapIsSkipped() throws TException {
+        byte[] known = codec.encode(report);
+        TMemoryBuffer buffer = new TMemoryBuffer(known.length);
+        buffer.write(known, 0, known.length - 1);
+        TCompactProtocol protocol = new TCompactProtocol(buffer);
+        protocol.writeStructBegin(new TStruct("later build"));
+        protocol.writeFieldBegin(new TField("unknown", TType.MAP, (short) 99));
+        protocol.writeMapBegin(new TMap(TType.STRING, TType.I32, 1));
+        protocol.writeString("s");
+        protocol.writeI32(3);
+        protocol.writeMapEnd();
+        protocol.writeFieldStop();
+        assertThat(codec.decodeReport(buffer.getArray()), is(report));
+    }
+
     @Test
     void storeCopyKeepsTheFlagThatItIsComplete() {
         StoredItem item = new StoredItem("k", 7, false, new byte[] {1});
--- a/vanillapoint-wire/src/test/java/io/vanillapoint/wire/ReportPacketTest.java
+++ b/vanillapoint-wire/src/test/java/io/vanillapoint/wire/ReportPacketTest.java
@@ -43,6 +43,7 @@
 
     private static final int HOLDS = 3;
     private static final int CRASHES = 5;
+    private static final int LIMITED_SERVICES = 4;
 
     private final Random random = new Random(1);
     private final FleetCodec codec = new FleetCodec();
@@ -56,6 +57,7 @@
         Set<String> reportedUnreachable = new HashSet<>();
         Set<String> reportedVms = new HashSet<>();
         Set<Object> reportedQuarantine = new HashSet<>();
+        Set<String> reportedLimits = new HashSet<>();
         ReportPager pager = new ReportPager(1);
         int heartbeats = Math.max(DRAWS_PER_VM * vms, customers / 8);
         for (int heartbeat = 1; heartbeat <= heartbeats; heartbeat++) {
@@ -64,6 +66,7 @@
             reportedUpstreams.addAll(decoded.upstreams().keySet());
             reportedUnreachable.addAll(decoded.unreachable().orElseThrow());
             decoded.others().forEach(other -> reportedVms.add(other.info().vm()));
+            reportedLimits.addAll(decoded.rejectionLimits().keySet());
             reportedQuarantine.addAll(decoded.quarantine().holds());
             reportedQuarantine.addAll(decoded.quarantine().evidence());
         }
@@ -72,6 +75,7 @@
         assertThat(reportedUnreachable, hasSize(upstreams));
         assertThat(reportedVms, hasSize(vms - 1));
         assertThat(reportedQuarantine, hasSize(HOLDS + CRASHES));
+        assertThat(reportedLimits, hasSize(LIMITED_SERVICES));
         for (ReportKind kind : ReportKind.values()) {
             encodeAndDecode(pager, knowledge, kind, heartbeats + 1 + kind.ordinal());
         }
@@ -91,7 +95,8 @@
                         List.of(),
                         List.of(),
                         QuarantineReport.EMPTY,
-                        Set.of());
+                        Set.of(),
+                        Map.of());
         for (int heartbeat = 1; heartbeat <= 200; heartbeat++) {
             encodeAndDecode(pager, knowledge, ReportKind.BEAT, heartbeat);
         }
@@ -159,7 +164,16 @@
                 reads,
                 members,
                 quarantine(random),
-                Set.copyOf(upstreamUses.keySet()));
+                Set.copyOf(upstreamUses.keySet()),
+                rejectionLimits());
+    }
+
+    private static Map<String, Integer> rejectionLimits() {
+        Map<String, Integer> limits = new HashMap<>();
+        for (int i = 0; i < LIMITED_SERVICES; i++) {
+            limits.put("svt-registar-search-" + i, Integer.MAX_VALUE - i);
+        }
+        return limits;
     }
 
     /** Holds and evidence as after a series of crashes, more than fit. */
