Slots of replicas that crash by rejections have owners, to which other VMs relay

Callers saw about half of their requests refused though replicas had free slots, in regions with fewer slots than VMs: while replicas announce a limit for their rejections, each VM kept to its equal part of the slots, so a VM's only slot was idle whenever no request arrived at that VM, and a VM with most callers could not use the slots of the others.

Each slot now has one VM as its owner, by rendezvous hashing from the VMs that are alive and reach the replica; with few slots for each VM, a few VMs own four or more each. Only owners send. A VM without a free slot relays to an owner once, by the relays that exist between regions, and refuses the request at once if that one has no room either. A new owner waits until the former ones know; while VMs are not heard, parts shrink accordingly; a VM that was rejected backs off for the owners' part of the limit instead of that of all VMs.

The test plays relays, the end of processes and lost heartbeats.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -434,7 +434,7 @@
      * single VM sends one only every few seconds, but heartbeats from its region arrive all the
      * time: if none does, the region is cut off or this process was suspended.
      */
-    private boolean receivesFrom(Member member, long nowMillis) {
+    boolean receivesFrom(Member member, long nowMillis) {
         long limit =
                 inOwnRegion(member) ? timing.regionSilenceMillis() : timing.otherSilenceMillis();
         int rounds = rounds(member);
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/TrafficVmSelector.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/TrafficVmSelector.java
@@ -49,7 +49,7 @@
         long load = ready.stream().mapToLong(VmLoad::load).sum();
         List<MemberInfo> selected = new ArrayList<>();
         long capacity = 0;
-        for (MemberInfo vm : ranked(ready)) {
+        for (MemberInfo vm : ranked(ready.stream().map(VmLoad::vm).toList())) {
             if (selected.size() >= MIN_VMS && capacity * TARGET_UTILIZATION >= load) {
                 break;
             }
@@ -59,6 +59,17 @@
         return selected;
     }
 
+    /**
+     * The VMs that would be selected first, whatever their load.
+     *
+     * @param ready VMs that accept requests
+     * @param limit maximum number of VMs
+     * @return the largest of them
+     */
+    static List<MemberInfo> largest(List<MemberInfo> ready, int limit) {
+        return ranked(ready).stream().limit(limit).toList();
+    }
+
     /**
      * Samples VMs for one caller, which spreads its requests evenly over those it is given.
      *
@@ -81,10 +92,9 @@
      * Sorts by capacity, largest first; among equal ones, the first VM of each zone comes before
      * the second of any zone.
      */
-    private static List<MemberInfo> ranked(List<VmLoad> ready) {
+    private static List<MemberInfo> ranked(List<MemberInfo> ready) {
         List<Ranked> byCapacity =
                 ready.stream()
-                        .map(VmLoad::vm)
                         .map(vm -> new Ranked(vm, Rendezvous.weight(RANK_KEY, vm.vm())))
                         .sorted(LARGEST_FIRST)
                         .toList();
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/VmRoster.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/VmRoster.java
@@ -135,6 +135,15 @@
         return max;
     }
 
+    /**
+     * Tells whether this VM knows as many VMs of its region as the others report.
+     *
+     * @return false while it has just started and not heard of all
+     */
+    public boolean knowsRegion() {
+        return regionVms.size() >= maxReportedRegionVms();
+    }
+
     /**
      * Tells whether the other VMs of this region probably have the same list.
      *
@@ -148,9 +157,7 @@
         }
         // A VM that stays unknown for the forget time has also been dropped by those that knew it.
         return unchangedMillis >= forgetMillis
-                || (missingZones.isEmpty()
-                        && size() >= minFleetSize
-                        && regionVms.size() >= maxReportedRegionVms());
+                || (missingZones.isEmpty() && size() >= minFleetSize && knowsRegion());
     }
 
     /**
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Placement.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Placement.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.core.upstream;
 
 import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.core.fleet.MemberInfo;
 import io.vanillapoint.core.published.UpstreamReplica;
 import java.util.Optional;
 import java.util.Set;
@@ -23,13 +24,17 @@
             implements Placement {}
 
     /**
-     * The request is relayed to a VM of another region.
+     * The request is relayed to a VM of another region, or to one of this region that owns slots of
+     * a replica.
      *
      * @param region the region
      * @param expectedMillis expected time to the first event or the response
      * @param replicas ids of the replicas there that may serve the request
+     * @param vm the VM, empty if any VM of the region will do
      */
-    record Relay(RegionId region, long expectedMillis, Set<String> replicas) implements Placement {}
+    record Relay(
+            RegionId region, long expectedMillis, Set<String> replicas, Optional<MemberInfo> vm)
+            implements Placement {}
 
     /**
      * The request is refused.
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/PlacementQuery.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/PlacementQuery.java
@@ -16,8 +16,9 @@
  * @param prompt prompt of a model request, empty for a plain request
  * @param bodyBytes bytes of the body
  * @param regions tells whether the request may be processed in a region
- * @param tried ids of the replicas that it was already sent to
- * @param mayRelay true if it may be relayed to another region
+ * @param tried ids of the replicas that it was already sent to, and names of the VMs of this region
+ *     that had no place for it
+ * @param mayRelay true if it may be relayed to another VM
  * @param elapsedMillis time since the caller sent it
  * @param remainingMillis time left to answer it
  */
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/RejectionLimits.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/RejectionLimits.java
@@ -95,17 +95,16 @@
      * Time for which a VM backs off from a replica that has rejected it.
      *
      * @param service name of the service
-     * @param regionVms number of VMs that send to the replica
+     * @param senders maximum number of VMs that send to the replica
      * @param nowMillis monotonic time
      * @return milliseconds, empty if no limit is in force
      */
-    OptionalLong backoffMillis(String service, int regionVms, long nowMillis) {
+    OptionalLong backoffMillis(String service, int senders, long nowMillis) {
         OptionalInt limit = limit(service, nowMillis);
         if (limit.isEmpty()) {
             return OptionalLong.empty();
         }
-        long turns =
-                (regionVms + Math.max(1L, limit.getAsInt()) - 1) / Math.max(1, limit.getAsInt());
+        long turns = (senders + Math.max(1L, limit.getAsInt()) - 1) / Math.max(1, limit.getAsInt());
         return OptionalLong.of(PERIOD_MILLIS * Math.max(1, turns));
     }
 
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -2,6 +2,7 @@
 
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.core.fleet.FleetView;
+import io.vanillapoint.core.fleet.MemberInfo;
 import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.fleet.VmRoster;
 import io.vanillapoint.core.hash.Rendezvous;
@@ -9,11 +10,13 @@
 import io.vanillapoint.core.prompt.SessionLocations;
 import io.vanillapoint.core.published.EngineSpec;
 import io.vanillapoint.core.published.UpstreamReplica;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -75,6 +78,8 @@
     private final RelayBackoff relayBackoff;
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
     private final Map<RegionId, Double> roundTrips = new HashMap<>();
+    private final SlotTenure slotTenure = new SlotTenure();
+    private int nextOwner;
 
     /**
      * Creates a chooser.
@@ -164,6 +169,8 @@
                         .orElse(Set.of());
         Map<RegionId, Boolean> open = new HashMap<>();
         Map<RegionId, Set<String>> remote = new HashMap<>();
+        Optional<SlotOwners> slotOwners = slotOwners(query.service().name(), nowMillis);
+        List<MemberInfo> relayOwners = new ArrayList<>();
         for (ReplicaTracker tracker : serving) {
             boolean local = tracker.region().equals(fleet.self().region());
             if (!eligibleFor(tracker, query) || (!local && !query.mayRelay())) {
@@ -173,18 +180,17 @@
             boolean usable =
                     local
                             ? pool.maySelect(tracker, query.service(), roster, nowMillis)
-                            : !tracker.cold(nowMillis)
-                                    && open.computeIfAbsent(
-                                            tracker.region(),
-                                            region -> mayRelayTo(region, query, nowMillis))
-                                    && fleet.reach()
-                                            .reachedIn(
-                                                    tracker.region(),
-                                                    tracker.info().id(),
-                                                    nowMillis);
-            if (!usable
-                    || query.tried().contains(tracker.info().id())
-                    || (local && mayReject(tracker, nowMillis))) {
+                            : reachedByRelay(tracker, query, open, nowMillis);
+            if (query.tried().contains(tracker.info().id())) {
+                continue;
+            }
+            if (local && slotOwners.isPresent()) {
+                usable &= slotOwners.get().hasRoom(tracker);
+                if (!usable && query.mayRelay() && !tracker.mayBeCold(nowMillis)) {
+                    relayOwners.addAll(slotOwners.get().others(tracker));
+                }
+            }
+            if (!usable) {
                 continue;
             }
             if (!local) {
@@ -196,6 +202,10 @@
                 best = candidate;
             }
         }
+        boolean ownerTried = relayOwners.stream().anyMatch(vm -> query.tried().contains(vm.vm()));
+        if ((best == null || !best.local) && !relayOwners.isEmpty() && !ownerTried) {
+            return relayToOwner(relayOwners);
+        }
         if (best == null) {
             return refusal(anyEligible, query, nowMillis);
         }
@@ -203,6 +213,18 @@
                 best, query, remote.getOrDefault(best.tracker.region(), Set.of()), nowMillis);
     }
 
+    /** Tells whether VMs of another region may send to a warm replica there. */
+    private boolean reachedByRelay(
+            ReplicaTracker tracker,
+            PlacementQuery query,
+            Map<RegionId, Boolean> open,
+            long nowMillis) {
+        return !tracker.cold(nowMillis)
+                && open.computeIfAbsent(
+                        tracker.region(), region -> mayRelayTo(region, query, nowMillis))
+                && fleet.reach().reachedIn(tracker.region(), tracker.info().id(), nowMillis);
+    }
+
     private boolean mayRelayTo(RegionId region, PlacementQuery query, long nowMillis) {
         return fleet.isReachable(region, nowMillis)
                 && !relayBackoff.active(query.service().name(), region, nowMillis);
@@ -229,6 +251,21 @@
         return shortestMillis == Long.MAX_VALUE ? 0 : shortestMillis;
     }
 
+    /**
+     * Time for which this VM must back off from a replica of this region that rejected a request
+     * without asking for a time itself.
+     *
+     * @param tracker the replica
+     * @param nowMillis monotonic time
+     * @return milliseconds, empty if its rejections are not limited
+     */
+    public OptionalLong rejectionBackoffMillis(ReplicaTracker tracker, long nowMillis) {
+        String service = tracker.info().service();
+        int senders =
+                slotOwners(service, nowMillis).map(owners -> owners.maxSenders(tracker)).orElse(0);
+        return pool.rejectionBackoffMillis(tracker, senders, nowMillis);
+    }
+
     private Placement refusal(boolean anyEligible, PlacementQuery query, long nowMillis) {
         long backoffMillis = backoffMillis(query, nowMillis);
         if (backoffMillis > 0) {
@@ -240,9 +277,21 @@
         return new Placement.Refuse(reason, DEFAULT_RETRY_AFTER_MILLIS);
     }
 
-    private boolean mayReject(ReplicaTracker tracker, long nowMillis) {
-        UpstreamUse useOfOthers = fleet.otherVmUse(tracker.info().id());
-        return pool.mayReject(tracker, useOfOthers, roster, nowMillis);
+    private Optional<SlotOwners> slotOwners(String service, long nowMillis) {
+        if (!pool.limitsRejections(service, nowMillis)) {
+            return Optional.empty();
+        }
+        List<ReplicaTracker> local =
+                pool.serving(service, nowMillis).stream()
+                        .filter(tracker -> tracker.region().equals(fleet.self().region()))
+                        .toList();
+        return Optional.of(SlotOwners.of(local, fleet, roster, slotTenure, nowMillis));
+    }
+
+    private Placement relayToOwner(List<MemberInfo> owners) {
+        MemberInfo owner = owners.get(Math.floorMod(nextOwner++, owners.size()));
+        return new Placement.Relay(
+                owner.region(), (long) PLAIN_REQUEST_MILLIS, Set.of(), Optional.of(owner));
     }
 
     private Placement placement(
@@ -259,7 +308,8 @@
             return new Placement.Local(
                     best.tracker, best.uncachedTokens, (long) best.expectedMillis, source);
         }
-        return new Placement.Relay(best.tracker.region(), (long) best.expectedMillis, remote);
+        return new Placement.Relay(
+                best.tracker.region(), (long) best.expectedMillis, remote, Optional.empty());
     }
 
     private Candidate score(
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -252,32 +252,23 @@
      * for a time itself.
      *
      * @param tracker the replica
-     * @param roster VMs that share the limit
+     * @param senders maximum number of VMs that share the limit
      * @param nowMillis monotonic time
      * @return milliseconds, empty if its rejections are not limited
      */
-    public OptionalLong rejectionBackoffMillis(
-            ReplicaTracker tracker, VmRoster roster, long nowMillis) {
-        return rejectionLimits.backoffMillis(
-                tracker.info().service(), roster.regionVms().size(), nowMillis);
+    OptionalLong rejectionBackoffMillis(ReplicaTracker tracker, int senders, long nowMillis) {
+        return rejectionLimits.backoffMillis(tracker.info().service(), senders, nowMillis);
     }
 
     /**
-     * Tells whether a replica whose rejections are limited may reject one more request of this VM.
+     * Tells whether the replicas of a service announce a limit for their rejections.
      *
-     * @param tracker the replica
-     * @param useOfOthers load of the other VMs on it as far as known
-     * @param roster VMs that share its slots
+     * @param service name of the service
      * @param nowMillis monotonic time
-     * @return false if this VM's part of its slots has room or more than half of them are free
+     * @return true while a limit is in force
      */
-    boolean mayReject(
-            ReplicaTracker tracker, UpstreamUse useOfOthers, VmRoster roster, long nowMillis) {
-        if (rejectionLimits.limit(tracker.info().service(), nowMillis).isEmpty()) {
-            return false;
-        }
-        return !SlotShare.of(tracker.info(), roster)
-                .hasRoom(tracker.outstanding().requests(), useOfOthers.requests());
+    boolean limitsRejections(String service, long nowMillis) {
+        return rejectionLimits.limit(service, nowMillis).isPresent();
     }
 
     /**
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/BrittleReplicaFleetTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/BrittleReplicaFleetTest.java
@@ -9,6 +9,7 @@
 import io.vanillapoint.core.fleet.FleetTiming;
 import io.vanillapoint.core.fleet.FleetView;
 import io.vanillapoint.core.fleet.MemberInfo;
+import io.vanillapoint.core.fleet.MemberObservation;
 import io.vanillapoint.core.fleet.MemberState;
 import io.vanillapoint.core.fleet.Rosters;
 import io.vanillapoint.core.fleet.VmRoster;
@@ -18,6 +19,7 @@
 import io.vanillapoint.core.published.ServiceShare;
 import io.vanillapoint.core.published.ServiceSpec;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -28,7 +30,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -40,6 +41,7 @@
     private static final int SLOTS = 8;
     private static final int RUN_MILLIS = 100;
     private static final int HEARTBEAT_MILLIS = 200;
+    private static final int NAMED_VMS = 5;
     private static final int PLAY_MILLIS = 20_000;
 
     /** Operators accept two crashes and a tenth of the replicas. */
@@ -49,12 +51,14 @@
     private static final int JUDGED_FROM_MILLIS = 5_000;
 
     private static final int MOVED_AT_MILLIS = 11_000;
+    private static final int RESTART_MILLIS = 3_000;
 
     private final Map<String, Replica> replicas = new HashMap<>();
     private final List<Vm> vms = new ArrayList<>();
     private final PriorityQueue<Event> events =
             new PriorityQueue<>((a, b) -> Long.compare(a.atMillis, b.atMillis));
     private Callers callers = (now, random) -> random.nextInt(vms.size());
+    private HeartbeatLink heartbeatArrives = (from, to, now) -> true;
     private int served;
 
     @ParameterizedTest
@@ -72,9 +76,7 @@
         assertFewCrashes();
     }
 
-    /** Listed in KNOWN-RED.txt. */
     @ParameterizedTest
-    @Tag("known-red")
     @CsvSource({"16,3,8", "16,5,9", "31,5,10"})
     void overloadUsesReplicasWithFewerSlotsThanVms(int vmCount, int limit, int seed) {
         play(vmCount, limit, seed);
@@ -101,10 +103,61 @@
         assertFewCrashes();
     }
 
+    /** Callers may all use one region, provider or resolver. */
+    @ParameterizedTest
+    @CsvSource({"6,3,1", "10,3,2", "16,3,3", "16,5,4", "31,3,5", "31,5,6"})
+    void vmWithMostCallersUsesTheSlotsOfTheOthers(int vmCount, int limit, int seed) {
+        callers = (now, random) -> random.nextInt(10) < 8 ? 0 : random.nextInt(vmCount);
+        play(vmCount, limit, seed);
+        assertFewCrashes();
+        assertMostCapacityUsed();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"6,3,1", "16,3,2", "16,5,3", "31,3,4", "31,5,5", "31,3,6"})
+    void vmsThatEndAndStartDoNotCrashReplicas(int vmCount, int limit, int seed) {
+        Random random = new Random(seed);
+        for (int second = JUDGED_FROM_MILLIS / 1_000; second < PLAY_MILLIS / 1_000; second++) {
+            long at = second * 1_000L + random.nextInt(1_000);
+            long restartAt = at + RESTART_MILLIS;
+            int index = random.nextInt(vmCount);
+            after(at, () -> vms.get(index).kill());
+            after(restartAt, () -> vms.set(index, vms.get(index).restarted(restartAt)));
+        }
+        play(vmCount, limit, seed);
+        assertFewCrashes();
+    }
+
+    /** Each half of the VMs takes the other one for dead. */
+    @ParameterizedTest
+    @CsvSource({"6,3,1", "16,3,2", "16,5,3", "31,3,4", "31,5,5", "31,3,6"})
+    void vmsThatDoNotHearEachOtherDoNotCrashReplicas(int vmCount, int limit, int seed) {
+        heartbeatArrives = (from, to, now) -> now < 8_000 || now >= 14_000 || from % 2 == to % 2;
+        play(vmCount, limit, seed);
+        assertFewCrashes();
+    }
+
+    /** Two VMs hear nobody, while the others hear each other. */
+    @ParameterizedTest
+    @CsvSource({"6,3,1", "16,3,2", "16,5,3", "31,3,4", "31,5,5", "31,3,6"})
+    void vmsThatHearNobodyDoNotCrashReplicas(int vmCount, int limit, int seed) {
+        heartbeatArrives = (from, to, now) -> now < 8_000 || now >= 14_000 || (from > 1 && to > 1);
+        play(vmCount, limit, seed);
+        assertFewCrashes();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"6,3,1", "16,3,2", "16,5,3", "31,3,4", "31,5,5", "31,3,6"})
+    void vmsThatAreAllCutOffFromEachOtherDoNotCrashReplicas(int vmCount, int limit, int seed) {
+        heartbeatArrives = (from, to, now) -> now < 8_000 || now >= 14_000;
+        play(vmCount, limit, seed);
+        assertFewCrashes();
+    }
+
     private void play(int vmCount, int limit, int seed) {
         Random random = new Random(seed);
         List<String> names = IntStream.range(0, vmCount).mapToObj(i -> "vm-" + i).toList();
-        names.forEach(name -> vms.add(new Vm(name, names)));
+        names.forEach(name -> vms.add(new Vm(name, 1, names, 0)));
         IntStream.range(0, REPLICAS).forEach(i -> replicas.put("i-" + i, new Replica(limit)));
         int perSecond = 2 * REPLICAS * SLOTS * 1_000 / RUN_MILLIS;
         for (long now = 0; now < PLAY_MILLIS; now++) {
@@ -112,23 +165,38 @@
                 events.poll().action.run();
             }
             for (Vm vm : vms) {
-                if ((now + vm.offset) % HEARTBEAT_MILLIS == 0) {
+                if (vm.up && (now + vm.offset) % HEARTBEAT_MILLIS == 0) {
                     vm.report(now);
                 }
             }
             if (random.nextInt(1_000) < perSecond * (now < JUDGED_FROM_MILLIS ? 1 : 2) / 4) {
                 for (int i = 0; i < 2; i++) {
-                    vms.get(callers.vm(now, random)).request(now, new HashSet<>(), random);
+                    runningVm(now, random).request(now, random);
                 }
             }
         }
     }
 
+    /** Tells whether heartbeats between two VMs arrive. */
+    private interface HeartbeatLink {
+        boolean arrives(int from, int to, long now);
+    }
+
     /** Which VM the next caller uses. */
     private interface Callers {
         int vm(long now, Random random);
     }
 
+    private Vm vm(String name) {
+        return vms.stream().filter(vm -> vm.self.vm().equals(name)).findFirst().orElseThrow();
+    }
+
+    /** Callers try another VM if one has ended. */
+    private Vm runningVm(long now, Random random) {
+        Vm vm = vms.get(callers.vm(now, random));
+        return vm.up ? vm : runningVm(now, random);
+    }
+
     private void after(long atMillis, Runnable action) {
         events.add(new Event(atMillis, action));
     }
@@ -170,9 +238,11 @@
         private final UpstreamPool pool = new UpstreamPool(Map.of(Replicas.ZONE, REGION));
         private final ReplicaChooser chooser;
         private final int offset;
+        private final Map<Replica, Integer> running = new HashMap<>();
+        private boolean up = true;
         private long sequence;
 
-        Vm(String name, List<String> names) {
+        Vm(String name, int incarnation, List<String> known, long startedAt) {
             self =
                     new MemberInfo(
                             name,
@@ -180,36 +250,70 @@
                             REGION,
                             Replicas.ZONE,
                             MemberInfo.ONE_CORE,
-                            1,
+                            incarnation,
                             MemberState.READY);
-            fleet = new FleetView(self, FleetTiming.DEFAULT, names.size());
-            roster = Rosters.withMembers(name, names, 0);
+            fleet = new FleetView(self, FleetTiming.DEFAULT, known.size());
+            roster = Rosters.withMembers(name, known, startedAt);
             chooser =
                     new ReplicaChooser(
                             pool, fleet, roster, PlacementWeights.DEFAULT, new SessionLocations());
             offset = Math.floorMod(name.hashCode(), HEARTBEAT_MILLIS);
             for (int i = 0; i < REPLICAS; i++) {
-                pool.publish(Replicas.ready("i-" + i, 1, 0), Optional.of(SERVICE), 0);
+                pool.publish(Replicas.ready("i-" + i, 1, 0), Optional.of(SERVICE), startedAt);
             }
         }
 
+        /** Ends the process; replicas drop its requests. */
+        void kill() {
+            up = false;
+            running.forEach((replica, requests) -> replica.running -= requests);
+        }
+
+        Vm restarted(long startedAt) {
+            return up
+                    ? this
+                    : new Vm(
+                            self.vm(), (int) self.incarnation() + 1, List.of(self.vm()), startedAt);
+        }
+
         void report(long now) {
+            fleet.prune(now);
             FleetReport report =
                     FleetReport.builder(self, ++sequence)
+                            .regionVms(roster.runningRegionVms())
                             .upstreams(pool.outstandingByReplica())
                             .rejectionLimits(pool.receivedRejectionLimits(now))
+                            .others(someObservations(now))
                             .build();
-            vms.stream()
-                    .filter(vm -> vm != this)
-                    .forEach(vm -> after(now + 1, () -> vm.receive(report, now + 1)));
+            for (int to = 0; to < vms.size(); to++) {
+                int receiver = to;
+                if (heartbeatArrives.arrives(vms.indexOf(this), to, now)) {
+                    after(now + 1, () -> vms.get(receiver).receive(report, now + 1));
+                }
+            }
+        }
+
+        /** A heartbeat has room for some of the other VMs. */
+        private List<MemberObservation> someObservations(long now) {
+            List<MemberObservation> all = fleet.observations(now);
+            Collections.rotate(all, (int) sequence * NAMED_VMS);
+            return all.subList(0, Math.min(NAMED_VMS, all.size()));
         }
 
         private void receive(FleetReport report, long now) {
-            fleet.receive(report, now);
-            pool.mergeRejectionLimits(report.rejectionLimits(), now);
+            if (!report.self().vm().equals(self.vm())) {
+                roster.observe(report, now);
+                fleet.receive(report, now);
+                pool.mergeRejectionLimits(report.rejectionLimits(), now);
+            }
+        }
+
+        void request(long now, Random random) {
+            place(now, new HashSet<>(), Optional.empty(), random);
         }
 
-        void request(long now, Set<String> tried, Random random) {
+        /** Places a request, which another VM may have relayed. */
+        private void place(long now, Set<String> tried, Optional<Relayed> relayed, Random random) {
             PlacementQuery query =
                     new PlacementQuery(
                             route(),
@@ -218,25 +322,57 @@
                             800,
                             region -> true,
                             tried,
-                            false,
+                            relayed.isEmpty(),
                             0,
                             4_000);
-            if (tried.size() < 2 && chooser.choose(query, now) instanceof Placement.Local local) {
+            Placement placement =
+                    triedReplicas(tried) < 2
+                            ? chooser.choose(query, now)
+                            : new Placement.Refuse(RefusalReason.ALL_REPLICAS_BUSY, 0);
+            if (placement instanceof Placement.Local local) {
                 ReplicaTracker tracker = local.replica();
                 tracker.dispatched(0, null, now);
-                after(now + 1, () -> arrive(tracker, tried, random, now + 1));
+                after(now + 1, () -> arrive(tracker, tried, relayed, random, now + 1));
+            } else if (placement instanceof Placement.Relay relay) {
+                String owner = relay.vm().orElseThrow().vm();
+                after(now + 1, () -> relay(owner, tried, random, now + 1));
+            } else {
+                relayed.ifPresent(origin -> after(now + 1, () -> origin.notPlaced(now + 1)));
             }
         }
 
-        private void arrive(ReplicaTracker tracker, Set<String> tried, Random random, long now) {
+        private void relay(String owner, Set<String> tried, Random random, long now) {
+            Vm vm = vm(owner);
+            if (vm.up) {
+                Relayed relayed = new Relayed(this, owner, tried, random);
+                vm.place(now, new HashSet<>(), Optional.of(relayed), random);
+            } else if (up) {
+                fleet.markUnreachable(owner, now);
+                place(now, tried, Optional.empty(), random);
+            }
+        }
+
+        private void arrive(
+                ReplicaTracker tracker,
+                Set<String> tried,
+                Optional<Relayed> relayed,
+                Random random,
+                long now) {
             Replica replica = replicas.get(tracker.info().id());
+            if (!up) {
+                return;
+            }
             if (replica.accepts(now)) {
+                running.merge(replica, 1, Integer::sum);
                 after(
                         now + RUN_MILLIS,
                         () -> {
-                            replica.running--;
-                            answered(tracker, replica, true, random, now + RUN_MILLIS);
-                            served += now >= JUDGED_FROM_MILLIS ? 1 : 0;
+                            if (up) {
+                                replica.running--;
+                                running.merge(replica, -1, Integer::sum);
+                                answered(tracker, replica, true, random, now + RUN_MILLIS);
+                                served += now >= JUDGED_FROM_MILLIS ? 1 : 0;
+                            }
                         });
                 return;
             }
@@ -245,10 +381,14 @@
                     () -> {
                         answered(tracker, replica, false, random, now + 1);
                         tried.add(tracker.info().id());
-                        request(now + 1, tried, random);
+                        place(now + 1, tried, relayed, random);
                     });
         }
 
+        private int triedReplicas(Set<String> tried) {
+            return (int) tried.stream().filter(replicas::containsKey).count();
+        }
+
         private void answered(
                 ReplicaTracker tracker,
                 Replica replica,
@@ -258,7 +398,7 @@
             tracker.finished();
             tracker.recordReceived(now);
             pool.recordRejectionLimit(tracker, replica.limit, now);
-            OptionalLong backoff = pool.rejectionBackoffMillis(tracker, roster, now);
+            OptionalLong backoff = chooser.rejectionBackoffMillis(tracker, now);
             if (accepted) {
                 tracker.recordAccepted(now);
             } else if (backoff.isPresent()) {
@@ -284,4 +424,14 @@
                     Set.of());
         }
     }
+
+    /** A request that one VM has relayed to another. */
+    private record Relayed(Vm origin, String owner, Set<String> tried, Random random) {
+        void notPlaced(long now) {
+            if (origin.up) {
+                tried.add(owner);
+                origin.place(now, tried, Optional.empty(), random);
+            }
+        }
+    }
 }
--- a/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/CallerModel.java
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/CallerModel.java
@@ -105,7 +105,9 @@
     private void relay(VmModel callerVm, VmModel vm, Placement.Relay relay) {
         RegionId region = relay.region();
         List<MemberInfo> relays = vm.view().reach().relayVms(region, relay.replicas(), time.now());
-        VmModel relayVm = fleet.vm(relays.get(vm.random().nextInt(relays.size())));
+        MemberInfo relayMember =
+                relay.vm().orElseGet(() -> relays.get(vm.random().nextInt(relays.size())));
+        VmModel relayVm = fleet.vm(relayMember);
         if (fleet.partitioned(vm.region(), region)) {
             recordOutcome(total -> total.failed(kind.worth()));
             return;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
@@ -29,7 +29,7 @@
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 
-/** Relays a request to a VM of another region. Confined to one event loop. */
+/** Relays a request to another VM. Confined to one event loop. */
 public final class RelayAttempt extends HttpAttempt {
     private static final FleetCodec CODEC = new FleetCodec();
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
@@ -25,8 +25,8 @@
 import java.util.function.Supplier;
 
 /**
- * Runs requests relayed by VMs of other regions at this region's replicas, and never relays them
- * again. Confined to one event loop.
+ * Runs requests relayed by other VMs at this region's replicas, and never relays them again.
+ * Confined to one event loop.
  */
 public final class RelayHandler {
     private static final long RETRY_AFTER_MILLIS = 300;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
@@ -18,7 +18,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
- * Sends one request to the replica of this region, or the VM of another region, that was chosen.
+ * Sends one request to the replica of this region, or the other VM, that was chosen.
  *
  * <p>Invariant: an attempt has its connection before it receives anything. Confined to one event
  * loop.
@@ -54,8 +54,12 @@
         return RunningAttempt.atReplica(owner, context.memory(), use, monitor);
     }
 
-    /** Chooses a VM of the region; further attempts of a request prefer another one. */
+    /** Chooses a VM if any will do; further attempts of a request prefer another one. */
     MemberInfo chooseVm(Placement.Relay relay, int attempt, long nowMillis) {
+        return relay.vm().orElseGet(() -> anyVm(relay, attempt, nowMillis));
+    }
+
+    private MemberInfo anyVm(Placement.Relay relay, int attempt, long nowMillis) {
         List<MemberInfo> vms =
                 TrafficVmSelector.sample(
                         context.fleet()
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
@@ -13,7 +13,7 @@
 final class PlacementSearch {
     private final EntryContext context;
     private final RequestPlan plan;
-    private final Set<String> triedReplicas = new HashSet<>();
+    private final Set<String> tried = new HashSet<>();
     private final Set<RegionId> fullRegions = new HashSet<>();
 
     PlacementSearch(EntryContext context, RequestPlan plan) {
@@ -38,11 +38,15 @@
 
     /** Leaves out a replica that was tried. */
     void tried(String replica) {
-        triedReplicas.add(replica);
+        tried.add(replica);
     }
 
-    /** Leaves out the region of an attempt that found no place there. */
+    /** Leaves out the VM, or the other region, of an attempt that found no place there. */
     void notPlaced(RunningAttempt attempt, long nowMillis) {
+        if (attempt.region().equals(context.fleet().self().region())) {
+            tried.add(attempt.target());
+            return;
+        }
         fullRegions.add(attempt.region());
         context.chooser()
                 .relayNotPlaced(
@@ -56,7 +60,7 @@
                 plan.envelope().prompt(),
                 plan.body().length(),
                 region -> plan.allowedIn(region) && !fullRegions.contains(region),
-                triedReplicas,
+                tried,
                 !plan.relayed(),
                 nowMillis - plan.receivedAtMillis(),
                 plan.deadlineMillis() - nowMillis);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
@@ -133,8 +133,8 @@
     }
 
     private void backOffIfBrittle(long now) {
-        context.pool()
-                .rejectionBackoffMillis(tracker, context.roster(), now)
+        context.chooser()
+                .rejectionBackoffMillis(tracker, now)
                 .ifPresent(
                         millis -> {
                             long jitterMillis =
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestPlan.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestPlan.java
@@ -25,7 +25,7 @@
  * @param customer customer that is charged, empty on an open route
  * @param receivedAtMillis monotonic time at which its headers arrived
  * @param deadlineMillis monotonic time after which its response is no longer awaited
- * @param relayed true if a VM of another region relayed it
+ * @param relayed true if another VM relayed it
  */
 public record RequestPlan(
         RequestEnvelope envelope,
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RunningAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RunningAttempt.java
@@ -57,7 +57,7 @@
                 owner, memory, tracker.info().id(), tracker.region(), use, monitor);
     }
 
-    /** Creates an attempt through a VM of another region. */
+    /** Creates an attempt through another VM. */
     static RunningAttempt atVm(
             Owner owner, ResponseMemoryBudget memory, String vm, RegionId region) {
         return new RunningAttempt(owner, memory, vm, region, null, null);
