A stream that breaks off late is resumed

Cause: a place for an attempt is refused if the time since the request came and the expected time to the first event together exceed three times the route's latency target. That target is for the first event. For a stream that had begun and lasted longer than that, each repeat was therefore refused, and so was each replacement of a silent replica.

Now the time since the request came counts only until the caller has the beginning of the response.

Before: OperatorFaultsTest.streamThatBreaksOffLateContinuesOnAnotherReplica (seven events in 2.4 s, broken off at 2.8 s, target 0.8 s): "Expected: is <200> but: was <0>". The same break within the target was resumed before, too.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
@@ -5,6 +5,7 @@
 import io.vanillapoint.core.upstream.PlacementQuery;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 /**
  * Searches places for the attempts of one request, without those that it has tried. Confined to one
@@ -13,12 +14,20 @@
 final class PlacementSearch {
     private final EntryContext context;
     private final RequestPlan plan;
+    private final BooleanSupplier begun;
     private final Set<String> triedReplicas = new HashSet<>();
     private final Set<RegionId> fullRegions = new HashSet<>();
 
-    PlacementSearch(EntryContext context, RequestPlan plan) {
+    /**
+     * Creates a search.
+     *
+     * @param begun tells whether the caller has the beginning of the response; its latency target
+     *     no longer counts then
+     */
+    PlacementSearch(EntryContext context, RequestPlan plan, BooleanSupplier begun) {
         this.context = context;
         this.plan = plan;
+        this.begun = begun;
     }
 
     /** Chooses a place for the next attempt. */
@@ -58,7 +67,7 @@
                 region -> plan.allowedIn(region) && !fullRegions.contains(region),
                 triedReplicas,
                 !plan.relayed(),
-                nowMillis - plan.receivedAtMillis(),
+                begun.getAsBoolean() ? 0 : nowMillis - plan.receivedAtMillis(),
                 plan.deadlineMillis() - nowMillis);
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -66,7 +66,7 @@
         this.onDone = onDone;
         delivery = new ResponseDelivery(sink);
         starter = new AttemptStarter(context, plan);
-        search = new PlacementSearch(context, plan);
+        search = new PlacementSearch(context, plan, delivery::begun);
         outcomes = new ReplicaOutcomes(context, plan);
         deadline =
                 new RestartableTimer(
