--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -122,12 +122,7 @@
         pool = new UpstreamPool(settings.zones());
         grants = new GrantMeter(new GrantTolerance(settings.quotaSlackTokens()));
         retries = new RetryAllowance(settings.retries(), now());
-        stopSchedule =
-                new StopSchedule(
-                        tuning.minDrainMillis(),
-                        tuning.admitAllMillis(),
-                        settings.graceMillis() - tuning.killMarginMillis(),
-                        tuning.tickMillis());
+        stopSchedule = stopSchedule();
         publishedState =
                 new PublishedState(platform.published(), pool, log, clock, this::applyPublication);
         lag = new EventLoopLag(tuning.tickMillis(), now());
@@ -178,6 +173,14 @@
         registerGauges(writer);
     }
 
+    private StopSchedule stopSchedule() {
+        return new StopSchedule(
+                tuning.minDrainMillis(),
+                tuning.admitAllMillis(),
+                settings.graceMillis() - tuning.killMarginMillis(),
+                tuning.tickMillis());
+    }
+
     private EntryContext createContext(EntryPlatform platform) {
         return new EntryContext(
                 vertx,
