A stream that breaks off before its first event is answered with a failure

Callers saw: a connection that closed without a byte, though their request was read whole and passed on, when its replica or VM broke off between the head of a stream and its first event.

Cause: the head counted as sent as soon as the replica's had arrived, but the HTTP library sends it with the first bytes of the body. From then on the request could only be aborted.

Now the head is sent with the first event, or with the end of a stream without any. Until then a failure is answered with 502, and another attempt may answer with any status.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EventStreamReader.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EventStreamReader.java
@@ -76,14 +76,15 @@
     }
 
     /**
-     * Discards a partial event before another attempt resumes the stream, whose events have to go
-     * on behind the last one that was passed on.
+     * Discards a partial event before another attempt goes on with the stream.
+     *
+     * @param begun true if bytes have been passed on, behind which its events have to go on
      */
-    void restart() {
+    void restart(boolean begun) {
         pending = Buffer.buffer();
         scanned = 0;
         defect = Optional.empty();
-        resumed = true;
+        resumed |= begun;
     }
 
     /** Tells whether another attempt can go on behind the last event that was passed on. */
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseDelivery.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseDelivery.java
@@ -9,8 +9,9 @@
  * Delivers the response of one request: a stream event by event, also if several attempts
  * contribute to it, any other response once it is complete.
  *
- * <p>Invariant: the sink gets one head at most, and bytes of a stream only as whole events until
- * its end. Confined to one event loop.
+ * <p>Invariants: the sink gets one head at most, that of a stream together with its first event, so
+ * that a stream which breaks off before can still be refused; bytes of a stream reach it only as
+ * whole events until its end. Confined to one event loop.
  */
 final class ResponseDelivery {
     private final ResponseSink sink;
@@ -18,7 +19,7 @@
     private long bytesSent;
     private boolean begun;
     private boolean resumed;
-    private String mediaType;
+    private ResponseEnvelope streamHead;
 
     ResponseDelivery(ResponseSink sink) {
         this.sink = sink;
@@ -38,18 +39,16 @@
         return events.lastId().isPresent() ? events.lastId() : plan.envelope().lastEventId();
     }
 
-    /** Sends the head of a stream, unless an earlier attempt has done so. */
+    /** Begins or goes on with a stream; its head is that of the attempt with the first event. */
     void beginStream(ResponseEnvelope head) {
         if (!begun) {
-            sink.head(head.status(), head.headers(), OptionalLong.empty());
-            mediaType = head.mediaType();
-            begun = true;
+            streamHead = head;
         }
     }
 
     /** Tells whether a successful response can go on with the stream that has begun, if any. */
     boolean accepts(ResponseEnvelope head) {
-        return !begun || head.mediaType().equals(mediaType);
+        return !begun || head.mediaType().equals(streamHead.mediaType());
     }
 
     /** Tells whether another attempt can go on with the response. */
@@ -89,10 +88,8 @@
 
     /** Discards a partial event before another attempt goes on with the stream. */
     void restartEvent() {
-        if (begun) {
-            events.restart();
-            resumed = true;
-        }
+        events.restart(begun);
+        resumed |= begun;
     }
 
     /**
@@ -107,6 +104,7 @@
 
     /** Ends a complete stream. */
     void endStream() {
+        sendStreamHead();
         writeEvents(events.partialEvent());
         sink.end();
     }
@@ -124,8 +122,16 @@
 
     private void writeEvents(Buffer completeEvents) {
         if (completeEvents.length() > 0) {
+            sendStreamHead();
             bytesSent += completeEvents.length();
             sink.write(completeEvents);
         }
     }
+
+    private void sendStreamHead() {
+        if (!begun) {
+            begun = true;
+            sink.head(streamHead.status(), streamHead.headers(), OptionalLong.empty());
+        }
+    }
 }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/EventStreamReaderTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/EventStreamReaderTest.java
@@ -42,7 +42,7 @@
     @Test
     void resumedStreamRepeatsNoDeliveredEvents() {
         reader.read(Buffer.buffer(events(1, 3) + "id: 4\ndat"));
-        reader.restart();
+        reader.restart(true);
         reader.read(Buffer.buffer(events(3, 6)));
         assertThat(delivered.toString(), is(events(1, 6)));
     }
@@ -51,7 +51,7 @@
     @Test
     void resumedStreamKeepsItsSteps() {
         reader.read(Buffer.buffer("id: 6\ndata: a\n\nid: 12\ndata: b\n\n"));
-        reader.restart();
+        reader.restart(true);
         assertThat(reader.read(Buffer.buffer("id: 18\ndata: c\n\n")), is(true));
         assertThat(reader.lastId(), is(OptionalLong.of(18)));
     }
@@ -59,7 +59,7 @@
     @Test
     void resumedStreamThatSkipsAnEventIsAbandoned() {
         reader.read(Buffer.buffer(events(1, 3)));
-        reader.restart();
+        reader.restart(true);
         assertThat(reader.read(Buffer.buffer(events(5, 6))), is(false));
         assertThat(delivered.toString(), is(events(1, 3)));
     }
@@ -77,7 +77,7 @@
                 "version: 2\nid: 1\ndata: HTTP/1.1 503 Busy\ndata: Not-Executed: 1\n\n"
                         + "id: 2\ndata: HTTP/1.1 200 OK\n\n";
         assertThat(reader.read(Buffer.buffer(quoting)), is(true));
-        reader.restart();
+        reader.restart(true);
         assertThat(reader.read(Buffer.buffer("version: 3\n" + events(3, 3))), is(true));
         assertThat(delivered.toString(), is(quoting + "version: 3\n" + events(3, 3)));
     }
