--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -307,6 +307,17 @@
             "service",
             "rejections_per_s",
             "region_vms"),
+    /** A replica has sent nothing in response to a request for unusually long. */
+    REQUEST_UNANSWERED(
+            2416,
+            EventLevel.INFO,
+            "request unanswered",
+            "request",
+            "replica",
+            "state",
+            "elapsed_ms",
+            "expected_ms",
+            "unanswered_percent"),
     /** Log lines were omitted to limit the log rate. */
     LINES_LEFT_OUT(2901, EventLevel.WARN, "lines left out", "event", "lines");
 
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
@@ -28,6 +28,8 @@
  * @param quarantine prompt parts that crash engines, as far as they fit
  * @param unreachable ids of the replicas of the sender's region, as far as the page covers them,
  *     that the sender can't reach at present; empty if the sender doesn't report this
+ * @param silences replicas, as far as the page covers them, that leave requests of the sender
+ *     unanswered, by id
  */
 public record FleetReport(
         MemberInfo self,
@@ -43,7 +45,8 @@
         boolean readsStore,
         List<MemberObservation> others,
         QuarantineReport quarantine,
-        Optional<Set<String>> unreachable) {
+        Optional<Set<String>> unreachable,
+        Map<String, SilenceCounts> silences) {
     /** Copies the collections. */
     public FleetReport {
         customers = Map.copyOf(customers);
@@ -51,6 +54,7 @@
         reads = List.copyOf(reads);
         others = List.copyOf(others);
         unreachable = unreachable.map(Set::copyOf);
+        silences = Map.copyOf(silences);
     }
 
     /**
@@ -90,6 +94,7 @@
         private List<MemberObservation> others = List.of();
         private QuarantineReport quarantine = QuarantineReport.EMPTY;
         private Optional<Set<String>> unreachable = Optional.empty();
+        private Map<String, SilenceCounts> silences = Map.of();
 
         private Builder(MemberInfo self, long sequence) {
             this.self = Objects.requireNonNull(self, "self");
@@ -110,6 +115,7 @@
             others = report.others;
             quarantine = report.quarantine;
             unreachable = report.unreachable;
+            silences = report.silences;
         }
 
         /**
@@ -235,6 +241,17 @@
             return this;
         }
 
+        /**
+         * Sets the replicas that leave requests of the sender unanswered.
+         *
+         * @param counts counts of those that the page covers, by replica id
+         * @return this
+         */
+        public Builder silences(Map<String, SilenceCounts> counts) {
+            silences = counts;
+            return this;
+        }
+
         /**
          * Builds the report.
          *
@@ -255,7 +272,8 @@
                     readsStore,
                     others,
                     quarantine,
-                    unreachable);
+                    unreachable,
+                    silences);
         }
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPager.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPager.java
@@ -17,10 +17,10 @@
  * <p>Handles fleets whose dozens of VMs, upstreams and customers no longer fit one datagram: a
  * datagram that is longer than a packet is lost if any of its fragments is lost, and one that is
  * longer than the receiver's buffer is truncated. Content is added by priority: the sender itself,
- * then customers by the size of their unreported change, one page of unreachable replicas and of
- * upstreams, prompt parts that crash engines, other VMs, and sessions last. Invariant: the estimate
- * of a report's encoded size is an upper bound and never exceeds {@link #PACKET_BYTES}. Confined to
- * one thread.
+ * then customers by the size of their unreported change, one page of unreachable and silent
+ * replicas and of upstreams, prompt parts that crash engines, other VMs, and sessions last.
+ * Invariant: the estimate of a report's encoded size is an upper bound and never exceeds {@link
+ * #PACKET_BYTES}. Confined to one thread.
  */
 public final class ReportPager {
     /** Size of a datagram that every link carries in one packet, with room for tunnel headers. */
@@ -84,22 +84,8 @@
         int pageCount = pageCount(content);
         boolean customersLeftOut = customers.size() < content.customers().size();
         ReportPage page = new ReportPage(random.nextInt(pageCount), pageCount, customersLeftOut);
-        Set<String> unreachable = new HashSet<>();
-        for (String replica : content.unreachable()) {
-            int size = textSize(replica);
-            if (page.covers(replica) && size <= remaining) {
-                unreachable.add(replica);
-                remaining -= size;
-            }
-        }
-        Map<String, UpstreamUse> upstreams = new HashMap<>();
-        for (Map.Entry<String, UpstreamUse> use : content.upstreams().entrySet()) {
-            int size = size(use.getKey());
-            if (page.covers(use.getKey()) && size <= remaining) {
-                upstreams.put(use.getKey(), use.getValue());
-                remaining -= size;
-            }
-        }
+        UpstreamEntries entries = UpstreamEntries.choose(content, page, remaining);
+        remaining -= entries.usedBytes();
         List<MemberObservation> others = new ArrayList<>();
         List<MemberObservation> observations = content.members();
         int first = observations.isEmpty() ? 0 : random.nextInt(observations.size());
@@ -130,8 +116,9 @@
         }
         report.page(page)
                 .customers(customers)
-                .unreachable(unreachable)
-                .upstreams(upstreams)
+                .unreachable(entries.unreachable())
+                .silences(entries.silences())
+                .upstreams(entries.upstreams())
                 .quarantine(quarantine.chosen())
                 .others(others)
                 .reads(reads);
@@ -168,7 +155,10 @@
     private static int pageCount(Content content) {
         int bytes =
                 content.upstreams().keySet().stream().mapToInt(ReportPager::size).sum()
-                        + content.unreachable().stream().mapToInt(ReportPager::textSize).sum();
+                        + content.unreachable().stream().mapToInt(ReportPager::textSize).sum()
+                        + content.silences().keySet().stream()
+                                .mapToInt(id -> silenceSize(id, content.upstreams().keySet()))
+                                .sum();
         boolean quarantine = !content.quarantine().isEmpty();
         int pageBytes = quarantine ? UPSTREAM_BYTES - QUARANTINE_BYTES : UPSTREAM_BYTES;
         return Math.max(1, (bytes + pageBytes - 1) / pageBytes);
@@ -182,6 +172,11 @@
         return textSize(upstream) + SHORT_NUMBER_BYTES + NUMBER_BYTES + STRUCT_END_BYTES;
     }
 
+    /** Counts are added to the replica's entry if the report has one. */
+    private static int silenceSize(String replica, Set<String> upstreams) {
+        return (upstreams.contains(replica) ? 0 : size(replica)) + 2 * SHORT_NUMBER_BYTES;
+    }
+
     private static int size(MemberInfo info) {
         return textSize(info.vm())
                 + textSize(info.host())
@@ -205,6 +200,7 @@
      * @param members other VMs
      * @param quarantine prompt parts that crash engines
      * @param unreachable ids of the replicas of the sender's region that it can't reach
+     * @param silences replicas that leave requests of the sender unanswered, by id
      */
     public record Content(
             Map<String, CustomerUse> customers,
@@ -212,7 +208,44 @@
             List<SessionCacheEntry> reads,
             List<MemberObservation> members,
             QuarantineReport quarantine,
-            Set<String> unreachable) {}
+            Set<String> unreachable,
+            Map<String, SilenceCounts> silences) {}
+
+    /** What one page tells of upstreams, and the bytes that it takes. */
+    private record UpstreamEntries(
+            Set<String> unreachable,
+            Map<String, UpstreamUse> upstreams,
+            Map<String, SilenceCounts> silences,
+            int usedBytes) {
+        static UpstreamEntries choose(Content content, ReportPage page, int maxBytes) {
+            int freeBytes = maxBytes;
+            Set<String> unreachable = new HashSet<>();
+            for (String replica : content.unreachable()) {
+                int size = textSize(replica);
+                if (page.covers(replica) && size <= freeBytes) {
+                    unreachable.add(replica);
+                    freeBytes -= size;
+                }
+            }
+            Map<String, UpstreamUse> upstreams = new HashMap<>();
+            for (Map.Entry<String, UpstreamUse> use : content.upstreams().entrySet()) {
+                int size = size(use.getKey());
+                if (page.covers(use.getKey()) && size <= freeBytes) {
+                    upstreams.put(use.getKey(), use.getValue());
+                    freeBytes -= size;
+                }
+            }
+            Map<String, SilenceCounts> silences = new HashMap<>();
+            for (Map.Entry<String, SilenceCounts> silence : content.silences().entrySet()) {
+                int size = silenceSize(silence.getKey(), upstreams.keySet());
+                if (page.covers(silence.getKey()) && size <= freeBytes) {
+                    silences.put(silence.getKey(), silence.getValue());
+                    freeBytes -= size;
+                }
+            }
+            return new UpstreamEntries(unreachable, upstreams, silences, maxBytes - freeBytes);
+        }
+    }
 
     /** What was last reported for a customer. Immutable. */
     private record LastReported(long tokens, int reportNumber) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -9,6 +9,7 @@
 import io.vanillapoint.core.prompt.SessionLocations;
 import io.vanillapoint.core.published.EngineSpec;
 import io.vanillapoint.core.published.UpstreamReplica;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -49,6 +50,12 @@
     /** Loss per unit of failure rate above {@link #BASELINE_FAILURE_RATE}. */
     private static final double FAILING_REPLICA_LOSS = 0.8;
 
+    /** Loss for a request that is never answered. */
+    private static final double UNANSWERED_LOSS = 1;
+
+    /** One in this many replicas leaves fewer requests unanswered than is usual. */
+    private static final int USUAL_PART = 3;
+
     /** Failure rate that services have in normal operation. */
     private static final double BASELINE_FAILURE_RATE = 0.1;
 
@@ -152,6 +159,7 @@
      */
     public Placement choose(PlacementQuery query, long nowMillis) {
         Candidate best = null;
+        Candidate bestIfAnswering = null;
         boolean anyEligible = false;
         List<String> cachingEngines =
                 query.prompt()
@@ -162,6 +170,7 @@
                 query.prompt()
                         .map(prompt -> preferredEngines(serving, query, prompt))
                         .orElse(Set.of());
+        double usualRate = usualUnansweredRate(serving);
         Map<RegionId, Boolean> open = new HashMap<>();
         Map<RegionId, Set<String>> remote = new HashMap<>();
         for (ReplicaTracker tracker : serving) {
@@ -170,18 +179,7 @@
                 continue;
             }
             anyEligible = true;
-            boolean usable =
-                    local
-                            ? pool.maySelect(tracker, query.service(), roster, nowMillis)
-                            : !tracker.cold(nowMillis)
-                                    && open.computeIfAbsent(
-                                            tracker.region(),
-                                            region -> mayRelayTo(region, query, nowMillis))
-                                    && fleet.reach()
-                                            .reachedIn(
-                                                    tracker.region(),
-                                                    tracker.info().id(),
-                                                    nowMillis);
+            boolean usable = usable(tracker, local, query, open, nowMillis);
             if (!usable
                     || query.tried().contains(tracker.info().id())
                     || (local && mayReject(tracker, nowMillis))) {
@@ -192,15 +190,76 @@
                         .add(tracker.info().id());
             }
             Candidate candidate = score(tracker, local, query, preferred, cachingEngines);
+            candidate.addSilenceLoss(usualRate);
             if (best == null || candidate.loss < best.loss) {
                 best = candidate;
             }
+            if (bestIfAnswering == null
+                    || candidate.lossIfAnswering() < bestIfAnswering.lossIfAnswering()) {
+                bestIfAnswering = candidate;
+            }
         }
         if (best == null) {
             return refusal(anyEligible, query, nowMillis);
         }
-        return placement(
-                best, query, remote.getOrDefault(best.tracker.region(), Set.of()), nowMillis);
+        Placement placement = placement(best, query, remoteIds(best, remote), nowMillis);
+        if (bestIfAnswering == best || !ignoresSilence(placement, bestIfAnswering, query)) {
+            return placement;
+        }
+        Set<String> ids = remoteIds(bestIfAnswering, remote);
+        return placement(bestIfAnswering, query, ids, nowMillis);
+    }
+
+    private boolean usable(
+            ReplicaTracker tracker,
+            boolean local,
+            PlacementQuery query,
+            Map<RegionId, Boolean> open,
+            long nowMillis) {
+        if (local) {
+            return pool.maySelect(tracker, query.service(), roster, nowMillis);
+        }
+        RegionId region = tracker.region();
+        return !tracker.cold(nowMillis)
+                && open.computeIfAbsent(region, other -> mayRelayTo(other, query, nowMillis))
+                && fleet.reach().reachedIn(region, tracker.info().id(), nowMillis);
+    }
+
+    /** Tells whether a request is placed as if all replicas answered all requests. */
+    private static boolean ignoresSilence(
+            Placement placement, Candidate bestIfAnswering, PlacementQuery query) {
+        return placement instanceof Placement.Refuse || isTrial(bestIfAnswering, query);
+    }
+
+    /**
+     * Returns the rate of unanswered requests that the better third of the replicas does not
+     * exceed. If all replicas are alike, small differences between them must not send all requests
+     * to one.
+     */
+    private static double usualUnansweredRate(List<ReplicaTracker> serving) {
+        double[] rates = serving.stream().mapToDouble(ReplicaTracker::unansweredRate).toArray();
+        Arrays.sort(rates);
+        return rates.length == 0 ? 0 : rates[rates.length / USUAL_PART];
+    }
+
+    private static Set<String> remoteIds(Candidate candidate, Map<RegionId, Set<String>> remote) {
+        return remote.getOrDefault(candidate.tracker.region(), Set.of());
+    }
+
+    /**
+     * Tells whether a request goes to a replica that leaves requests unanswered, to find out
+     * whether it still does. A request that was sent before has waited long enough.
+     */
+    private static boolean isTrial(Candidate candidate, PlacementQuery query) {
+        if (!candidate.local || !query.tried().isEmpty()) {
+            return false;
+        }
+        SilenceEvidence silence = candidate.tracker.silence();
+        if (silence.trialDue()) {
+            return true;
+        }
+        silence.passedOver();
+        return false;
     }
 
     private boolean mayRelayTo(RegionId region, PlacementQuery query, long nowMillis) {
@@ -388,6 +447,7 @@
         private final ReplicaTracker tracker;
         private final boolean local;
         private double loss;
+        private double silenceLoss;
         private double expectedMillis;
         private long uncachedTokens;
 
@@ -395,5 +455,14 @@
             this.tracker = tracker;
             this.local = local;
         }
+
+        void addSilenceLoss(double usualRate) {
+            silenceLoss = UNANSWERED_LOSS * Math.max(0, tracker.unansweredRate() - usualRate);
+            loss += silenceLoss;
+        }
+
+        double lossIfAnswering() {
+            return loss - silenceLoss;
+        }
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -6,6 +6,7 @@
 import io.vanillapoint.core.prompt.PromptSummary;
 import io.vanillapoint.core.published.ReplicaState;
 import io.vanillapoint.core.published.UpstreamReplica;
+import java.util.OptionalInt;
 
 /**
  * State of one replica: its published entry, this VM's outstanding requests and their outcomes.
@@ -38,12 +39,19 @@
     private final ReplicaBackoff backoff = new ReplicaBackoff();
     private final ColdStartGate coldGate;
     private final PrefixCacheModel prefixCache;
-
-    ReplicaTracker(UpstreamReplica info, RegionId region, long cacheTokens, long nowMillis) {
+    private final SilenceEvidence silence;
+
+    ReplicaTracker(
+            UpstreamReplica info,
+            RegionId region,
+            long cacheTokens,
+            ResponseTimes responseTimes,
+            long nowMillis) {
         this.info = info;
         this.region = region;
         this.coldGate = new ColdStartGate(nowMillis);
         this.prefixCache = new PrefixCacheModel(cacheTokens);
+        this.silence = new SilenceEvidence(responseTimes);
         this.coldUntilMillis = nowMillis + info.coldMillis();
         this.coldSinceMillis = nowMillis;
         this.changedAtMillis = nowMillis;
@@ -112,6 +120,20 @@
         return failureRate;
     }
 
+    /**
+     * Estimated probability that the replica does not answer a request at all.
+     *
+     * @return from 0 to 1
+     */
+    public double unansweredRate() {
+        return silence.unansweredRate();
+    }
+
+    /** Evidence that the replica leaves requests unanswered. */
+    SilenceEvidence silence() {
+        return silence;
+    }
+
     /**
      * Tells whether the most recent attempts could not reach the replica.
      *
@@ -172,6 +194,18 @@
         backoff.requestSent(nowMillis);
     }
 
+    /**
+     * Begins to watch for the response to a request that is about to be sent.
+     *
+     * @param expectedMillis expected time to its first byte
+     * @param urgency rank in the queue of an engine, 0 first; empty for a plain request
+     * @param nowMillis monotonic time
+     * @return the response, to be told when it begins or ends
+     */
+    public AwaitedResponse awaitResponse(long expectedMillis, OptionalInt urgency, long nowMillis) {
+        return silence.sent(expectedMillis, urgency, nowMillis);
+    }
+
     /**
      * Records the first event of a response, by which the prompt was processed.
      *
@@ -363,6 +397,7 @@
             backoff.reset();
             leavingReported = false;
             failureRate = 0;
+            silence.reset();
         }
         info = newInfo;
         removedAtMillis = Long.MAX_VALUE;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -2,6 +2,8 @@
 
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.fleet.FleetReport;
+import io.vanillapoint.core.fleet.SilenceCounts;
 import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.fleet.VmRoster;
 import io.vanillapoint.core.published.ServiceSpec;
@@ -39,6 +41,7 @@
     private final Map<ZoneId, RegionId> regions;
     private final Map<String, ReplicaTracker> replicas = new HashMap<>();
     private final Map<String, List<ReplicaTracker>> byService = new HashMap<>();
+    private final Map<String, ResponseTimes> responseTimes = new HashMap<>();
     private final Set<ZoneId> evacuated = new HashSet<>();
     private final RejectionLimits rejectionLimits = new RejectionLimits();
 
@@ -72,7 +75,14 @@
         }
         long cacheTokens =
                 service.flatMap(ServiceSpec::engine).map(engine -> engine.cacheTokens()).orElse(0L);
-        ReplicaTracker tracker = new ReplicaTracker(info, region, cacheTokens, nowMillis);
+        ReplicaTracker tracker =
+                new ReplicaTracker(
+                        info,
+                        region,
+                        cacheTokens,
+                        responseTimes.computeIfAbsent(
+                                info.service(), unused -> new ResponseTimes()),
+                        nowMillis);
         replicas.put(info.id(), tracker);
         rebuild();
         return Optional.of(tracker);
@@ -293,6 +303,38 @@
         return ids;
     }
 
+    /**
+     * Replicas that leave requests of this VM unanswered, for the heartbeat.
+     *
+     * @param nowMillis monotonic time
+     * @return new map of what was counted, by replica id
+     */
+    public Map<String, SilenceCounts> silences(long nowMillis) {
+        Map<String, SilenceCounts> silences = new HashMap<>();
+        for (ReplicaTracker tracker : replicas.values()) {
+            tracker.silence()
+                    .counts(nowMillis)
+                    .ifPresent(counts -> silences.put(tracker.info().id(), counts));
+        }
+        return silences;
+    }
+
+    /**
+     * Processes what another VM reports of replicas that leave its requests unanswered.
+     *
+     * @param report heartbeat of the VM
+     * @param nowMillis monotonic time
+     */
+    public void mergeSilences(FleetReport report, long nowMillis) {
+        for (ReplicaTracker tracker : replicas.values()) {
+            String id = tracker.info().id();
+            if (report.page().covers(id)) {
+                SilenceCounts counts = report.silences().getOrDefault(id, SilenceCounts.NONE);
+                tracker.silence().merge(report, counts, nowMillis);
+            }
+        }
+    }
+
     private static boolean leaving(ReplicaTracker tracker, long nowMillis) {
         boolean removed = tracker.removedAtMillis() <= nowMillis;
         boolean graceExpired = tracker.removedAtMillis() < nowMillis - REMOVED_GRACE_MILLIS;
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/SimulatedFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/SimulatedFleet.java
@@ -167,6 +167,11 @@
             return Set.of();
         }
 
+        /** Replicas that leave requests of a VM unanswered. */
+        default Map<String, SilenceCounts> silences(Node node) {
+            return Map.of();
+        }
+
         /** Tells whether a VM's build reports unreachable replicas. */
         default boolean reportsReach(Node node) {
             return true;
@@ -175,6 +180,9 @@
         /** Called with what an arrived heartbeat reports of prompt parts that crash engines. */
         default void quarantine(Node node, QuarantineReport report) {}
 
+        /** Called with a heartbeat that has arrived. */
+        default void received(Node node, FleetReport report) {}
+
         /** Called when a heartbeat has arrived. */
         default void heard(Node node, List<CustomerSpend> spends) {}
 
@@ -290,6 +298,7 @@
             roster.observe(report, now);
             listener.heard(this, view.receive(report, now));
             listener.quarantine(this, report.quarantine());
+            listener.received(this, report);
             if (first && report.fleetSize() < view.knownVms()) {
                 nodes.stream()
                         .filter(node -> node.host().equals(report.self().host()))
@@ -333,7 +342,8 @@
                             List.of(),
                             view.observations(now),
                             listener.quarantine(Node.this),
-                            listener.unreachable(Node.this));
+                            listener.unreachable(Node.this),
+                            listener.silences(Node.this));
             pager.fill(next, view.self(), content, kind.maxMembers());
             return listener.reportsReach(Node.this) ? next.build() : withoutReach(next.build());
         }
--- a/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
@@ -92,7 +92,8 @@
                         sessions.recentReads(now),
                         view.observations(now),
                         QuarantineReport.EMPTY,
-                        pool.unreachable(region, now));
+                        pool.unreachable(region, now),
+                        pool.silences(now));
         reportPager.fill(report, view.self(), content, ReportKind.BEAT.maxMembers());
         return report.build();
     }
@@ -101,5 +102,6 @@
         roster.observe(report, now);
         view.receive(report, now);
         sessions.mergeReads(report.reads(), now);
+        pool.mergeSilences(report, now);
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -383,6 +383,7 @@
         roster.observe(report, now);
         List<CustomerSpend> spends = fleet.receive(report, now);
         sessions.mergeReads(report.reads(), now);
+        pool.mergeSilences(report, now);
         prompts.merge(report.quarantine());
         if (!spends.isEmpty()) {
             grants.chargeRemote(spends, fleet.heardFraction(now), now);
@@ -429,7 +430,8 @@
                         sessions.recentReads(now),
                         fleet.observations(now),
                         prompts.report(),
-                        pool.unreachable(fleet.self().region(), now)),
+                        pool.unreachable(fleet.self().region(), now),
+                        pool.silences(now)),
                 kind.maxMembers());
         return report.build();
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
@@ -49,7 +49,12 @@
             RunningAttempt.Owner owner, Placement.Local placement, long nowMillis) {
         ReplicaUse use =
                 new ReplicaUse(
-                        context, plan, placement.replica(), placement.uncachedTokens(), nowMillis);
+                        context,
+                        plan,
+                        placement.replica(),
+                        placement.uncachedTokens(),
+                        placement.expectedMillis(),
+                        nowMillis);
         AttemptMonitor monitor = new AttemptMonitor(plan.route(), plan.relayed(), nowMillis);
         return RunningAttempt.atReplica(owner, context.memory(), use, monitor);
     }
@@ -85,7 +90,13 @@
                         context.gate(),
                         call,
                         this::remainingMillis,
-                        () -> maySend(placement.replica(), placedAtMillis),
+                        () -> {
+                            boolean accepted = maySend(placement.replica(), placedAtMillis);
+                            if (accepted) {
+                                running.ifAtReplica(ReplicaUse::awaitResponse);
+                            }
+                            return accepted;
+                        },
                         plan.envelope().requestId(),
                         running);
         running.connection(attempt);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
@@ -5,6 +5,7 @@
 import io.vanillapoint.core.prompt.PromptSummary;
 import io.vanillapoint.core.upstream.ReplicaTracker;
 import io.vanillapoint.entry.port.ResponseEnvelope;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
@@ -26,6 +27,8 @@
     private final long uncachedTokens;
     private final long sentAtMillis;
     private final long queuedTokens;
+    private final long expectedMillis;
+    private Optional<ResponseWatch> watch = Optional.empty();
     private boolean promptReleased;
 
     /** Adds the request to its replica's load. */
@@ -34,11 +37,13 @@
             RequestPlan plan,
             ReplicaTracker tracker,
             long uncachedTokens,
+            long expectedMillis,
             long nowMillis) {
         this.context = context;
         this.plan = plan;
         this.tracker = tracker;
         this.uncachedTokens = uncachedTokens;
+        this.expectedMillis = expectedMillis;
         this.sentAtMillis = nowMillis;
         String replica = tracker.info().id();
         UpstreamUse otherVmsUse = context.fleet().otherVmUse(replica);
@@ -77,8 +82,14 @@
         return tracker.lastReceivedMillis();
     }
 
+    /** Begins to watch for the response, since the request is about to be written. */
+    void awaitResponse() {
+        watch = Optional.of(new ResponseWatch(context, plan, tracker, expectedMillis));
+    }
+
     /** Processes what the response headers say about the replica's state. */
     void readHead(ResponseEnvelope head) {
+        watch.ifPresent(response -> response.headReceived(head));
         if (head.misdirected()) {
             return;
         }
@@ -153,8 +164,14 @@
         }
     }
 
+    /** Records that this VM gives the attempt up although the replica may still answer. */
+    void abandoned() {
+        watch.ifPresent(ResponseWatch::abandoned);
+    }
+
     /** Removes the request from its replica's load, whatever its outcome. */
     void release() {
+        watch.ifPresent(ResponseWatch::ended);
         if (!promptReleased) {
             releasePrompt();
         }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RunningAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RunningAttempt.java
@@ -183,6 +183,7 @@
 
     /** Closes the connection and releases the load on the replica. */
     void close() {
+        ifAtReplica(ReplicaUse::abandoned);
         cancel();
         release();
     }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FleetLinkTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FleetLinkTest.java
@@ -87,7 +87,8 @@
                                     List.of(),
                                     others(),
                                     QuarantineReport.EMPTY,
-                                    Set.of());
+                                    Set.of(),
+                                    Map.of());
                     pager.fill(report, fleet.self(), all, kind.maxMembers());
                     return report.build();
                 };
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
@@ -11,6 +11,7 @@
 import io.vanillapoint.core.fleet.MemberState;
 import io.vanillapoint.core.fleet.ReportPage;
 import io.vanillapoint.core.fleet.SessionCacheEntry;
+import io.vanillapoint.core.fleet.SilenceCounts;
 import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.message.HeaderField;
 import io.vanillapoint.core.message.RelayRequest;
@@ -77,6 +78,7 @@
                         (id, use) ->
                                 upstreams.add(
                                         new TUpstreamUse(id, use.requests(), use.promptTokens())));
+        report.silences().forEach((id, counts) -> addSilence(upstreams, id, counts));
         message.setUpstreams(upstreams);
         List<TSessionRead> reads = new ArrayList<>();
         for (SessionCacheEntry read : report.reads()) {
@@ -100,6 +102,21 @@
         return serialize(message);
     }
 
+    /** Adds counts to the entry of a replica, or one without outstanding requests. */
+    private static void addSilence(List<TUpstreamUse> upstreams, String id, SilenceCounts counts) {
+        TUpstreamUse entry =
+                upstreams.stream()
+                        .filter(use -> use.getUpstream().equals(id))
+                        .findFirst()
+                        .orElseGet(
+                                () -> {
+                                    TUpstreamUse idle = new TUpstreamUse(id, 0, 0);
+                                    upstreams.add(idle);
+                                    return idle;
+                                });
+        entry.setUnanswered(counts.unanswered()).setAnswered(counts.answered());
+    }
+
     /**
      * Decodes a heartbeat.
      *
@@ -122,12 +139,19 @@
                                         use.getCustomer(),
                                         new CustomerUse(use.getTokens(), use.getLevel())));
         Map<String, UpstreamUse> upstreams = new HashMap<>();
-        message.getUpstreams()
-                .forEach(
-                        use ->
-                                upstreams.put(
-                                        use.getUpstream(),
-                                        new UpstreamUse(use.getRequests(), use.getPromptTokens())));
+        Map<String, SilenceCounts> silences = new HashMap<>();
+        for (TUpstreamUse use : message.getUpstreams()) {
+            UpstreamUse outstanding = new UpstreamUse(use.getRequests(), use.getPromptTokens());
+            boolean silent = use.isSetUnanswered() && use.isSetAnswered();
+            if (silent) {
+                silences.put(
+                        use.getUpstream(),
+                        new SilenceCounts(use.getUnanswered(), use.getAnswered()));
+            }
+            if (!silent || !outstanding.equals(UpstreamUse.NONE)) {
+                upstreams.put(use.getUpstream(), outstanding);
+            }
+        }
         FleetReport.Builder report =
                 FleetReport.builder(member(message.getSender()).info(), message.getSequence())
                         .load(message.getLoad())
@@ -139,6 +163,7 @@
                                 message.isReadsStore())
                         .customers(customers)
                         .upstreams(upstreams)
+                        .silences(silences)
                         .reads(
                                 message.getReads().stream()
                                         .map(
--- a/vanillapoint-wire/src/main/thrift/peer.thrift
+++ b/vanillapoint-wire/src/main/thrift/peer.thrift
@@ -74,7 +74,10 @@
   7: i64 ageMillis, 8: i32 capacity
 }
 struct TCustomerUse { 1: string customer, 2: i64 tokens, 3: i64 level }
-struct TUpstreamUse { 1: string upstream, 2: i32 requests, 3: i64 promptTokens }
+struct TUpstreamUse {
+  1: string upstream, 2: i32 requests, 3: i64 promptTokens,
+  4: optional i32 unanswered, 5: optional i32 answered
+}
 struct TSessionRead { 1: i64 session, 2: string upstream, 3: i32 ageMillis }
 struct TSuspectRequest { 1: i64 crash, 2: i32 ageMillis, 3: i32 stage, 4: i64 customer, 5: list<i64> parts }
 struct TPartSuccess { 1: i64 part, 2: i32 ageMillis }
--- a/vanillapoint-wire/src/test/java/io/vanillapoint/wire/ReportPacketTest.java
+++ b/vanillapoint-wire/src/test/java/io/vanillapoint/wire/ReportPacketTest.java
@@ -15,6 +15,7 @@
 import io.vanillapoint.core.fleet.ReportKind;
 import io.vanillapoint.core.fleet.ReportPager;
 import io.vanillapoint.core.fleet.SessionCacheEntry;
+import io.vanillapoint.core.fleet.SilenceCounts;
 import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.core.quarantine.AttemptStage;
@@ -54,6 +55,7 @@
         Set<String> reportedCustomers = new HashSet<>();
         Set<String> reportedUpstreams = new HashSet<>();
         Set<String> reportedUnreachable = new HashSet<>();
+        Set<String> reportedSilences = new HashSet<>();
         Set<String> reportedVms = new HashSet<>();
         Set<Object> reportedQuarantine = new HashSet<>();
         ReportPager pager = new ReportPager(1);
@@ -63,6 +65,7 @@
             reportedCustomers.addAll(decoded.customers().keySet());
             reportedUpstreams.addAll(decoded.upstreams().keySet());
             reportedUnreachable.addAll(decoded.unreachable().orElseThrow());
+            reportedSilences.addAll(decoded.silences().keySet());
             decoded.others().forEach(other -> reportedVms.add(other.info().vm()));
             reportedQuarantine.addAll(decoded.quarantine().holds());
             reportedQuarantine.addAll(decoded.quarantine().evidence());
@@ -70,6 +73,7 @@
         assertThat(reportedCustomers, hasSize(customers));
         assertThat(reportedUpstreams, hasSize(upstreams));
         assertThat(reportedUnreachable, hasSize(upstreams));
+        assertThat(reportedSilences, hasSize(upstreams));
         assertThat(reportedVms, hasSize(vms - 1));
         assertThat(reportedQuarantine, hasSize(HOLDS + CRASHES));
         for (ReportKind kind : ReportKind.values()) {
@@ -91,7 +95,8 @@
                         List.of(),
                         List.of(),
                         QuarantineReport.EMPTY,
-                        Set.of());
+                        Set.of(),
+                        Map.of());
         for (int heartbeat = 1; heartbeat <= 200; heartbeat++) {
             encodeAndDecode(pager, knowledge, ReportKind.BEAT, heartbeat);
         }
@@ -144,6 +149,10 @@
             String id = "i-" + Long.toHexString(random.nextLong(1L << 40));
             upstreamUses.put(id, new UpstreamUse(random.nextInt(64), random.nextInt(400_000)));
         }
+        Map<String, SilenceCounts> silences = new HashMap<>();
+        for (String id : upstreamUses.keySet()) {
+            silences.put(id, new SilenceCounts(random.nextInt(9_000), random.nextInt(9_000)));
+        }
         List<SessionCacheEntry> reads = new ArrayList<>();
         for (int i = 0; i < 24; i++) {
             reads.add(
@@ -159,7 +168,8 @@
                 reads,
                 members,
                 quarantine(random),
-                Set.copyOf(upstreamUses.keySet()));
+                Set.copyOf(upstreamUses.keySet()),
+                silences);
     }
 
     /** Holds and evidence as after a series of crashes, more than fit. */
