--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
@@ -30,6 +30,8 @@
  *     that the sender can't reach at present; empty if the sender doesn't report this
  * @param rejectionLimits rejections in a second that replicas survive, as announced to the sender,
  *     by service
+ * @param silences replicas, as far as the page covers them, that leave requests of the sender
+ *     unanswered, by id
  */
 public record FleetReport(
         MemberInfo self,
@@ -46,7 +48,8 @@
         List<MemberObservation> others,
         QuarantineReport quarantine,
         Optional<Set<String>> unreachable,
-        Map<String, Integer> rejectionLimits) {
+        Map<String, Integer> rejectionLimits,
+        Map<String, SilenceCounts> silences) {
     /** Copies the collections. */
     public FleetReport {
         customers = Map.copyOf(customers);
@@ -55,6 +58,7 @@
         others = List.copyOf(others);
         unreachable = unreachable.map(Set::copyOf);
         rejectionLimits = Map.copyOf(rejectionLimits);
+        silences = Map.copyOf(silences);
     }
 
     /**
@@ -95,6 +99,7 @@
         private QuarantineReport quarantine = QuarantineReport.EMPTY;
         private Optional<Set<String>> unreachable = Optional.empty();
         private Map<String, Integer> rejectionLimits = Map.of();
+        private Map<String, SilenceCounts> silences = Map.of();
 
         private Builder(MemberInfo self, long sequence) {
             this.self = Objects.requireNonNull(self, "self");
@@ -116,6 +121,7 @@
             quarantine = report.quarantine;
             unreachable = report.unreachable;
             rejectionLimits = report.rejectionLimits;
+            silences = report.silences;
         }
 
         /**
@@ -252,6 +258,17 @@
             return this;
         }
 
+        /**
+         * Sets the replicas that leave requests of the sender unanswered.
+         *
+         * @param counts counts of those that the page covers, by replica id
+         * @return this
+         */
+        public Builder silences(Map<String, SilenceCounts> counts) {
+            silences = counts;
+            return this;
+        }
+
         /**
          * Builds the report.
          *
@@ -273,7 +290,8 @@
                     others,
                     quarantine,
                     unreachable,
-                    rejectionLimits);
+                    rejectionLimits,
+                    silences);
         }
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPager.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPager.java
@@ -18,9 +18,9 @@
  * datagram that is longer than a packet is lost if any of its fragments is lost, and one that is
  * longer than the receiver's buffer is truncated. Content is added by priority: the sender itself,
  * then customers by the size of their unreported change, rejection limits, one page of unreachable
- * replicas and of upstreams, prompt parts that crash engines, other VMs, and sessions last.
- * Invariant: the estimate of a report's encoded size is an upper bound and never exceeds {@link
- * #PACKET_BYTES}. Confined to one thread.
+ * and silent replicas and of upstreams, prompt parts that crash engines, other VMs, and sessions
+ * last. Invariant: the estimate of a report's encoded size is an upper bound and never exceeds
+ * {@link #PACKET_BYTES}. Confined to one thread.
  */
 public final class ReportPager {
     /** Size of a datagram that every link carries in one packet, with room for tunnel headers. */
@@ -92,22 +92,8 @@
         int pageCount = pageCount(content);
         boolean customersLeftOut = customers.size() < content.customers().size();
         ReportPage page = new ReportPage(random.nextInt(pageCount), pageCount, customersLeftOut);
-        Set<String> unreachable = new HashSet<>();
-        for (String replica : content.unreachable()) {
-            int size = textSize(replica);
-            if (page.covers(replica) && size <= remaining) {
-                unreachable.add(replica);
-                remaining -= size;
-            }
-        }
-        Map<String, UpstreamUse> upstreams = new HashMap<>();
-        for (Map.Entry<String, UpstreamUse> use : content.upstreams().entrySet()) {
-            int size = size(use.getKey());
-            if (page.covers(use.getKey()) && size <= remaining) {
-                upstreams.put(use.getKey(), use.getValue());
-                remaining -= size;
-            }
-        }
+        UpstreamEntries entries = UpstreamEntries.choose(content, page, remaining);
+        remaining -= entries.usedBytes();
         List<MemberObservation> others = new ArrayList<>();
         List<MemberObservation> observations = content.members();
         int first = observations.isEmpty() ? 0 : random.nextInt(observations.size());
@@ -127,8 +113,9 @@
         report.page(page)
                 .customers(customers)
                 .rejectionLimits(rejectionLimits)
-                .unreachable(unreachable)
-                .upstreams(upstreams)
+                .unreachable(entries.unreachable())
+                .silences(entries.silences())
+                .upstreams(entries.upstreams())
                 .quarantine(quarantine.chosen())
                 .others(others)
                 .reads(chooseReads(content.reads(), remaining));
@@ -201,7 +188,10 @@
     private static int pageCount(Content content) {
         int bytes =
                 content.upstreams().keySet().stream().mapToInt(ReportPager::size).sum()
-                        + content.unreachable().stream().mapToInt(ReportPager::textSize).sum();
+                        + content.unreachable().stream().mapToInt(ReportPager::textSize).sum()
+                        + content.silences().keySet().stream()
+                                .mapToInt(id -> silenceSize(id, content.upstreams().keySet()))
+                                .sum();
         int pageBytes = UPSTREAM_BYTES;
         pageBytes -= content.quarantine().isEmpty() ? 0 : QUARANTINE_BYTES;
         pageBytes -= content.rejectionLimits().isEmpty() ? 0 : REJECTION_LIMIT_BYTES;
@@ -224,6 +214,11 @@
         return textSize(upstream) + SHORT_NUMBER_BYTES + NUMBER_BYTES + STRUCT_END_BYTES;
     }
 
+    /** Counts are added to the replica's entry if the report has one. */
+    private static int silenceSize(String replica, Set<String> upstreams) {
+        return (upstreams.contains(replica) ? 0 : size(replica)) + 2 * SHORT_NUMBER_BYTES;
+    }
+
     private static int size(MemberInfo info) {
         return textSize(info.vm())
                 + textSize(info.host())
@@ -248,6 +243,7 @@
      * @param quarantine prompt parts that crash engines
      * @param unreachable ids of the replicas of the sender's region that it can't reach
      * @param rejectionLimits rejections in a second that replicas survive, by service
+     * @param silences replicas that leave requests of the sender unanswered, by id
      */
     public record Content(
             Map<String, CustomerUse> customers,
@@ -256,7 +252,44 @@
             List<MemberObservation> members,
             QuarantineReport quarantine,
             Set<String> unreachable,
-            Map<String, Integer> rejectionLimits) {}
+            Map<String, Integer> rejectionLimits,
+            Map<String, SilenceCounts> silences) {}
+
+    /** What one page tells of upstreams, and the bytes that it takes. */
+    private record UpstreamEntries(
+            Set<String> unreachable,
+            Map<String, UpstreamUse> upstreams,
+            Map<String, SilenceCounts> silences,
+            int usedBytes) {
+        static UpstreamEntries choose(Content content, ReportPage page, int maxBytes) {
+            int freeBytes = maxBytes;
+            Set<String> unreachable = new HashSet<>();
+            for (String replica : content.unreachable()) {
+                int size = textSize(replica);
+                if (page.covers(replica) && size <= freeBytes) {
+                    unreachable.add(replica);
+                    freeBytes -= size;
+                }
+            }
+            Map<String, UpstreamUse> upstreams = new HashMap<>();
+            for (Map.Entry<String, UpstreamUse> use : content.upstreams().entrySet()) {
+                int size = size(use.getKey());
+                if (page.covers(use.getKey()) && size <= freeBytes) {
+                    upstreams.put(use.getKey(), use.getValue());
+                    freeBytes -= size;
+                }
+            }
+            Map<String, SilenceCounts> silences = new HashMap<>();
+            for (Map.Entry<String, SilenceCounts> silence : content.silences().entrySet()) {
+                int size = silenceSize(silence.getKey(), upstreams.keySet());
+                if (page.covers(silence.getKey()) && size <= freeBytes) {
+                    silences.put(silence.getKey(), silence.getValue());
+                    freeBytes -= size;
+                }
+            }
+            return new UpstreamEntries(unreachable, upstreams, silences, maxBytes - freeBytes);
+        }
+    }
 
     /** What was last reported for a customer. Immutable. */
     private record LastReported(long tokens, int reportNumber) {
--- a/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
@@ -93,7 +93,8 @@
                         view.observations(now),
                         QuarantineReport.EMPTY,
                         pool.unreachable(region, now),
-                        pool.receivedRejectionLimits(now));
+                        pool.receivedRejectionLimits(now),
+                        pool.silences(now));
         reportPager.fill(report, view.self(), content, ReportKind.BEAT.maxMembers());
         return report.build();
     }
@@ -105,5 +106,6 @@
         if (report.self().region().equals(region)) {
             pool.mergeRejectionLimits(report.rejectionLimits(), now);
         }
+        pool.mergeSilences(report, now);
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -400,6 +400,7 @@
         roster.observe(report, now);
         List<CustomerSpend> spends = fleet.receive(report, now);
         sessions.mergeReads(report.reads(), now);
+        pool.mergeSilences(report, now);
         prompts.merge(report.quarantine());
         if (report.self().region().equals(fleet.self().region())) {
             pool.mergeRejectionLimits(report.rejectionLimits(), now);
@@ -450,7 +451,8 @@
                         fleet.observations(now),
                         prompts.report(),
                         pool.unreachable(fleet.self().region(), now),
-                        pool.receivedRejectionLimits(now)),
+                        pool.receivedRejectionLimits(now),
+                        pool.silences(now)),
                 kind.maxMembers());
         return report.build();
     }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FleetLinkTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FleetLinkTest.java
@@ -137,6 +137,7 @@
                                     others(),
                                     QuarantineReport.EMPTY,
                                     Set.of(),
+                                    Map.of(),
                                     Map.of());
                     pager.fill(report, fleet.self(), all, kind.maxMembers());
                     return report.build();
--- a/vanillapoint-wire/src/test/java/io/vanillapoint/wire/ReportPacketTest.java
+++ b/vanillapoint-wire/src/test/java/io/vanillapoint/wire/ReportPacketTest.java
@@ -15,6 +15,7 @@
 import io.vanillapoint.core.fleet.ReportKind;
 import io.vanillapoint.core.fleet.ReportPager;
 import io.vanillapoint.core.fleet.SessionCacheEntry;
+import io.vanillapoint.core.fleet.SilenceCounts;
 import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.core.quarantine.AttemptStage;
@@ -55,6 +56,7 @@
         Set<String> reportedCustomers = new HashSet<>();
         Set<String> reportedUpstreams = new HashSet<>();
         Set<String> reportedUnreachable = new HashSet<>();
+        Set<String> reportedSilences = new HashSet<>();
         Set<String> reportedVms = new HashSet<>();
         Set<Object> reportedQuarantine = new HashSet<>();
         Set<String> reportedLimits = new HashSet<>();
@@ -65,6 +67,7 @@
             reportedCustomers.addAll(decoded.customers().keySet());
             reportedUpstreams.addAll(decoded.upstreams().keySet());
             reportedUnreachable.addAll(decoded.unreachable().orElseThrow());
+            reportedSilences.addAll(decoded.silences().keySet());
             decoded.others().forEach(other -> reportedVms.add(other.info().vm()));
             reportedLimits.addAll(decoded.rejectionLimits().keySet());
             reportedQuarantine.addAll(decoded.quarantine().holds());
@@ -73,6 +76,7 @@
         assertThat(reportedCustomers, hasSize(customers));
         assertThat(reportedUpstreams, hasSize(upstreams));
         assertThat(reportedUnreachable, hasSize(upstreams));
+        assertThat(reportedSilences, hasSize(upstreams));
         assertThat(reportedVms, hasSize(vms - 1));
         assertThat(reportedQuarantine, hasSize(HOLDS + CRASHES));
         assertThat(reportedLimits, hasSize(LIMITED_SERVICES));
@@ -96,6 +100,7 @@
                         List.of(),
                         QuarantineReport.EMPTY,
                         Set.of(),
+                        Map.of(),
                         Map.of());
         for (int heartbeat = 1; heartbeat <= 200; heartbeat++) {
             encodeAndDecode(pager, knowledge, ReportKind.BEAT, heartbeat);
@@ -149,6 +154,10 @@
             String id = "i-" + Long.toHexString(random.nextLong(1L << 40));
             upstreamUses.put(id, new UpstreamUse(random.nextInt(64), random.nextInt(400_000)));
         }
+        Map<String, SilenceCounts> silences = new HashMap<>();
+        for (String id : upstreamUses.keySet()) {
+            silences.put(id, new SilenceCounts(random.nextInt(9_000), random.nextInt(9_000)));
+        }
         List<SessionCacheEntry> reads = new ArrayList<>();
         for (int i = 0; i < 24; i++) {
             reads.add(
@@ -165,7 +174,8 @@
                 members,
                 quarantine(random),
                 Set.copyOf(upstreamUses.keySet()),
-                rejectionLimits());
+                rejectionLimits(),
+                silences);
     }
 
     private static Map<String, Integer> rejectionLimits() {
