--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -217,9 +217,17 @@
         if ((best == null || !best.local) && !relayOwners.isEmpty() && !ownerTried) {
             return relayToOwner(relayOwners);
         }
-        if (best == null) {
-            return refusal(anyEligible, query, nowMillis);
-        }
+        return best == null
+                ? refusal(anyEligible, query, nowMillis)
+                : place(best, bestIfAnswering, query, remote, nowMillis);
+    }
+
+    private Placement place(
+            Candidate best,
+            Candidate bestIfAnswering,
+            PlacementQuery query,
+            Map<RegionId, Set<String>> remote,
+            long nowMillis) {
         Placement placement = placement(best, query, remoteIds(best, remote), nowMillis);
         if (bestIfAnswering == best || !ignoresSilence(placement, bestIfAnswering, query)) {
             return placement;
