An order of the operators that met an error is applied within seconds

Operators saw: after an error that lasted half a minute, a configuration came into force up to a minute late. Cause: the pause before a value is applied again doubled up to a minute, whatever the value. Found by review. Now configurations and evacuations are tried again after a second at the latest. A replica's entry is withdrawn once it has failed twice, since a lack of memory that passes says nothing of it. PublishedStateErrorTest.configurationIsInForceSoonAfterAnErrorThatLasted failed before.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PendingItem.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PendingItem.java
@@ -8,12 +8,12 @@
  */
 final class PendingItem {
     private static final long INITIAL_PAUSE_MILLIS = 200;
-    private static final long MAX_PAUSE_MILLIS = 60_000;
 
     private final StoredItem item;
     private final String source;
     private final boolean storeWasUnavailable;
     private long pauseMillis;
+    private int failures;
     private long dueAtMillis = Long.MIN_VALUE;
 
     /**
@@ -46,11 +46,16 @@
         return nowMillis >= dueAtMillis;
     }
 
-    void recordFailure(long nowMillis) {
+    /** Tells whether the value itself is at fault, rather than a passing lack of memory. */
+    boolean failsRepeatedly() {
+        return failures > 1;
+    }
+
+    /** Makes the item due after a pause, which grows up to a maximum. */
+    void recordFailure(long maxPauseMillis, long nowMillis) {
+        failures++;
         pauseMillis =
-                pauseMillis == 0
-                        ? INITIAL_PAUSE_MILLIS
-                        : Math.min(MAX_PAUSE_MILLIS, 2 * pauseMillis);
+                pauseMillis == 0 ? INITIAL_PAUSE_MILLIS : Math.min(maxPauseMillis, 2 * pauseMillis);
         dueAtMillis = nowMillis + pauseMillis;
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
@@ -50,6 +50,12 @@
      */
     private static final long OTHERS_MILLIS = 700;
 
+    /** Longest pause before a value that can't be applied is tried again. */
+    private static final long MAX_PAUSE_MILLIS = 60_000;
+
+    /** The same for configurations and evacuations, which are due within seconds. */
+    private static final long MAX_ORDER_PAUSE_MILLIS = 1_000;
+
     /** Distinguishes the configuration that another VM has in force from that of the store. */
     private static final String IN_FORCE_ELSEWHERE = "in force elsewhere: ";
 
@@ -295,17 +301,24 @@
             return;
         }
         StoredItem item = pendingItem.item();
+        PublishedFormat.Kind kind = PublishedFormat.Kind.OTHER;
         try {
-            PublishedFormat.Kind kind = format.kind(item.key());
+            kind = format.kind(item.key());
             if ((kind == PublishedFormat.Kind.CONFIGURATION) != configurations) {
                 return;
             }
             apply(kind, pendingItem);
             pending.remove(id, pendingItem);
         } catch (Throwable e) {
-            pendingItem.recordFailure(clock.getAsLong());
+            boolean order =
+                    kind == PublishedFormat.Kind.CONFIGURATION
+                            || kind == PublishedFormat.Kind.EVACUATION;
+            pendingItem.recordFailure(
+                    order ? MAX_ORDER_PAUSE_MILLIS : MAX_PAUSE_MILLIS, clock.getAsLong());
             errors.record("applying " + item.key() + " of revision " + item.revision(), e);
-            errors.contain("withdrawing " + item.key(), () -> withdrawReplica(item));
+            if (pendingItem.failsRepeatedly()) {
+                errors.contain("withdrawing " + item.key(), () -> withdrawReplica(item));
+            }
         }
     }
 
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/PublishedStateErrorTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/PublishedStateErrorTest.java
@@ -87,6 +87,25 @@
         assertThat(format.readings, is(lessThan(30)));
     }
 
+    /**
+     * The heap may be short for half a minute; the configuration is due seconds after its write.
+     */
+    @Test
+    void configurationIsInForceSoonAfterAnErrorThatLasted() {
+        format.error = new OutOfMemoryError("heap");
+        merge(6, "config-odd");
+        for (long passed = 0; passed < 30_000; passed += TICK_MILLIS) {
+            clock.addAndGet(TICK_MILLIS);
+            state.applyHeldBack();
+        }
+        format.error = null;
+        for (long passed = 0; passed < 3_000; passed += TICK_MILLIS) {
+            clock.addAndGet(TICK_MILLIS);
+            state.applyHeldBack();
+        }
+        assertThat(state.publication().isPresent(), is(true));
+    }
+
     @Test
     void newerValueReplacesTheOneThatFailed() {
         format.error = new StackOverflowError();
