A later era of the store is adopted as a whole or not at all

An error while the table was filled left it in part, so that later listings reported no removals. Found by reading; no test of its own. The new table is filled first.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/published/PublishedTable.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/published/PublishedTable.java
@@ -18,7 +18,7 @@
  * all keys instead. Confined to one thread.
  */
 public final class PublishedTable {
-    private final Map<String, StoredItem> items = new HashMap<>();
+    private Map<String, StoredItem> items = new HashMap<>();
     private StorePosition position = StorePosition.START;
 
     /** Removals after this revision have a tombstone; older ones may have none. */
@@ -132,17 +132,17 @@
         for (StoredItem existing : missingFrom(listing)) {
             changed.add(removal(existing, listing.position().revision()));
         }
-        Map<String, StoredItem> previous = new HashMap<>(items);
-        items.clear();
+        Map<String, StoredItem> adopted = new HashMap<>();
         for (StoredItem item : listing.items()) {
-            StoredItem known = previous.get(item.key());
+            StoredItem known = items.get(item.key());
             boolean same =
                     known != null && !known.removed() && Arrays.equals(known.value(), item.value());
-            items.put(item.key(), item);
+            adopted.put(item.key(), item);
             if (!same) {
                 changed.add(item);
             }
         }
+        items = adopted;
         position = listing.position();
         removalsTrackedAfter = position.revision();
         return changed;
