--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EventStreamReader.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EventStreamReader.java
@@ -176,9 +176,16 @@
         }
     }
 
-    /** Tells whether bytes of an attempt contain a complete event that has not been passed on. */
+    /**
+     * Tells whether bytes of an attempt contain a complete event that goes on with the stream. One
+     * without an id does not if the others have ids.
+     */
     boolean containsNewEvent(Buffer bytes) {
-        return eventsOf(bytes).stream().anyMatch(event -> isNew(event, idOf(event)));
+        return eventsOf(bytes).stream().anyMatch(event -> goesOn(event, idOf(event)));
+    }
+
+    private boolean goesOn(String event, long id) {
+        return isNew(event, id) && (id >= 0 || lastId < 0);
     }
 
     /**
@@ -191,7 +198,7 @@
         for (String event : eventsOf(bytes)) {
             long id = idOf(event);
             Optional<String> found = defect(event, id, continuation);
-            if (found.isPresent() || isNew(event, id)) {
+            if (found.isPresent() || goesOn(event, id)) {
                 return found;
             }
         }
