--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PendingItem.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PendingItem.java
@@ -46,7 +46,7 @@
         return nowMillis >= dueAtMillis;
     }
 
-    /** Tells whether the value itself is at fault, rather than a passing lack of memory. */
+    /** Tells whether it failed more than once; one failure may be a passing lack of memory. */
     boolean failsRepeatedly() {
         return failures > 1;
     }
