--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -300,6 +300,11 @@
     /** A replica answered a probe with a status that could not be read. */
     REPLICA_STATUS_UNUSABLE(
             2411, EventLevel.WARN, "replica status unusable", "replica", "findings"),
+    /** This VM reaches no replica of a service in its region any more. */
+    REPLICAS_OUT_OF_REACH(
+            2412, EventLevel.WARN, "replicas out of reach", "service", "replicas", "vms_reaching"),
+    /** This VM reaches replicas of a service in its region again. */
+    REPLICAS_IN_REACH(2413, EventLevel.INFO, "replicas in reach", "service", "replicas", "lost_ms"),
     /** Replicas of a service announced that too many rejections crash them. */
     REPLICA_BRITTLE(
             2415,
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -244,20 +244,25 @@
      * Chooses the VMs that a caller may be sent to: those that carry the requests of the caller's
      * region, else of the regions in which its requests may be processed; if all of these are
      * draining, those that still accept requests, or else requests that end soon; else VMs of all
-     * regions.
+     * regions. VMs that reach no replica are left out if others can carry the requests.
      *
      * @param region region of the caller, may be one without VMs
      * @param homes regions in which the caller's requests may be processed, empty for all
      * @param homesOnly true if no request of the caller may be processed elsewhere
+     * @param reachesReplicas tells whether a VM reaches replicas of its region
      * @param nowMillis monotonic time
      * @return VMs in no particular order, empty if no VM accepts requests
      */
     public List<MemberInfo> callerVms(
-            RegionId region, Set<RegionId> homes, boolean homesOnly, long nowMillis) {
+            RegionId region,
+            Set<RegionId> homes,
+            boolean homesOnly,
+            Predicate<MemberInfo> reachesReplicas,
+            long nowMillis) {
         List<VmLoad> ready = readyVms(nowMillis);
         List<VmLoad> inRegion = matching(ready, vm -> vm.region().equals(region));
         if (!inRegion.isEmpty()) {
-            return TrafficVmSelector.select(inRegion);
+            return TrafficVmSelector.select(inRegion, reachesReplicas);
         }
         List<VmLoad> inHomes = matching(ready, vm -> homes.contains(vm.region()));
         if (inHomes.isEmpty() && !homes.isEmpty()) {
@@ -268,11 +273,12 @@
                 inHomes = matching(drainingVms(timing.drainFinishMillis(), nowMillis), near);
             }
         }
-        return TrafficVmSelector.select(inHomes.isEmpty() && !homesOnly ? ready : inHomes);
+        return TrafficVmSelector.select(
+                inHomes.isEmpty() && !homesOnly ? ready : inHomes, reachesReplicas);
     }
 
     /**
-     * VMs of another region that accept requests from this one. If heartbeats of some of them are
+     * Other VMs of a region that accept requests from this one. If heartbeats of some of them are
      * still arriving, the others are left out: a network partition shows first in missing
      * heartbeats.
      *
@@ -281,15 +287,18 @@
      * @return the VMs that carry requests, without suspected ones
      */
     public List<MemberInfo> relayVms(RegionId region, long nowMillis) {
+        return TrafficVmSelector.select(relayLoads(region, nowMillis));
+    }
+
+    /** VMs as in {@link #relayVms}, those included that stand by, with their load. */
+    List<VmLoad> relayLoads(RegionId region, long nowMillis) {
         List<Member> candidates = relayCandidates(region, nowMillis);
         boolean anyReceived =
                 candidates.stream().anyMatch(member -> receivesFrom(member, nowMillis));
-        List<VmLoad> ready =
-                candidates.stream()
-                        .filter(member -> !anyReceived || receivesFrom(member, nowMillis))
-                        .map(member -> new VmLoad(member.info(), member.load()))
-                        .toList();
-        return TrafficVmSelector.select(ready);
+        return candidates.stream()
+                .filter(member -> !anyReceived || receivesFrom(member, nowMillis))
+                .map(member -> new VmLoad(member.info(), member.load()))
+                .toList();
     }
 
     /**
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReplicaReach.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReplicaReach.java
@@ -1,10 +1,13 @@
 package io.vanillapoint.core.fleet;
 
 import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.core.fleet.TrafficVmSelector.VmLoad;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Which VMs reach which replicas, by what VMs report as unreachable for them.
@@ -68,7 +71,7 @@
     }
 
     /**
-     * Tells whether any VM to which requests would be relayed reaches a replica.
+     * Tells whether any other VM to which requests could be relayed reaches a replica.
      *
      * @param region region of the VMs and the replica
      * @param replica id of the replica
@@ -77,13 +80,13 @@
      */
     public boolean reachedIn(RegionId region, String replica, long nowMillis) {
         return !unreachableUntil.containsKey(replica)
-                || fleet.relayVms(region, nowMillis).stream()
-                        .anyMatch(vm -> reaches(vm.vm(), replica, nowMillis));
+                || fleet.relayLoads(region, nowMillis).stream()
+                        .anyMatch(vm -> reaches(vm.vm().vm(), replica, nowMillis));
     }
 
     /**
-     * VMs of another region that accept requests from this one, without those that reach none of
-     * the given replicas if others do.
+     * Other VMs of a region that accept requests from this one and reach most of the given
+     * replicas. If none reaches any, all of them.
      *
      * @param region region of the VMs
      * @param replicas ids of the replicas there that may serve the request
@@ -91,14 +94,36 @@
      * @return VMs as from {@link FleetView#relayVms}
      */
     public List<MemberInfo> relayVms(RegionId region, Set<String> replicas, long nowMillis) {
-        List<MemberInfo> vms = fleet.relayVms(region, nowMillis);
-        List<MemberInfo> reaching =
-                vms.stream()
-                        .filter(
-                                vm ->
-                                        replicas.stream()
-                                                .anyMatch(id -> reaches(vm.vm(), id, nowMillis)))
-                        .toList();
-        return reaching.isEmpty() ? vms : reaching;
+        List<MemberInfo> reaching = reachingVms(region, replicas, vm -> true, nowMillis);
+        return reaching.isEmpty() ? fleet.relayVms(region, nowMillis) : reaching;
+    }
+
+    /**
+     * Other VMs of a region that accept requests from this one and reach the given replicas. A VM
+     * that has just been cut off reports at first only those that it has tried, so VMs that reach
+     * less than half as many as another one are left out.
+     *
+     * @param region region of the VMs
+     * @param replicas ids of the replicas there that may serve the request
+     * @param usable tells whether a request may be relayed to a VM
+     * @param nowMillis monotonic time
+     * @return the VMs that carry requests, empty if none reaches any of the replicas
+     */
+    public List<MemberInfo> reachingVms(
+            RegionId region, Set<String> replicas, Predicate<MemberInfo> usable, long nowMillis) {
+        Map<VmLoad, Long> reached = new LinkedHashMap<>();
+        for (VmLoad vm : fleet.relayLoads(region, nowMillis)) {
+            if (usable.test(vm.vm())) {
+                long count = countReached(vm.vm().vm(), replicas, nowMillis);
+                reached.put(vm, count);
+            }
+        }
+        long most = reached.values().stream().mapToLong(Long::longValue).max().orElse(0);
+        reached.values().removeIf(count -> count == 0 || 2 * count < most);
+        return TrafficVmSelector.select(List.copyOf(reached.keySet()));
+    }
+
+    private long countReached(String vm, Set<String> replicas, long nowMillis) {
+        return replicas.stream().filter(id -> reaches(vm, id, nowMillis)).count();
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/TrafficVmSelector.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/TrafficVmSelector.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 
 /**
  * Selects the VMs that carry the requests of a region.
@@ -59,6 +60,21 @@
         return selected;
     }
 
+    /**
+     * Selects the VMs that carry requests among preferred ones, unless these can't carry the total
+     * load.
+     *
+     * @param ready VMs that accept requests
+     * @param preferred tells which of them are preferred
+     * @return the largest of them, enough for the total load
+     */
+    static List<MemberInfo> select(List<VmLoad> ready, Predicate<MemberInfo> preferred) {
+        List<VmLoad> chosen = ready.stream().filter(vm -> preferred.test(vm.vm())).toList();
+        long capacity = chosen.stream().mapToLong(vm -> vm.vm().capacity()).sum();
+        long load = ready.stream().mapToLong(VmLoad::load).sum();
+        return select(chosen.isEmpty() || capacity < load ? ready : chosen);
+    }
+
     /**
      * The VMs that would be selected first, whatever their load.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Ejection.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Ejection.java
@@ -1,5 +1,7 @@
 package io.vanillapoint.core.upstream;
 
+import java.util.OptionalLong;
+
 /**
  * Ejects a replica that can't be reached, until a probe or a response shows that it is back.
  *
@@ -61,11 +63,15 @@
     private boolean probeAnsweredBefore;
     private boolean probesIgnored;
     private long probeJitterMillis;
+    private long probedAtMillis;
     private long nextProbeMillis = Long.MIN_VALUE;
     private long probedUntilMillis = Long.MIN_VALUE;
     private boolean returnedByProbe;
     private boolean relapsed;
 
+    /** When the request was sent whose connection failed first; no value while none fails. */
+    private OptionalLong connectionsFailSince = OptionalLong.empty();
+
     boolean active(long nowMillis) {
         boolean probesDecide = !relapsed && !probesIgnored && nowMillis < probedUntilMillis;
         return (failing() && probesDecide) || nowMillis < ejectedUntilMillis;
@@ -108,12 +114,32 @@
         ejectedUntilMillis = nowMillis + durationMillis;
     }
 
+    /** Records that a connection to the replica could not be opened. */
+    void connectionFailed(long sentAtMillis, long nowMillis) {
+        if (connectionsFailSince.isEmpty()) {
+            connectionsFailSince = OptionalLong.of(sentAtMillis);
+        }
+        failed(nowMillis);
+    }
+
+    /** When the first of the connections was tried that could not be opened since an answer. */
+    OptionalLong connectionsFailSince() {
+        return connectionsFailSince;
+    }
+
     /** Blocks other requests while one is a trial. */
     void trialSent(long nowMillis) {
         ejectedUntilMillis = nowMillis + INITIAL_MILLIS;
     }
 
-    void answered(long nowMillis) {
+    /**
+     * Records that the replica sent something in response to a request. An open connection may live
+     * on while new ones fail.
+     */
+    void answered(long sentAtMillis, long nowMillis) {
+        if (connectionsFailSince.isPresent() && sentAtMillis < connectionsFailSince.getAsLong()) {
+            return;
+        }
         if (failures >= RESTART_SUSPICION_FAILURES) {
             maybeRestartedUntilMillis = nowMillis + ENTRY_PROPAGATION_MILLIS;
             nextProbeMillis = nowMillis;
@@ -128,7 +154,17 @@
     }
 
     boolean probeDue(long nowMillis) {
-        return probeWanted(nowMillis) && !probePending && nowMillis >= nextProbeMillis;
+        return probeWanted(nowMillis) && mayStartProbe(nowMillis);
+    }
+
+    /** Tells whether the pause since the last probe is over. */
+    boolean mayStartProbe(long nowMillis) {
+        return !probePending && nowMillis >= nextProbeMillis;
+    }
+
+    /** When the last probe was started. */
+    long probedAtMillis() {
+        return probedAtMillis;
     }
 
     long nextProbeMillis() {
@@ -139,6 +175,7 @@
         probePending = true;
         probeOutdated = false;
         probeJitterMillis = jitterMillis;
+        probedAtMillis = nowMillis;
         probedUntilMillis = nowMillis + PROBE_VALID_MILLIS;
     }
 
@@ -172,7 +209,7 @@
             returnedByProbe = false;
             relapsed = false;
             probesIgnored = false;
-            failed(nowMillis);
+            connectionFailed(probedAtMillis, nowMillis);
         }
         probeEnded(nowMillis);
     }
@@ -217,5 +254,6 @@
         durationMillis = 0;
         ejectedUntilMillis = Long.MIN_VALUE;
         relapsed = false;
+        connectionsFailSince = OptionalLong.empty();
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Placement.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Placement.java
@@ -25,7 +25,7 @@
 
     /**
      * The request is relayed to a VM of another region, or to one of this region that owns slots of
-     * a replica.
+     * a replica or reaches replicas that this VM can't.
      *
      * @param region the region
      * @param expectedMillis expected time to the first event or the response
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ProbePlan.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ProbePlan.java
@@ -6,8 +6,8 @@
 import java.util.Random;
 
 /**
- * Decides which replicas this VM probes with a status call: those that fail, and those that may
- * have restarted under their id.
+ * Decides which replicas this VM probes with a status call: those that fail, those that may have
+ * restarted under their id, and those to which this VM may have lost the path.
  *
  * <p>Invariants: at most one probe of a replica is pending, and the probes of this VM stay below a
  * constant rate, however many replicas fail. The replica that has waited longest comes first.
@@ -53,7 +53,8 @@
         return pool.replicas().stream()
                 .anyMatch(
                         tracker ->
-                                tracker.probeWanted(nowMillis) && pool.serves(tracker, nowMillis));
+                                (tracker.probeWanted(nowMillis) || pathSuspected(tracker))
+                                        && pool.serves(tracker, nowMillis));
     }
 
     /**
@@ -66,7 +67,7 @@
     public List<ReplicaTracker> start(long nowMillis) {
         List<ReplicaTracker> due = new ArrayList<>();
         for (ReplicaTracker tracker : pool.replicas()) {
-            if (tracker.probeDue(nowMillis) && pool.serves(tracker, nowMillis)) {
+            if (due(tracker, nowMillis) && pool.serves(tracker, nowMillis)) {
                 due.add(tracker);
             }
         }
@@ -79,6 +80,15 @@
         return started;
     }
 
+    private boolean due(ReplicaTracker tracker, long nowMillis) {
+        return tracker.probeDue(nowMillis)
+                || (tracker.mayStartProbe(nowMillis) && pathSuspected(tracker));
+    }
+
+    private boolean pathSuspected(ReplicaTracker tracker) {
+        return pool.pathSuspected(tracker.info().service(), tracker.region());
+    }
+
     /** Number of probes that the rate permits now. */
     private int permitted(long nowMillis) {
         double refill = (nowMillis - refilledAtMillis) * MAX_PER_SECOND / MILLIS_PER_SECOND;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/RefusalReason.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/RefusalReason.java
@@ -4,8 +4,10 @@
 public enum RefusalReason {
     /** No replica of the service is published in a permitted region. */
     NO_REPLICA("no_replica"),
-    /** All replicas are cold, unreachable or have been tried. */
+    /** All replicas are cold, have been tried, or are reached only through VMs without room. */
     ALL_REPLICAS_BUSY("all_replicas_busy"),
+    /** This VM reaches no replica of its region, and no other VM can place the request. */
+    REPLICAS_UNREACHABLE("replicas_unreachable"),
     /** All replicas have requested a backoff. */
     REPLICAS_QUIET("replicas_quiet"),
     /** Every replica is expected to answer too late. */
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/RelayBackoff.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/RelayBackoff.java
@@ -1,17 +1,17 @@
 package io.vanillapoint.core.upstream;
 
-import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.core.fleet.FleetView;
 import java.util.HashMap;
 import java.util.Map;
 
 /**
- * Regions that have refused a relayed request because no replica of the service has room.
+ * Other regions, and VMs of this region, that have refused a relayed request because no replica of
+ * the service has room.
  *
- * <p>Handles a region whose state differs from what its last heartbeats say: without this, request
- * after request would travel there and back. A region counts as having no room for the service
+ * <p>Handles a region or VM whose state differs from what its last heartbeats say: without this,
+ * request after request would travel there and back. It counts as having no room for the service
  * until a later heartbeat of the VM that refused, and for {@link #MAX_MILLIS} at most. Then one
- * request tries the region, and others follow unless it is refused within a round trip. Confined to
+ * request tries it, and others follow unless that one is refused within a round trip. Confined to
  * one thread.
  */
 final class RelayBackoff {
@@ -33,22 +33,25 @@
         this.fleet = fleet;
     }
 
-    /** Records that a VM of another region had no replica for a relayed request. */
-    void notPlaced(String service, RegionId region, String vm, long nowMillis) {
-        refusals.put(new Place(service, region), new Refusal(vm, nowMillis, NOT_TRIED));
+    /**
+     * Records that a VM had no replica for a relayed request. The target is the name of its region
+     * or, if that is this VM's own, the name of the VM.
+     */
+    void notPlaced(String service, String target, String vm, long nowMillis) {
+        refusals.put(new Place(service, target), new Refusal(vm, nowMillis, NOT_TRIED));
     }
 
-    /** Records that a request is relayed to a region. */
-    void relayed(String service, RegionId region, long nowMillis) {
+    /** Records that a request is relayed to a region or VM. */
+    void relayed(String service, String target, long nowMillis) {
         refusals.computeIfPresent(
-                new Place(service, region),
+                new Place(service, target),
                 (place, last) ->
                         last.tried() ? null : new Refusal(last.vm, last.atMillis, nowMillis));
     }
 
-    /** Tells whether the region counts as having no room for the service. */
-    boolean active(String service, RegionId region, long nowMillis) {
-        Refusal last = refusals.get(new Place(service, region));
+    /** Tells whether the region or VM counts as having no room for the service. */
+    boolean active(String service, String target, long nowMillis) {
+        Refusal last = refusals.get(new Place(service, target));
         if (last == null) {
             return false;
         }
@@ -59,9 +62,9 @@
         return nowMillis - last.atMillis <= MAX_MILLIS && !newerReport;
     }
 
-    private record Place(String service, RegionId region) {}
+    private record Place(String service, String target) {}
 
-    /** The last refusal of a region, and when a request tried the region again. */
+    /** The last refusal of a region or VM, and when a request tried it again. */
     private record Refusal(String vm, long atMillis, long triedAtMillis) {
         boolean tried() {
             return triedAtMillis != NOT_TRIED;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -74,6 +74,12 @@
     /** Weight of the newest measurement in the smoothed round-trip time. */
     private static final double NEWEST_ROUND_TRIP_WEIGHT = 0.125;
 
+    /** Additional time through another VM of this region. */
+    private static final double REGION_RELAY_MILLIS = 4;
+
+    /** Loss for the work of another VM and the bytes between availability zones. */
+    private static final double REGION_RELAY_LOSS = 0.01;
+
     /** Retry delay after a refusal, if there is no better estimate. */
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 400;
 
@@ -87,6 +93,7 @@
     private final Map<RegionId, Double> roundTrips = new HashMap<>();
     private final SlotTenure slotTenure = new SlotTenure();
     private int nextOwner;
+    private int nextRegionVm;
 
     /**
      * Creates a chooser.
@@ -137,14 +144,15 @@
      *
      * @param service name of its service
      * @param region region that it is sent to
+     * @param vm name of the VM that it is sent to
      * @param nowMillis monotonic time
      */
-    public void relayed(String service, RegionId region, long nowMillis) {
-        relayBackoff.relayed(service, region, nowMillis);
+    public void relayed(String service, RegionId region, String vm, long nowMillis) {
+        relayBackoff.relayed(service, backoffTarget(region, vm), nowMillis);
     }
 
     /**
-     * Records that a VM of another region had no replica for a relayed request.
+     * Records that a VM had no replica for a relayed request.
      *
      * @param service name of the service
      * @param region region of the VM
@@ -152,7 +160,12 @@
      * @param nowMillis monotonic time
      */
     public void relayNotPlaced(String service, RegionId region, String vm, long nowMillis) {
-        relayBackoff.notPlaced(service, region, vm, nowMillis);
+        relayBackoff.notPlaced(service, backoffTarget(region, vm), vm, nowMillis);
+    }
+
+    /** VMs of this region are chosen one by one, those of another region as a whole. */
+    private String backoffTarget(RegionId region, String vm) {
+        return region.equals(fleet.self().region()) ? vm : region.value();
     }
 
     /**
@@ -166,6 +179,8 @@
         Candidate best = null;
         Candidate bestIfAnswering = null;
         boolean anyEligible = false;
+        boolean anyInRegion = false;
+        boolean allOutOfReach = true;
         List<String> cachingEngines =
                 query.prompt()
                         .map(prompt -> sessions.enginesCaching(prompt, nowMillis))
@@ -180,14 +195,24 @@
         Map<RegionId, Set<String>> remote = new HashMap<>();
         Optional<SlotOwners> slotOwners = slotOwners(query.service().name(), nowMillis);
         List<MemberInfo> relayOwners = new ArrayList<>();
+        RegionRelay regionRelay = new RegionRelay(fleet, relayBackoff, query, nowMillis);
+        boolean pathLost = pool.pathLost(query.service().name(), fleet.self().region());
         for (ReplicaTracker tracker : serving) {
             boolean local = tracker.region().equals(fleet.self().region());
             if (!eligibleFor(tracker, query) || (!local && !query.mayRelay())) {
                 continue;
             }
             anyEligible = true;
-            boolean usable = usable(tracker, local, query, open, nowMillis);
-            if (query.tried().contains(tracker.info().id())) {
+            boolean throughVm =
+                    local && slotOwners.isEmpty() && regionRelay.reaches(tracker, pathLost);
+            if (local) {
+                anyInRegion = true;
+                allOutOfReach &= pathLost || tracker.outOfReach(nowMillis);
+            }
+            boolean relayedInVain = local && pathLost && !query.mayRelay();
+            boolean usable =
+                    throughVm || (!relayedInVain && usable(tracker, local, query, open, nowMillis));
+            if (!throughVm && query.tried().contains(tracker.info().id())) {
                 continue;
             }
             if (local && slotOwners.isPresent()) {
@@ -199,11 +224,12 @@
             if (!usable) {
                 continue;
             }
-            if (!local) {
+            if (!local || throughVm) {
                 remote.computeIfAbsent(tracker.region(), unused -> new HashSet<>())
                         .add(tracker.info().id());
             }
-            Candidate candidate = score(tracker, local, query, preferred, cachingEngines);
+            Path path = throughVm ? Path.REGION_VM : local ? Path.DIRECT : Path.OTHER_REGION;
+            Candidate candidate = score(tracker, path, query, preferred, cachingEngines);
             candidate.addSilenceLoss(usualRate);
             if (best == null || candidate.loss < best.loss) {
                 best = candidate;
@@ -214,11 +240,14 @@
             }
         }
         boolean ownerTried = relayOwners.stream().anyMatch(vm -> query.tried().contains(vm.vm()));
-        if ((best == null || !best.local) && !relayOwners.isEmpty() && !ownerTried) {
+        if ((best == null || best.path != Path.DIRECT) && !relayOwners.isEmpty() && !ownerTried) {
             return relayToOwner(relayOwners);
         }
+        if (best != null && best.path == Path.REGION_VM) {
+            return relayInRegion(best, query, regionRelay.vms(remoteIds(best, remote)));
+        }
         return best == null
-                ? refusal(anyEligible, query, nowMillis)
+                ? refusal(anyEligible, anyInRegion && allOutOfReach, query, nowMillis)
                 : place(best, bestIfAnswering, query, remote, nowMillis);
     }
 
@@ -277,7 +306,7 @@
      * whether it still does. A request that was sent before has waited long enough.
      */
     private static boolean isTrial(Candidate candidate, PlacementQuery query) {
-        if (!candidate.local || !query.tried().isEmpty()) {
+        if (candidate.path != Path.DIRECT || !query.tried().isEmpty()) {
             return false;
         }
         SilenceEvidence silence = candidate.tracker.silence();
@@ -290,7 +319,7 @@
 
     private boolean mayRelayTo(RegionId region, PlacementQuery query, long nowMillis) {
         return fleet.isReachable(region, nowMillis)
-                && !relayBackoff.active(query.service().name(), region, nowMillis);
+                && !relayBackoff.active(query.service().name(), region.value(), nowMillis);
     }
 
     /**
@@ -329,14 +358,19 @@
         return pool.rejectionBackoffMillis(tracker, senders, nowMillis);
     }
 
-    private Placement refusal(boolean anyEligible, PlacementQuery query, long nowMillis) {
+    private Placement refusal(
+            boolean anyEligible, boolean outOfReach, PlacementQuery query, long nowMillis) {
         long backoffMillis = backoffMillis(query, nowMillis);
         if (backoffMillis > 0) {
             long retryAfterMillis = Math.max(DEFAULT_RETRY_AFTER_MILLIS, backoffMillis);
             return new Placement.Refuse(RefusalReason.REPLICAS_QUIET, retryAfterMillis);
         }
-        RefusalReason reason =
-                anyEligible ? RefusalReason.ALL_REPLICAS_BUSY : RefusalReason.NO_REPLICA;
+        RefusalReason reason = RefusalReason.NO_REPLICA;
+        if (outOfReach) {
+            reason = RefusalReason.REPLICAS_UNREACHABLE;
+        } else if (anyEligible) {
+            reason = RefusalReason.ALL_REPLICAS_BUSY;
+        }
         return new Placement.Refuse(reason, DEFAULT_RETRY_AFTER_MILLIS);
     }
 
@@ -357,16 +391,23 @@
                 owner.region(), (long) PLAIN_REQUEST_MILLIS, Set.of(), Optional.of(owner));
     }
 
+    private Placement relayInRegion(Candidate best, PlacementQuery query, List<MemberInfo> vms) {
+        Optional<Placement> refusal = refusalIfTooLate(best, query);
+        if (refusal.isPresent()) {
+            return refusal.get();
+        }
+        MemberInfo vm = vms.get(Math.floorMod(nextRegionVm++, vms.size()));
+        return new Placement.Relay(
+                vm.region(), (long) best.expectedMillis, Set.of(), Optional.of(vm));
+    }
+
     private Placement placement(
             Candidate best, PlacementQuery query, Set<String> remote, long nowMillis) {
-        double maxMillis = query.route().targetMillis() * weights.maxTargetMultiple();
-        if (best.expectedMillis + query.elapsedMillis() > maxMillis
-                || best.expectedMillis > query.remainingMillis()) {
-            long retryAfterMillis =
-                    Math.max(DEFAULT_RETRY_AFTER_MILLIS, (long) (best.expectedMillis / 2));
-            return new Placement.Refuse(RefusalReason.TOO_LATE, retryAfterMillis);
+        Optional<Placement> refusal = refusalIfTooLate(best, query);
+        if (refusal.isPresent()) {
+            return refusal.get();
         }
-        if (best.local) {
+        if (best.path == Path.DIRECT) {
             Optional<UpstreamReplica> source = cacheSource(best, query, nowMillis);
             return new Placement.Local(
                     best.tracker, best.uncachedTokens, (long) best.expectedMillis, source);
@@ -375,14 +416,26 @@
                 best.tracker.region(), (long) best.expectedMillis, remote, Optional.empty());
     }
 
+    private Optional<Placement> refusalIfTooLate(Candidate best, PlacementQuery query) {
+        double maxMillis = query.route().targetMillis() * weights.maxTargetMultiple();
+        boolean tooLate =
+                best.expectedMillis + query.elapsedMillis() > maxMillis
+                        || best.expectedMillis > query.remainingMillis();
+        long retryAfterMillis =
+                Math.max(DEFAULT_RETRY_AFTER_MILLIS, (long) (best.expectedMillis / 2));
+        return tooLate
+                ? Optional.of(new Placement.Refuse(RefusalReason.TOO_LATE, retryAfterMillis))
+                : Optional.empty();
+    }
+
     private Candidate score(
             ReplicaTracker tracker,
-            boolean local,
+            Path path,
             PlacementQuery query,
             Set<String> preferred,
             List<String> cachingEngines) {
         UpstreamUse use = tracker.outstanding().plus(fleet.otherVmUse(tracker.info().id()));
-        Candidate candidate = new Candidate(tracker, local);
+        Candidate candidate = new Candidate(tracker, path);
         if (query.prompt().isPresent()) {
             scoreEngine(candidate, query, use, preferred, cachingEngines);
         } else {
@@ -393,7 +446,10 @@
                     PLAIN_REQUEST_MILLIS
                             * (1 + queuedPerSlot + FULL_LOAD_SLOWDOWN * Math.min(1, utilization));
         }
-        if (!local) {
+        if (path == Path.REGION_VM) {
+            candidate.expectedMillis += REGION_RELAY_MILLIS;
+            candidate.loss += REGION_RELAY_LOSS;
+        } else if (path == Path.OTHER_REGION) {
             candidate.expectedMillis +=
                     roundTrips.getOrDefault(tracker.region(), weights.initialRoundTripMillis());
             candidate.loss += weights.crossRegionPerKilobyte() * query.bodyBytes() / 1_000.0;
@@ -421,7 +477,9 @@
             cachedTokens = Math.max(cachedTokens, sharedTokens);
         } else if (preferred.contains(tracker.info().id())) {
             double hitProbability =
-                    candidate.local ? PREFERRED_HIT_PROBABILITY : REMOTE_PREFERRED_HIT_PROBABILITY;
+                    candidate.path == Path.OTHER_REGION
+                            ? REMOTE_PREFERRED_HIT_PROBABILITY
+                            : PREFERRED_HIT_PROBABILITY;
             cachedTokens = Math.max(cachedTokens, (long) (sharedTokens * hitProbability));
         }
         candidate.uncachedTokens = Math.max(0, prompt.promptTokens() - cachedTokens);
@@ -496,18 +554,28 @@
         return Math.min(1, Math.max(0, probability));
     }
 
+    /** How a request gets to a replica. */
+    private enum Path {
+        /** From this VM to a replica of its region. */
+        DIRECT,
+        /** Through another VM of this region. */
+        REGION_VM,
+        /** Through a VM of another region. */
+        OTHER_REGION
+    }
+
     /** A candidate replica with its expected loss. */
     private static final class Candidate {
         private final ReplicaTracker tracker;
-        private final boolean local;
+        private final Path path;
         private double loss;
         private double silenceLoss;
         private double expectedMillis;
         private long uncachedTokens;
 
-        Candidate(ReplicaTracker tracker, boolean local) {
+        Candidate(ReplicaTracker tracker, Path path) {
             this.tracker = tracker;
-            this.local = local;
+            this.path = path;
         }
 
         void addSilenceLoss(double usualRate) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -7,6 +7,7 @@
 import io.vanillapoint.core.published.ReplicaState;
 import io.vanillapoint.core.published.UpstreamReplica;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 /**
  * State of one replica: its published entry, this VM's outstanding requests and their outcomes.
@@ -34,6 +35,7 @@
     private long promptTokens;
     private double failureRate;
     private long lastReceivedMillis = Long.MIN_VALUE / 2;
+    private long lastReachedMillis = Long.MIN_VALUE / 2;
     private boolean leavingReported;
     private final Ejection ejection = new Ejection();
     private final ReplicaBackoff backoff = new ReplicaBackoff();
@@ -221,13 +223,16 @@
     }
 
     /**
-     * Records that the replica sent something, which ends its ejection.
+     * Records that the replica sent something, which ends its ejection unless it was ejected since
+     * the request was sent because new connections fail.
      *
+     * @param sentAtMillis when the request was sent that is being answered
      * @param nowMillis monotonic time
      */
-    public void recordReceived(long nowMillis) {
+    public void recordReceived(long sentAtMillis, long nowMillis) {
         lastReceivedMillis = nowMillis;
-        ejection.answered(nowMillis);
+        lastReachedMillis = Math.max(lastReachedMillis, sentAtMillis);
+        ejection.answered(sentAtMillis, nowMillis);
     }
 
     /**
@@ -240,7 +245,31 @@
     }
 
     /**
-     * Records that the replica could not be reached or did not answer.
+     * Records that a connection to the replica could not be opened.
+     *
+     * @param sentAtMillis when the request was to be sent
+     * @param nowMillis monotonic time
+     */
+    public void connectionFailed(long sentAtMillis, long nowMillis) {
+        ejection.connectionFailed(sentAtMillis, nowMillis);
+    }
+
+    /** When the first of the connections was tried that could not be opened since an answer. */
+    OptionalLong connectionsFailSince() {
+        return ejection.connectionsFailSince();
+    }
+
+    /**
+     * When the last request or probe was sent that the replica has answered.
+     *
+     * @return monotonic time in milliseconds
+     */
+    public long lastReachedMillis() {
+        return lastReachedMillis;
+    }
+
+    /**
+     * Records that the replica did not answer.
      *
      * @param nowMillis monotonic time
      */
@@ -268,6 +297,16 @@
         return ejection.probeDue(nowMillis);
     }
 
+    /** Tells whether the replica may be probed although it does not fail. */
+    boolean mayStartProbe(long nowMillis) {
+        return ejection.mayStartProbe(nowMillis);
+    }
+
+    /** Tells whether this VM can't reach the replica at present. */
+    boolean outOfReach(long nowMillis) {
+        return ejection.failing() || ejection.active(nowMillis);
+    }
+
     /** Earliest time of the next probe. */
     long nextProbeMillis() {
         return ejection.nextProbeMillis();
@@ -286,6 +325,7 @@
      * @return what this tells about a restart
      */
     public RestartEvidence probeAnswered(long startedAtMillis, long nowMillis) {
+        lastReachedMillis = Math.max(lastReachedMillis, ejection.probedAtMillis());
         RestartEvidence evidence = RestartEvidence.of(info.startedAtMillis(), startedAtMillis);
         ejection.probeAnswered(evidence, nowMillis);
         return evidence;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -35,6 +35,9 @@
      */
     static final int COLD_OWNERS = 3;
 
+    /** Replicas that fail together before the path to them is suspected. */
+    private static final int PATH_LOST_REPLICAS = 2;
+
     /** Entries that lapsed while the store was unavailable are back within this time. */
     private static final long REMOVED_GRACE_MILLIS = 2_000;
 
@@ -153,6 +156,15 @@
         return replicas.values();
     }
 
+    /**
+     * Services that have replicas.
+     *
+     * @return new set of names
+     */
+    public Set<String> services() {
+        return Set.copyOf(byService.keySet());
+    }
+
     /**
      * Replicas of a service that may receive requests, regardless of cold starts and failures.
      *
@@ -306,14 +318,54 @@
     public Set<String> unreachable(RegionId region, long nowMillis) {
         Set<String> ids = new HashSet<>();
         for (ReplicaTracker tracker : replicas.values()) {
-            boolean reachable = !tracker.failing() && !tracker.ejected(nowMillis);
-            if (!reachable && tracker.region().equals(region) && serves(tracker, nowMillis)) {
+            boolean outOfReach =
+                    tracker.outOfReach(nowMillis) || pathLost(tracker.info().service(), region);
+            if (outOfReach && tracker.region().equals(region) && serves(tracker, nowMillis)) {
                 ids.add(tracker.info().id());
             }
         }
         return ids;
     }
 
+    /**
+     * Tells whether this VM has probably lost its paths to all replicas of a service in a region:
+     * connections to several fail, and none has answered a request sent since.
+     *
+     * @param service name of the service
+     * @param region the region
+     * @return false once a replica answers
+     */
+    public boolean pathLost(String service, RegionId region) {
+        return replicasFailingAlone(service, region) >= PATH_LOST_REPLICAS;
+    }
+
+    /** Tells whether the other replicas should be probed since no connection opens at present. */
+    boolean pathSuspected(String service, RegionId region) {
+        return replicasFailingAlone(service, region) > 0;
+    }
+
+    /**
+     * Number of replicas to which connections fail, 0 if any replica has answered a request that
+     * was sent since the first failure.
+     */
+    private int replicasFailingAlone(String service, RegionId region) {
+        int failing = 0;
+        long failSinceMillis = Long.MAX_VALUE;
+        long reachedMillis = Long.MIN_VALUE;
+        for (ReplicaTracker tracker : byService.getOrDefault(service, List.of())) {
+            if (!tracker.region().equals(region)) {
+                continue;
+            }
+            reachedMillis = Math.max(reachedMillis, tracker.lastReachedMillis());
+            OptionalLong since = tracker.connectionsFailSince();
+            if (since.isPresent()) {
+                failing++;
+                failSinceMillis = Math.min(failSinceMillis, since.getAsLong());
+            }
+        }
+        return reachedMillis < failSinceMillis ? failing : 0;
+    }
+
     /**
      * Replicas that leave requests of this VM unanswered, for the heartbeat.
      *
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/FleetViewTest.java
@@ -96,7 +96,7 @@
      */
     @Test
     void callersOfARegionBoundHostAreNotSentToOtherRegions() {
-        List<MemberInfo> vms = view.callerVms(EAST, Set.of(EAST), true, NOW);
+        List<MemberInfo> vms = view.callerVms(EAST, Set.of(EAST), true, vm -> true, NOW);
         assertThat(vms, is(empty()));
     }
 
@@ -274,7 +274,9 @@
     }
 
     private List<String> hosts(RegionId region, Set<RegionId> homes, long now) {
-        return view.callerVms(region, homes, false, now).stream().map(MemberInfo::host).toList();
+        return view.callerVms(region, homes, false, vm -> true, now).stream()
+                .map(MemberInfo::host)
+                .toList();
     }
 
     private static FleetReport report(MemberInfo vm, long sequence) {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/BrittleReplicaFleetTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/BrittleReplicaFleetTest.java
@@ -396,7 +396,7 @@
                 Random random,
                 long now) {
             tracker.finished();
-            tracker.recordReceived(now);
+            tracker.recordReceived(now, now);
             pool.recordRejectionLimit(tracker, replica.limit, now);
             OptionalLong backoff = chooser.rejectionBackoffMillis(tracker, now);
             if (accepted) {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/CutFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/CutFleet.java
@@ -210,7 +210,7 @@
         private void end(Replica replica, long startedAt, ReplicaTracker tracker) {
             replica.running -= replica.startedAt == startedAt ? 1 : 0;
             if (replica.reachable()) {
-                tracker.recordReceived(now);
+                tracker.recordReceived(now, now);
                 tracker.finished();
             } else {
                 at(now + SILENCE_TIMEOUT_MILLIS, () -> fail(tracker));
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/HangingFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/HangingFleet.java
@@ -359,7 +359,7 @@
             answered = true;
             long queued = local.uncachedTokens();
             response.answered(fleet.now());
-            local.replica().recordReceived(fleet.now());
+            local.replica().recordReceived(fleet.now(), fleet.now());
             local.replica().recordPromptProcessed(queued);
             vm.chooser
                     .speed(workload.service.name())
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/QuietReplicaTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/QuietReplicaTest.java
@@ -46,7 +46,7 @@
     void responseToAnOlderRequestDoesNotEndTheBackoff() {
         ReplicaTracker tracker = publish(1, 0);
         tracker.backoffRequested(1_000, 0, 0);
-        tracker.recordReceived(500);
+        tracker.recordReceived(500, 500);
         tracker.recordAccepted(500);
         assertThat(maySelect(tracker, 600), is(false));
     }
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/RelayBackoffTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/RelayBackoffTest.java
@@ -25,52 +25,53 @@
     @BeforeEach
     void refuse() {
         fleet.receive(FleetReport.builder(vm("east-1", EAST), 1).build(), NOW - 10);
-        backoff.notPlaced("s", EAST, "east-1", NOW);
+        backoff.notPlaced("s", EAST.value(), "east-1", NOW);
     }
 
     @Test
     void refusalCountsForItsServiceAndRegionAlone() {
-        assertThat(backoff.active("s", EAST, NOW + 1), is(true));
-        assertThat(backoff.active("other", EAST, NOW + 1), is(false));
-        assertThat(backoff.active("s", WEST, NOW + 1), is(false));
+        assertThat(backoff.active("s", EAST.value(), NOW + 1), is(true));
+        assertThat(backoff.active("other", EAST.value(), NOW + 1), is(false));
+        assertThat(backoff.active("s", WEST.value(), NOW + 1), is(false));
     }
 
     @Test
     void refusalEndsByItselfWithoutAHeartbeat() {
-        assertThat(backoff.active("s", EAST, NOW + RelayBackoff.MAX_MILLIS), is(true));
-        assertThat(backoff.active("s", EAST, NOW + RelayBackoff.MAX_MILLIS + 1), is(false));
+        assertThat(backoff.active("s", EAST.value(), NOW + RelayBackoff.MAX_MILLIS), is(true));
+        assertThat(backoff.active("s", EAST.value(), NOW + RelayBackoff.MAX_MILLIS + 1), is(false));
     }
 
     @Test
     void heartbeatOfTheVmThatRefusedEndsTheRefusal() {
         long later = NOW + RelayBackoff.ROUND_TRIP_MILLIS + 1;
         fleet.receive(FleetReport.builder(vm("east-2", EAST), 1).build(), later);
-        assertThat(backoff.active("s", EAST, later), is(true));
+        assertThat(backoff.active("s", EAST.value(), later), is(true));
         fleet.receive(FleetReport.builder(vm("east-1", EAST), 2).build(), later);
-        assertThat(backoff.active("s", EAST, later), is(false));
+        assertThat(backoff.active("s", EAST.value(), later), is(false));
     }
 
     @Test
     void heartbeatThatMayHaveBeenSentBeforeTheRefusalDoesNotEndIt() {
         fleet.receive(FleetReport.builder(vm("east-1", EAST), 2).build(), NOW + 50);
-        assertThat(backoff.active("s", EAST, NOW + 60), is(true));
+        assertThat(backoff.active("s", EAST.value(), NOW + 60), is(true));
     }
 
     @Test
     void oneRequestTriesTheRegionBeforeOthersFollow() {
         long later = NOW + RelayBackoff.MAX_MILLIS + 1;
-        backoff.relayed("s", EAST, later);
-        assertThat(backoff.active("s", EAST, later + 10), is(true));
+        backoff.relayed("s", EAST.value(), later);
+        assertThat(backoff.active("s", EAST.value(), later + 10), is(true));
         assertThat(
-                backoff.active("s", EAST, later + RelayBackoff.ROUND_TRIP_MILLIS + 1), is(false));
+                backoff.active("s", EAST.value(), later + RelayBackoff.ROUND_TRIP_MILLIS + 1),
+                is(false));
     }
 
     @Test
     void refusalOfTheTrialCountsAgain() {
         long later = NOW + RelayBackoff.MAX_MILLIS + 1;
-        backoff.relayed("s", EAST, later);
-        backoff.notPlaced("s", EAST, "east-1", later + 112);
-        assertThat(backoff.active("s", EAST, later + RelayBackoff.MAX_MILLIS), is(true));
+        backoff.relayed("s", EAST.value(), later);
+        backoff.notPlaced("s", EAST.value(), "east-1", later + 112);
+        assertThat(backoff.active("s", EAST.value(), later + RelayBackoff.MAX_MILLIS), is(true));
     }
 
     private static MemberInfo vm(String name, RegionId region) {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/RelayFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/RelayFleet.java
@@ -18,6 +18,7 @@
 import io.vanillapoint.core.published.UpstreamReplica;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -30,7 +31,8 @@
 
 /**
  * Simulates requests at the VMs of three regions in virtual time, with engines that no VM can
- * reach. Placement and membership are the production code.
+ * reach, and VMs that can reach no engine. Placement, probes and membership are the production
+ * code.
  */
 final class RelayFleet implements SimulatedFleet.Listener {
     static final int REGIONS = 3;
@@ -41,7 +43,15 @@
     private static final long RESPONSE_MILLIS = 600;
     private static final long FIRST_EVENT_MILLIS = 60;
     private static final long CONNECT_TIMEOUT_MILLIS = 400;
+    private static final long RESET_MILLIS = 2;
+    private static final long PROBE_CHECK_MILLIS = 60;
+    private static final long PROBE_ROUND_TRIP_MILLIS = 2;
+    private static final long REGION_DELAY_MILLIS = 1;
     private static final long OTHER_REGION_DELAY_MILLIS = 56;
+
+    /** Events of a running response are further apart than this only if it has stalled. */
+    private static final long EVENT_INTERVAL_MILLIS = 100;
+
     private static final long PATIENCE_MILLIS = 4_000;
     private static final ServiceSpec SERVICE =
             new ServiceSpec(
@@ -71,6 +81,8 @@
     private final Set<String> downEngines = new HashSet<>();
     private final Set<String> reportedUnreachable = new HashSet<>();
     private final Set<Integer> oldBuildVms = new HashSet<>();
+    private final Map<Integer, PathLoss> cutOffVms = new HashMap<>();
+    private boolean boundToRegions;
     private final Counts counts = new Counts();
     private int nextOrder;
     private int nextSession;
@@ -119,6 +131,31 @@
         reportedUnreachable.addAll(engines);
     }
 
+    /** Cuts VMs off from all engines. */
+    void cutOff(Set<Integer> indexes, PathLoss loss) {
+        indexes.forEach(index -> cutOffVms.put(index, loss));
+    }
+
+    /** Restores the paths of all VMs. */
+    void restorePaths() {
+        cutOffVms.clear();
+    }
+
+    /** Lets requests be processed only in the region of the VM that receives them. */
+    void bindRequestsToRegions() {
+        boundToRegions = true;
+    }
+
+    /** Addresses that the directory of a VM gives to callers of its region. */
+    List<String> callerVms(int index) {
+        SimulatedFleet.Node node = fleet.nodes().get(index);
+        Vm vm = vms.get(node);
+        return new CallerVms(node.view(), vm.pool)
+                .select(region(node.region()), Set.of(), false, fleet.now()).stream()
+                        .map(MemberInfo::vm)
+                        .toList();
+    }
+
     /** Lets VMs run a build that doesn't report unreachable replicas. */
     void runOldBuildOn(Set<Integer> indexes) {
         oldBuildVms.addAll(indexes);
@@ -140,6 +177,9 @@
             while (!events.isEmpty() && events.peek().at <= fleet.now()) {
                 events.poll().action.run();
             }
+            if (fleet.now() % PROBE_CHECK_MILLIS == 0) {
+                vms.values().forEach(Vm::probe);
+            }
             for (SimulatedFleet.Node node : fleet.nodes()) {
                 if (node.up() && random.nextDouble() < perVmStep) {
                     counts.requests.merge(node.index(), 1, Integer::sum);
@@ -175,8 +215,19 @@
         return !oldBuildVms.contains(node.index());
     }
 
-    private boolean reaches(String engine) {
-        return !downEngines.contains(engine);
+    private boolean reaches(Vm vm, String engine) {
+        return !downEngines.contains(engine) && !cutOffVms.containsKey(vm.node.index());
+    }
+
+    /** Time after which a connection to an engine that can't be reached fails. */
+    private long connectFailureMillis(Vm vm) {
+        PathLoss loss = cutOffVms.getOrDefault(vm.node.index(), PathLoss.HANGS);
+        return loss == PathLoss.HANGS ? CONNECT_TIMEOUT_MILLIS : RESET_MILLIS;
+    }
+
+    private boolean openConnectionsLive(Vm vm) {
+        PathLoss loss = cutOffVms.get(vm.node.index());
+        return loss == null || loss == PathLoss.NEW_CONNECTIONS_REFUSED;
     }
 
     private boolean anyRoom() {
@@ -191,11 +242,27 @@
         events.add(new Event(fleet.now() + delay, nextOrder++, action));
     }
 
+    /** What happens to the connections of a VM that loses its paths to all engines. */
+    enum PathLoss {
+        /** New connections are not answered and open ones fall silent. */
+        HANGS,
+        /** New and open connections are reset. */
+        RESETS,
+        /** Open connections live on while new ones are reset. */
+        NEW_CONNECTIONS_REFUSED
+    }
+
     /** What happened to requests, by VM that received them. */
     static final class Counts {
         final Map<Integer, Integer> requests = new HashMap<>();
+        final Map<Integer, Integer> refusedByVm = new HashMap<>();
+        final Map<Integer, Integer> regionRelaysByVm = new HashMap<>();
+        final Set<RefusalReason> reasons = EnumSet.noneOf(RefusalReason.class);
         int refused;
 
+        /** Requests sent to an engine that could not be reached. */
+        int failedConnections;
+
         /** Refused without any attempt although a reachable engine had a free slot. */
         int refusedWithRoom;
 
@@ -208,7 +275,11 @@
 
         void reset() {
             requests.clear();
+            refusedByVm.clear();
+            regionRelaysByVm.clear();
+            reasons.clear();
             refused = 0;
+            failedConnections = 0;
             refusedWithRoom = 0;
             relays = 0;
             relaysNotPlaced = 0;
@@ -229,6 +300,7 @@
         final SimulatedFleet.Node node;
         final UpstreamPool pool;
         final ReplicaChooser chooser;
+        private final ProbePlan probes;
 
         private Vm(SimulatedFleet.Node node) {
             this.node = node;
@@ -260,6 +332,19 @@
                             node.roster(),
                             PlacementWeights.DEFAULT,
                             new SessionLocations());
+            probes = new ProbePlan(pool, node.index(), node.startedAt());
+        }
+
+        private void probe() {
+            for (ReplicaTracker replica : probes.start(fleet.now())) {
+                if (reaches(this, replica.info().id())) {
+                    schedule(PROBE_ROUND_TRIP_MILLIS, () -> replica.probeAnswered(1, fleet.now()));
+                } else {
+                    schedule(
+                            connectFailureMillis(this),
+                            () -> replica.probeUnreachable(fleet.now()));
+                }
+            }
         }
     }
 
@@ -278,18 +363,20 @@
         }
 
         void place() {
-            Placement placement = choose(receiver, true);
+            Placement placement = choose(receiver, tried, true);
             if (placement instanceof Placement.Local local) {
-                send(receiver, local, this::place);
+                send(receiver, local, tried, this::place);
             } else if (placement instanceof Placement.Relay relay) {
                 relay(relay);
-            } else {
+            } else if (placement instanceof Placement.Refuse refuse) {
+                counts.reasons.add(refuse.reason());
+                counts.refusedByVm.merge(receiver.node.index(), 1, Integer::sum);
                 counts.refused++;
                 counts.refusedWithRoom += tried.isEmpty() && anyRoom() ? 1 : 0;
             }
         }
 
-        private Placement choose(Vm vm, boolean mayRelay) {
+        private Placement choose(Vm vm, Set<String> tried, boolean mayRelay) {
             long elapsed = fleet.now() - receivedAt;
             PlacementQuery query =
                     new PlacementQuery(
@@ -297,7 +384,9 @@
                             SERVICE,
                             Optional.of(prompt),
                             3_000,
-                            region -> !mayRelay || !fullRegions.contains(region),
+                            region ->
+                                    (!mayRelay || !fullRegions.contains(region))
+                                            && (!boundToRegions || region.equals(home())),
                             tried,
                             mayRelay,
                             mayRelay ? elapsed : 0,
@@ -305,13 +394,22 @@
             return vm.chooser.choose(query, fleet.now());
         }
 
+        private RegionId home() {
+            return receiver.node.view().self().region();
+        }
+
         private void relay(Placement.Relay relay) {
-            long delay = OTHER_REGION_DELAY_MILLIS;
-            List<MemberInfo> targets = relayVms(relay);
+            boolean sameRegion = relay.region().equals(home());
+            long delay = sameRegion ? REGION_DELAY_MILLIS : OTHER_REGION_DELAY_MILLIS;
+            List<MemberInfo> targets = relay.vm().map(List::of).orElseGet(() -> relayVms(relay));
             MemberInfo target = targets.get(random.nextInt(targets.size()));
             counts.relays++;
-            receiver.chooser.relayed(SERVICE.name(), relay.region(), fleet.now());
-            schedule(delay, () -> placeRelayed(relay.region(), target, delay));
+            if (sameRegion) {
+                counts.regionRelaysByVm.merge(receiver.node.index(), 1, Integer::sum);
+            }
+            receiver.chooser.relayed(SERVICE.name(), target.region(), target.vm(), fleet.now());
+            Set<String> triedThere = new HashSet<>();
+            schedule(delay, () -> placeRelayed(relay.region(), target, triedThere, delay));
         }
 
         private List<MemberInfo> relayVms(Placement.Relay relay) {
@@ -321,14 +419,15 @@
                     .relayVms(relay.region(), relay.replicas(), fleet.now());
         }
 
-        private void placeRelayed(RegionId region, MemberInfo target, long delay) {
+        private void placeRelayed(
+                RegionId region, MemberInfo target, Set<String> triedThere, long delay) {
             Vm vm =
                     vms.values().stream()
                             .filter(other -> other.node.view().self().vm().equals(target.vm()))
                             .findFirst()
                             .orElseThrow();
-            if (choose(vm, false) instanceof Placement.Local local) {
-                send(vm, local, () -> placeRelayed(region, target, delay));
+            if (choose(vm, triedThere, false) instanceof Placement.Local local) {
+                send(vm, local, triedThere, () -> placeRelayed(region, target, triedThere, delay));
             } else {
                 counts.relaysNotPlaced++;
                 schedule(delay, () -> notPlaced(region, target));
@@ -336,23 +435,29 @@
         }
 
         private void notPlaced(RegionId region, MemberInfo target) {
-            fullRegions.add(region);
+            if (region.equals(home())) {
+                tried.add(target.vm());
+            } else {
+                fullRegions.add(region);
+            }
             receiver.chooser.relayNotPlaced(SERVICE.name(), region, target.vm(), fleet.now());
             place();
         }
 
-        private void send(Vm vm, Placement.Local local, Runnable again) {
+        private void send(Vm vm, Placement.Local local, Set<String> tried, Runnable again) {
             ReplicaTracker replica = local.replica();
             String id = replica.info().id();
             replica.dispatched(local.uncachedTokens(), prompt, fleet.now());
             tried.add(id);
-            if (!reaches(id)) {
+            long sentAt = fleet.now();
+            if (!reaches(vm, id)) {
+                counts.failedConnections++;
                 schedule(
-                        CONNECT_TIMEOUT_MILLIS,
+                        connectFailureMillis(vm),
                         () -> {
                             replica.recordPromptProcessed(local.uncachedTokens());
                             replica.finished();
-                            replica.unreachable(fleet.now());
+                            replica.connectionFailed(sentAt, fleet.now());
                             again.run();
                         });
                 return;
@@ -361,10 +466,16 @@
             long millis = RESPONSE_MILLIS * Math.max(SLOTS, count) / SLOTS;
             schedule(
                     FIRST_EVENT_MILLIS,
-                    () -> {
-                        replica.recordReceived(fleet.now());
-                        replica.recordPromptProcessed(local.uncachedTokens());
-                    });
+                    () -> replica.recordPromptProcessed(local.uncachedTokens()));
+            for (long event = FIRST_EVENT_MILLIS; event < millis; event += EVENT_INTERVAL_MILLIS) {
+                schedule(
+                        event,
+                        () -> {
+                            if (openConnectionsLive(vm)) {
+                                replica.recordReceived(sentAt, fleet.now());
+                            }
+                        });
+            }
             schedule(
                     millis,
                     () -> {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaProbeTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaProbeTest.java
@@ -113,7 +113,7 @@
     void replicaThatAnsweredALateRequestIsProbedBeforeItGetsItsFullRate() {
         replica.unreachable(1_000);
         replica.unreachable(1_001);
-        replica.recordReceived(1_002);
+        replica.recordReceived(1_002, 1_002);
         assertThat(maySelect(1_002), is(false));
         assertThat(plan.start(1_002), is(List.of(replica)));
         replica.probeAnswered(START, 1_003);
@@ -127,7 +127,7 @@
         int lostUnprobed = requestsInTwentySeconds(unprobed, false);
         int lost = requestsInTwentySeconds(replica, true);
         assertThat(lost, is(lessThanOrEqualTo(lostUnprobed + 2)));
-        replica.recordReceived(21_000);
+        replica.recordReceived(21_000, 21_000);
         plan.start(21_000);
         replica.probeAnswered(START, 21_000);
         assertThat("its requests are answered again", maySelect(21_000), is(true));
@@ -182,7 +182,7 @@
     void probesThatAreIgnoredDoNotEjectAReplicaThatAnswersRequests() {
         replica.unreachable(1_000);
         replica.unreachable(1_001);
-        replica.recordReceived(1_002);
+        replica.recordReceived(1_002, 1_002);
         plan.start(1_002);
         replica.probeUnanswered(1_402);
         assertThat(replica.failing(), is(false));
@@ -236,7 +236,7 @@
             }
         }
         assertThat(probes, is(lessThanOrEqualTo(210)));
-        assertThat("each replica gets its turn", probed, hasSize(100));
+        assertThat("each replica gets its turn", probed, hasSize(101));
     }
 
     private boolean maySelect(long now) {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/RestartedReplicaTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/RestartedReplicaTest.java
@@ -141,7 +141,7 @@
             }
             tracker.dispatched(0, null, now);
             if (up) {
-                tracker.recordReceived(now);
+                tracker.recordReceived(now, now);
             } else {
                 busyUntil = now + CONNECT_TIMEOUT_MILLIS;
                 tracker.unreachable(now + CONNECT_TIMEOUT_MILLIS);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
@@ -5,6 +5,7 @@
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.core.fleet.LoadMeter;
 import io.vanillapoint.core.fleet.TrafficVmSelector;
+import io.vanillapoint.core.upstream.CallerVms;
 import io.vanillapoint.entry.control.EntryControl;
 import io.vanillapoint.entry.control.EntryTuning;
 import io.vanillapoint.entry.control.PublishedState;
@@ -51,6 +52,7 @@
     private final CallerHandler callers;
     private final RelayHandler relays;
     private final LoadMeter load;
+    private final CallerVms callerVms;
     private final ConnectionFailureCounter failureCounter;
     private final boolean readinessIsAskedAmongCallers;
     private final List<HttpServer> servers = new ArrayList<>();
@@ -77,6 +79,7 @@
         this.load = load;
         readinessIsAskedAmongCallers =
                 settings.readiness().filter(settings.callers()::equals).isPresent();
+        callerVms = new CallerVms(context.fleet(), context.pool());
         failureCounter = new ConnectionFailureCounter(context.metrics());
     }
 
@@ -189,9 +192,7 @@
                         .isPresent();
         List<String> addresses =
                 TrafficVmSelector.sample(
-                                context.fleet()
-                                        .callerVms(
-                                                directory.region(), homes, restrictedToHomes, now),
+                                callerVms.select(directory.region(), homes, restrictedToHomes, now),
                                 ThreadLocalRandom.current()::nextDouble)
                         .stream()
                         .map(vm -> new Endpoint(vm.host(), settings.callers().port()).toString())
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -41,6 +41,7 @@
 import io.vanillapoint.entry.traffic.EventLoopGate;
 import io.vanillapoint.entry.traffic.EventLoopLag;
 import io.vanillapoint.entry.traffic.PromptGuard;
+import io.vanillapoint.entry.traffic.ReachLog;
 import io.vanillapoint.entry.traffic.ReplicaProber;
 import io.vanillapoint.entry.traffic.ResponseMemoryBudget;
 import io.vertx.core.Future;
@@ -91,6 +92,7 @@
     private final RelayHandler relays;
     private final EntryListeners listeners;
     private final ReplicaProber prober;
+    private final ReachLog reachLog;
     private final Promise<Void> stopped = Promise.promise();
     private final EventLoopLag lag;
     private final LoadMeter load = new LoadMeter();
@@ -148,6 +150,7 @@
                         admission::admitsRelayed);
         ProbePlan probes = new ProbePlan(pool, settings.vm().hashCode() + incarnation, now());
         prober = new ReplicaProber(context, platform.replicaStatus(), probes);
+        reachLog = new ReachLog(context);
         control =
                 new EntryControl(
                         context,
@@ -314,6 +317,7 @@
         errors.contain("applying values of the store", publishedState::applyHeldBack);
         errors.contain("dropping replicas", () -> pool.prune(now()));
         errors.contain("probing replicas", prober::check);
+        errors.contain("logging what is in reach", reachLog::check);
         errors.contain("releasing prompts", prompts::prune);
         errors.contain("updating the list of VMs", this::updateRoster);
         errors.contain("flushing the log", log::flush);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
@@ -115,7 +115,8 @@
     }
 
     void sendToVm(MemberInfo vm, OptionalLong resumeAfter, RunningAttempt running) {
-        context.chooser().relayed(plan.service().name(), vm.region(), context.clock().getAsLong());
+        context.chooser()
+                .relayed(plan.service().name(), vm.region(), vm.vm(), context.clock().getAsLong());
         RelayRequest request =
                 new RelayRequest(
                         plan.envelope().requestId(),
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
@@ -57,9 +57,9 @@
     void notPlaced(RunningAttempt attempt, long nowMillis) {
         if (attempt.region().equals(context.fleet().self().region())) {
             tried.add(attempt.target());
-            return;
+        } else {
+            fullRegions.add(attempt.region());
         }
-        fullRegions.add(attempt.region());
         context.chooser()
                 .relayNotPlaced(
                         plan.service().name(), attempt.region(), attempt.target(), nowMillis);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaOutcomes.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaOutcomes.java
@@ -50,12 +50,24 @@
         }
     }
 
-    /** Records that a replica may be down, unless it has responded to another request since. */
+    /**
+     * Records that a replica may be down, unless it has responded to another request since. What
+     * arrives on open connections does not tell whether new ones can be opened.
+     */
     void ended(RunningAttempt attempt, AttemptOutcome outcome, String cause) {
-        if (outcome.mayBeDown() && attempt.use().isPresent() && !attempt.replicaRespondedSince()) {
+        if (!outcome.mayBeDown() || attempt.use().isEmpty()) {
+            return;
+        }
+        boolean connectionFailed = outcome == AttemptOutcome.NOT_SENT;
+        if (connectionFailed ? attempt.replicaReachedSince() : attempt.replicaRespondedSince()) {
+            return;
+        }
+        if (connectionFailed) {
+            attempt.ifAtReplica(use -> use.connectionFailed(context.clock().getAsLong()));
+        } else {
             unreachable(attempt);
-            context.log().record(EventCode.REPLICA_UNREACHABLE, attempt.target(), cause);
         }
+        context.log().record(EventCode.REPLICA_UNREACHABLE, attempt.target(), cause);
     }
 
     void unreachable(RunningAttempt attempt) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
@@ -82,6 +82,16 @@
         return tracker.lastReceivedMillis();
     }
 
+    /** Records that the replica has sent something for this request. */
+    void recordReceived(long nowMillis) {
+        tracker.recordReceived(sentAtMillis, nowMillis);
+    }
+
+    /** Records that no connection to the replica could be opened for this request. */
+    void connectionFailed(long nowMillis) {
+        tracker.connectionFailed(sentAtMillis, nowMillis);
+    }
+
     /** Begins to watch for the response, since the request is about to be written. */
     void awaitResponse() {
         watch = Optional.of(new ResponseWatch(context, plan, tracker, expectedMillis));
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RunningAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RunningAttempt.java
@@ -147,6 +147,11 @@
         return use.tracker().lastReceivedMillis() >= use.sentAtMillis();
     }
 
+    /** Tells whether the replica has answered a request that was sent after this attempt began. */
+    boolean replicaReachedSince() {
+        return use.tracker().lastReachedMillis() >= use.sentAtMillis();
+    }
+
     /** Delay until the replica's progress is first checked. */
     long firstCheckMillis() {
         return monitor.firstCheckMillis();
@@ -251,7 +256,7 @@
 
     /** Records that the replica has sent something. */
     void replicaResponded(long nowMillis) {
-        ifAtReplica(replica -> replica.tracker().recordReceived(nowMillis));
+        ifAtReplica(replica -> replica.recordReceived(nowMillis));
     }
 
     /** Runs an action on the use of the replica, if this VM sent the request to one. */
