A denial goes by what the fleet knows: it waits until another VM has had the time to tell of a newer configuration

A route or key that other VMs already served was answered 404 or 401 at once, and for good, by a VM that learned of it later: heartbeats come every 200 to 400 ms, and a watch on a dead connection shows only after 3.7 s.

- A VM that did not answer a copy is asked last; before, the same one was asked again and again.
- A VM that hears no other reader of the store watches for one second at a time instead of three.

--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -244,6 +244,8 @@
             "cause",
             "elapsed_ms",
             "events"),
+    /** A request that the configuration in force does not permit waits for a newer one. */
+    DENIAL_HELD(2316, EventLevel.INFO, "denial held", "request", "status", "reason"),
     /** A replica could not be reached. */
     REPLICA_UNREACHABLE(2401, EventLevel.WARN, "replica unreachable", "replica", "cause"),
     /** A replica announced in a response that it is leaving. */
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -403,15 +403,48 @@
      * @return the VM with the latest position, or empty if none has a later one
      */
     public Optional<Member> storeSource(StorePosition position, long nowMillis) {
+        return storeSource(position, Set.of(), nowMillis);
+    }
+
+    /**
+     * Finds a VM that has reached a later position of the platform's store, one of the given VMs
+     * only if there is no other.
+     *
+     * @param position position that this VM has reached
+     * @param avoided names of VMs that did not answer
+     * @param nowMillis monotonic time
+     * @return the VM with the latest position, or empty if none has a later one
+     */
+    public Optional<Member> storeSource(
+            StorePosition position, Set<String> avoided, long nowMillis) {
         Member best = null;
+        Member bestAvoided = null;
         for (Member member : members.values()) {
-            if (member.published().isAfter(position)
-                    && alive(member, nowMillis)
-                    && (best == null || preferredOver(member, best))) {
-                best = member;
+            if (!member.published().isAfter(position) || !alive(member, nowMillis)) {
+                continue;
+            }
+            if (avoided.contains(member.info().vm())) {
+                bestAvoided = preferred(member, bestAvoided);
+            } else {
+                best = preferred(member, best);
             }
         }
-        return Optional.ofNullable(best);
+        return Optional.ofNullable(best == null ? bestAvoided : best);
+    }
+
+    private Member preferred(Member member, Member other) {
+        return other == null || preferredOver(member, other) ? member : other;
+    }
+
+    /**
+     * Tells whether a VM of any region is heard that the platform's store answers directly.
+     *
+     * @param nowMillis monotonic time
+     * @return false if nobody else would tell this VM of a change
+     */
+    public boolean hearsStoreReaders(long nowMillis) {
+        return members.values().stream()
+                .anyMatch(member -> member.readsStore() && receivesFrom(member, nowMillis));
     }
 
     /**
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -139,6 +139,7 @@
                 new CallerHandler(
                         context,
                         publishedState::publication,
+                        publishedState::position,
                         grants,
                         this::stopping,
                         admission::admits);
@@ -157,7 +158,8 @@
                         publishedState,
                         platform.source(vertx, settings.store(), failureCounter("store")),
                         this::nextReport,
-                        this::receiveReport);
+                        this::receiveReport,
+                        callers::awaitsConfiguration);
         listeners =
                 new EntryListeners(
                         context,
@@ -420,6 +422,7 @@
         if (fleet.self().state() == MemberState.STARTING) {
             changeState(MemberState.READY, "configuration received");
         }
+        callers.configurationChanged();
     }
 
     /** Tells whether this VM, of all VMs, tests whether prompt parts are still harmful. */
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
@@ -11,6 +11,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -33,13 +34,15 @@
      * @param source client of the platform's store
      * @param reportSource builds this VM's heartbeats
      * @param reportListener called with each heartbeat received from another VM
+     * @param awaitsConfiguration tells whether requests wait for a newer configuration
      */
     public EntryControl(
             EntryContext context,
             PublishedState publishedState,
             PublishedSource source,
             ReportSource reportSource,
-            Consumer<FleetReport> reportListener) {
+            Consumer<FleetReport> reportListener,
+            BooleanSupplier awaitsConfiguration) {
         this.publishedState = publishedState;
         storeSync =
                 new StoreSync(
@@ -53,7 +56,8 @@
                                 StoreReaders.reads(
                                         context.fleet(),
                                         context.gate().receiveDelayMillis(),
-                                        context.clock().getAsLong()));
+                                        context.clock().getAsLong()),
+                        () -> context.fleet().hearsStoreReaders(context.clock().getAsLong()));
         storeCopier =
                 new StoreCopier(
                         context.fleet(),
@@ -62,7 +66,8 @@
                         context.vmClient(),
                         context.log(),
                         context.clock(),
-                        context.peerPort());
+                        context.peerPort(),
+                        awaitsConfiguration);
         configurationCopier =
                 new ConfigurationCopier(
                         context.fleet(),
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopier.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopier.java
@@ -15,8 +15,11 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 /**
@@ -40,6 +43,9 @@
     /** Longest time for the complete answer. */
     private static final long ANSWER_TIMEOUT_MILLIS = 5_000;
 
+    /** Time for which other VMs that are ahead come before one that did not answer. */
+    private static final long AVOID_MILLIS = 3_000;
+
     private final FleetCodec codec = new FleetCodec();
     private final FleetView fleet;
     private final PublishedState publishedState;
@@ -48,6 +54,11 @@
     private final EventSink log;
     private final LongSupplier clock;
     private final int port;
+    private final BooleanSupplier urgent;
+
+    /** VMs that did not answer, with the monotonic time until which others are asked first. */
+    private final Map<String, Long> avoidedUntil = new HashMap<>();
+
     private long behindSinceMillis = -1;
     private boolean copyInProgress;
 
@@ -58,7 +69,8 @@
             HttpClient client,
             EventSink log,
             LongSupplier clock,
-            int port) {
+            int port,
+            BooleanSupplier urgent) {
         this.fleet = fleet;
         this.publishedState = publishedState;
         this.storeSync = storeSync;
@@ -66,12 +78,15 @@
         this.log = log;
         this.clock = clock;
         this.port = port;
+        this.urgent = urgent;
     }
 
     /** Starts a copy if another VM has newer values. Called with each heartbeat. */
     void copyIfBehind() {
         long now = clock.getAsLong();
-        Optional<Member> source = fleet.storeSource(publishedState.position(), now);
+        avoidedUntil.values().removeIf(until -> now >= until);
+        Optional<Member> source =
+                fleet.storeSource(publishedState.position(), avoidedUntil.keySet(), now);
         if (source.isEmpty()) {
             behindSinceMillis = -1;
             return;
@@ -79,7 +94,8 @@
         if (behindSinceMillis < 0) {
             behindSinceMillis = now;
         }
-        long delayMillis = storeSync.answeredRecently() ? WATCH_HEAD_START_MILLIS : 0;
+        boolean awaitsWatch = storeSync.answeredRecently() && !urgent.getAsBoolean();
+        long delayMillis = awaitsWatch ? WATCH_HEAD_START_MILLIS : 0;
         if (!copyInProgress && now - behindSinceMillis >= delayMillis) {
             copy(source.get());
         }
@@ -105,6 +121,7 @@
                         body -> {
                             copyInProgress = false;
                             if (body.failed()) {
+                                avoidedUntil.put(vm, clock.getAsLong() + AVOID_MILLIS);
                                 log.record(
                                         EventCode.STORE_NOT_COPIED, vm, body.cause().getMessage());
                             } else {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
@@ -26,14 +26,17 @@
     /** Longest wait of one watch, which bounds the time to detect a stalled connection. */
     private static final long WATCH_MILLIS = 3_000;
 
+    /** The same while no other VM would tell of a change. */
+    private static final long LONE_WATCH_MILLIS = 1_000;
+
     /** While the store is available, two responses are no further apart than this. */
     private static final long ANSWERED_MILLIS = WATCH_MILLIS + 1_000;
 
     /** Interval at which a VM that is not a store reader checks whether it has become one. */
     private static final long READER_CHECK_MILLIS = 300;
 
-    /** A watch answered later than this was delayed by an unavailable store. */
-    private static final long LATE_WATCH_MILLIS = WATCH_MILLIS + 300;
+    /** A watch answered later than this after its wait was delayed by an unavailable store. */
+    private static final long WATCH_DELAY_MILLIS = 300;
 
     /**
      * Entries of live replicas expire and are published again within about two seconds of the
@@ -59,6 +62,7 @@
     private final UnexpectedErrors errors;
     private final LongSupplier clock;
     private final BooleanSupplier selectedAsReader;
+    private final BooleanSupplier othersRead;
     private boolean populated;
 
     /** Number of the newest call; the answer of any other is ignored. */
@@ -79,6 +83,7 @@
 
     private boolean eraUnusable;
     private long watchStartedAtMillis;
+    private long watchMillis = WATCH_MILLIS;
     private long lastAnswerAtMillis = -ANSWERED_MILLIS;
     private long recoveredAtMillis = Long.MIN_VALUE / 2;
 
@@ -89,7 +94,8 @@
             EventSink log,
             UnexpectedErrors errors,
             LongSupplier clock,
-            BooleanSupplier selectedAsReader) {
+            BooleanSupplier selectedAsReader,
+            BooleanSupplier othersRead) {
         this.vertx = vertx;
         this.source = source;
         this.publishedState = publishedState;
@@ -97,6 +103,7 @@
         this.errors = errors;
         this.clock = clock;
         this.selectedAsReader = selectedAsReader;
+        this.othersRead = othersRead;
     }
 
     void start() {
@@ -196,7 +203,7 @@
      */
     void stateCopied() {
         populated = true;
-        if (watching && clock.getAsLong() - watchStartedAtMillis > WATCH_MILLIS / 2) {
+        if (watching && clock.getAsLong() - watchStartedAtMillis > watchMillis / 2) {
             source.cancelWatch();
         }
     }
@@ -219,7 +226,8 @@
     private void watch(long call) {
         watching = true;
         watchStartedAtMillis = clock.getAsLong();
-        source.watch(publishedState.position().revision(), WATCH_MILLIS)
+        watchMillis = othersRead.getAsBoolean() ? WATCH_MILLIS : LONE_WATCH_MILLIS;
+        source.watch(publishedState.position().revision(), watchMillis)
                 .onComplete(
                         answer -> {
                             if (call == currentCall) {
@@ -262,7 +270,7 @@
     }
 
     private long mergeWatched(StoreChanges answer) {
-        if (clock.getAsLong() - watchStartedAtMillis > LATE_WATCH_MILLIS) {
+        if (clock.getAsLong() - watchStartedAtMillis > watchMillis + WATCH_DELAY_MILLIS) {
             recoveredAtMillis = clock.getAsLong();
         }
         StoreChanges changes = withUsableEra(answer);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
@@ -10,6 +10,7 @@
 import io.vanillapoint.core.published.GatewayPublication;
 import io.vanillapoint.core.published.RouteSpec;
 import io.vanillapoint.core.published.ServiceSpec;
+import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.core.published.TrafficLimits;
 import io.vanillapoint.entry.port.RequestEnvelope;
 import io.vertx.core.buffer.Buffer;
@@ -22,6 +23,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 
@@ -51,6 +53,7 @@
     private final GrantMeter grants;
     private final BooleanSupplier closing;
     private final LongPredicate admits;
+    private final HeldDenials denials;
     private final Set<RequestRun> running = new HashSet<>();
     private final OpenResponses openResponses = new OpenResponses();
     private final Set<HttpConnection> closingConnections = new HashSet<>();
@@ -60,6 +63,7 @@
      *
      * @param context services shared by all requests
      * @param publication supplies the configuration in force
+     * @param position supplies the position of the store that this VM has reached
      * @param grants meters customers' tokens
      * @param closing true if connections are to be closed after the response
      * @param admits tells whether a request with this deadline, a monotonic time in milliseconds,
@@ -68,6 +72,7 @@
     public CallerHandler(
             EntryContext context,
             Supplier<Optional<GatewayPublication>> publication,
+            Supplier<StorePosition> position,
             GrantMeter grants,
             BooleanSupplier closing,
             LongPredicate admits) {
@@ -76,6 +81,7 @@
         this.grants = grants;
         this.closing = closing;
         this.admits = admits;
+        denials = new HeldDenials(context, position);
     }
 
     /**
@@ -89,9 +95,24 @@
 
     /** Ends all running requests, because the process is about to stop. */
     public void abortAll() {
+        denials.refuseAll();
         List.copyOf(running).forEach(RequestRun::abortForShutdown);
     }
 
+    /** Judges requests again that the configuration before did not permit. */
+    public void configurationChanged() {
+        denials.configurationChanged();
+    }
+
+    /**
+     * Tells whether requests wait for a newer configuration.
+     *
+     * @return true if some do
+     */
+    public boolean awaitsConfiguration() {
+        return denials.any();
+    }
+
     /** Ends attempts whose prompts are withheld by now and that have not begun to respond. */
     public void recheckPrompts() {
         List.copyOf(running).forEach(RequestRun::recheckPrompt);
@@ -189,8 +210,7 @@
             deny(sink, "", Refusal.denied(BAD_REQUEST, e.code().code()));
             return;
         }
-        Optional<GatewayPublication> available = publication.get();
-        if (available.isEmpty()) {
+        if (publication.get().isEmpty()) {
             refuse(
                     sink,
                     envelope,
@@ -198,23 +218,41 @@
                     receivedAt);
             return;
         }
-        GatewayPublication current = available.get();
+        Supplier<Optional<Refusal>> judge =
+                () -> admitIfPermitted(request, envelope, body, sink, receivedAt);
+        Optional<Refusal> denial = judge.get();
+        if (denial.isEmpty()) {
+            return;
+        }
+        Consumer<Refusal> deny = refusal -> deny(sink, envelope.requestId(), refusal);
+        long remainingMillis = envelope.remainingMillis().orElse(Long.MAX_VALUE);
+        if (!denials.hold(envelope.requestId(), denial.get(), remainingMillis, sink, judge, deny)) {
+            deny.accept(denial.get());
+        }
+    }
+
+    /** Admits or refuses a request that the configuration permits, else returns its denial. */
+    private Optional<Refusal> admitIfPermitted(
+            HttpServerRequest request,
+            RequestEnvelope envelope,
+            Buffer body,
+            CallerSink sink,
+            long receivedAt) {
+        GatewayPublication current = publication.get().orElseThrow();
         Optional<RouteSpec> route = current.route(envelope.host(), request.path());
         if (route.isEmpty()) {
-            deny(sink, envelope.requestId(), Refusal.denied(NOT_FOUND, "no_route"));
-            return;
+            return Optional.of(Refusal.denied(NOT_FOUND, "no_route"));
         }
         Optional<CustomerSpec> customer = envelope.key().flatMap(current::customerOfKey);
         boolean keyRequired = current.hasCustomers() && !route.get().keyless();
         if (keyRequired && customer.isEmpty()) {
-            deny(sink, envelope.requestId(), Refusal.denied(UNAUTHORIZED, "unknown_key"));
-            return;
+            return Optional.of(Refusal.denied(UNAUTHORIZED, "unknown_key"));
         }
         Optional<ServiceSpec> service =
                 current.service(route.get().service(ThreadLocalRandom.current().nextDouble()));
         if (service.isEmpty()) {
             refuse(sink, envelope, Refusal.notRun("no_service", 0), receivedAt);
-            return;
+            return Optional.empty();
         }
         long now = context.clock().getAsLong();
         long timeoutMillis =
@@ -239,6 +277,7 @@
         } else if (takeTokens(plan, sink, now)) {
             run(plan, sink);
         }
+        return Optional.empty();
     }
 
     private Optional<Refusal> unfit(RequestPlan plan) {
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FakeSource.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FakeSource.java
@@ -15,6 +15,7 @@
 /** A store whose watches are completed by the test. Safe for use by several threads. */
 final class FakeSource implements PublishedSource {
     private final BlockingQueue<Promise<StoreChanges>> watches = new LinkedBlockingQueue<>();
+    private volatile long lastWaitMillis;
     private final Queue<Error> errors = new ConcurrentLinkedQueue<>();
 
     @Override
@@ -28,6 +29,7 @@
         if (error != null) {
             throw error;
         }
+        lastWaitMillis = waitMillis;
         Promise<StoreChanges> answer = Promise.promise();
         watches.add(answer);
         return answer.future();
@@ -41,6 +43,11 @@
         errors.add(error);
     }
 
+    /** Wait of the last watch. */
+    long lastWaitMillis() {
+        return lastWaitMillis;
+    }
+
     int pendingWatches() {
         return watches.size();
     }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreCopierTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreCopierTest.java
@@ -36,6 +36,7 @@
 /** Copies from a VM whose answers never end. */
 class StoreCopierTest {
     private static final String HOST = "127.0.0.1";
+    private static final String OTHER_HOST = "127.0.0.2";
     private static final int COPIES = 3;
     private static final long BYTE_INTERVAL_MILLIS = 50;
     private static final long HEARTBEAT_MILLIS = 50;
@@ -69,6 +70,27 @@
         assertThat("copies began", copies.await(WAIT_SECONDS, TimeUnit.SECONDS), is(true));
     }
 
+    @Test
+    void anotherVmIsAskedAfterOneThatDoesNotAnswer() throws Exception {
+        HttpServer silent =
+                vertx.createHttpServer()
+                        .requestHandler(request -> {})
+                        .listen(0, HOST)
+                        .await(10, TimeUnit.SECONDS);
+        CountDownLatch asked = new CountDownLatch(1);
+        vertx.createHttpServer()
+                .requestHandler(request -> asked.countDown())
+                .listen(silent.actualPort(), OTHER_HOST)
+                .await(10, TimeUnit.SECONDS);
+        vertx.runOnContext(
+                ignored ->
+                        start(
+                                silent.actualPort(),
+                                vertx.createHttpClient(),
+                                Map.of(vm("vm-2", HOST), 101L, vm("vm-3", OTHER_HOST), 100L)));
+        assertThat("asked", asked.await(WAIT_SECONDS, TimeUnit.SECONDS), is(true));
+    }
+
     @Test
     void copyThatCannotBeSentIsTriedAgain() throws Exception {
         HttpClient failing =
@@ -101,8 +123,13 @@
     }
 
     private void start(int port, HttpClient client) {
+        start(port, client, Map.of(vm("vm-2", HOST), 100L));
+    }
+
+    /** Hears VMs at the given revisions and copies from them. */
+    private void start(int port, HttpClient client, Map<MemberInfo, Long> revisions) {
         LongSupplier clock = () -> System.nanoTime() / 1_000_000;
-        FleetView fleet = new FleetView(vm("vm-1"), FleetTiming.DEFAULT, 2);
+        FleetView fleet = new FleetView(vm("vm-1", HOST), FleetTiming.DEFAULT, 2);
         PublishedState state =
                 new PublishedState(
                         new NoValues(),
@@ -119,17 +146,22 @@
                         (code, values) -> {},
                         errors,
                         clock,
-                        () -> false);
-        StoreCopier copier = new StoreCopier(fleet, state, sync, client, log, clock, port);
+                        () -> false,
+                        () -> true);
+        StoreCopier copier =
+                new StoreCopier(fleet, state, sync, client, log, clock, port, () -> false);
         long[] sequence = new long[1];
         vertx.setPeriodic(
                 HEARTBEAT_MILLIS,
                 ignored -> {
-                    FleetReport report =
-                            FleetReport.builder(vm("vm-2"), ++sequence[0])
-                                    .store(new StorePosition(1, 100), true)
-                                    .build();
-                    fleet.receive(report, clock.getAsLong());
+                    sequence[0]++;
+                    revisions.forEach(
+                            (vm, revision) ->
+                                    fleet.receive(
+                                            FleetReport.builder(vm, sequence[0])
+                                                    .store(new StorePosition(1, revision), true)
+                                                    .build(),
+                                            clock.getAsLong()));
                     copier.copyIfBehind();
                 });
     }
@@ -143,10 +175,10 @@
         request.response().closeHandler(ignored -> vertx.cancelTimer(timer));
     }
 
-    private static MemberInfo vm(String name) {
+    private static MemberInfo vm(String name, String host) {
         return new MemberInfo(
                 name,
-                HOST,
+                host,
                 new RegionId("west"),
                 new ZoneId("west-a"),
                 MemberInfo.ONE_CORE,
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreSyncErrorTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreSyncErrorTest.java
@@ -51,6 +51,7 @@
                     log,
                     errors,
                     clock::get,
+                    () -> true,
                     () -> true);
     private Promise<StoreChanges> watch;
 
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreSyncTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreSyncTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.notNullValue;
 
 import io.vanillapoint.api.event.EventCode;
@@ -19,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -29,6 +31,7 @@
     private static final long START = 10_000;
 
     private final Vertx vertx = Vertx.vertx();
+    private final AtomicBoolean othersRead = new AtomicBoolean(true);
     private final AtomicLong clock = new AtomicLong(START);
     private final RecordingLog log = new RecordingLog();
     private final UnexpectedErrors errors = new UnexpectedErrors(log, new EntryMetrics());
@@ -42,7 +45,15 @@
                     clock::get,
                     publication -> {});
     private final StoreSync sync =
-            new StoreSync(vertx, source, publishedState, log, errors, clock::get, () -> true);
+            new StoreSync(
+                    vertx,
+                    source,
+                    publishedState,
+                    log,
+                    errors,
+                    clock::get,
+                    () -> true,
+                    othersRead::get);
     private Promise<StoreChanges> watch;
 
     @BeforeEach
@@ -82,6 +93,17 @@
         assertThat(sync.storeWasUnavailable(), is(true));
     }
 
+    /** A connection that falls silent shows only when the wait is over. */
+    @Test
+    void watchesAreShortWhileNoOtherVmWouldTellOfAChange() throws Exception {
+        othersRead.set(false);
+        completeWatch();
+        assertThat(source.lastWaitMillis(), is(lessThanOrEqualTo(1_000L)));
+        othersRead.set(true);
+        completeWatch();
+        assertThat(source.lastWaitMillis(), is(3_000L));
+    }
+
     @Test
     void storeIsReadOnAfterAValueThatCausesAnUnexpectedError() throws Exception {
         StoredItem item = new StoredItem(FaultyValues.KEY, 6, false, new byte[0]);
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/CallerHandlerTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/CallerHandlerTest.java
@@ -16,6 +16,7 @@
 import io.vanillapoint.core.grant.GrantTolerance;
 import io.vanillapoint.core.message.HeaderField;
 import io.vanillapoint.core.prompt.SessionLocations;
+import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.core.retry.RetryAllowance;
 import io.vanillapoint.core.retry.RetryBounds;
 import io.vanillapoint.core.upstream.PlacementWeights;
@@ -62,6 +63,7 @@
                 new CallerHandler(
                         context(),
                         Optional::empty,
+                        () -> StorePosition.START,
                         new GrantMeter(new GrantTolerance(0)),
                         () -> false,
                         deadline -> true);
@@ -105,6 +107,7 @@
                 new CallerHandler(
                         context,
                         Optional::empty,
+                        () -> StorePosition.START,
                         new GrantMeter(new GrantTolerance(0)),
                         () -> false,
                         deadline -> true);
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -113,7 +113,7 @@
         publish();
         runToEnd(RouteKind.AT_MOST_ONCE, run -> {});
         assertThat(log.codes(), hasItem(EventCode.REPLICA_UNREACHABLE));
-        assertThat(sink.calls(), is("refuse 503 all_replicas_busy not run"));
+        assertThat(sink.calls(), is("refuse 503 replicas_unreachable not run"));
     }
 
     @Test
