A relayed request carries the version of the configuration that admitted it; the later of two versions decides

A VM that is behind relayed a request by the service that its older version names; the VM that received it knew better and ran it all the same. One that is behind refused a route that it didn't know yet, and the relaying VM took its whole region for full, for up to 0.4 s.

The frame has the version (optional field; 0 from earlier builds). What a later version sends elsewhere is refused as not run, configuration_superseded; such refusals leave out the VM for this request only.

Failed before: RelayHandlerTest.requestWhoseRouteLeadsElsewhereByNowIsNotRunByTheFormerService.

--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -246,6 +246,16 @@
             "events"),
     /** A request that the configuration in force does not permit waits for a newer one. */
     DENIAL_HELD(2316, EventLevel.INFO, "denial held", "request", "status", "reason"),
+    /** A relayed request was refused, since the two VMs have different configurations. */
+    RELAY_REFUSED(
+            2317,
+            EventLevel.INFO,
+            "relay refused",
+            "request",
+            "route",
+            "reason",
+            "admitted_by",
+            "version"),
     /** A replica could not be reached. */
     REPLICA_UNREACHABLE(2401, EventLevel.WARN, "replica unreachable", "replica", "cause"),
     /** A replica announced in a response that it is leaving. */
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptOutcome.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptOutcome.java
@@ -6,9 +6,11 @@
     NOT_SENT(false, false, true),
     /** This VM did not send the request, because its replica may no longer be used. */
     WITHHELD(false, false, false),
-    /** A VM of another region had no replica for the request. */
+    /** Another VM had no replica for the request. */
     NOT_PLACED(false, false, false),
-    /** A VM of another region withheld the request, because its prompt crashes engines. */
+    /** Another VM has a version of the configuration that does not permit the request. */
+    NOT_PERMITTED(false, false, false),
+    /** Another VM withheld the request, because its prompt crashes engines. */
     QUARANTINED(false, false, false),
     /** The replica reported that it did not run the request. */
     REJECTED(true, false, false),
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/message/RelayRequest.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/RelayRequest.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 
 /**
- * A request that is relayed to a VM of another region, which runs it at an upstream of its region.
- * It is never relayed again and does not contain the caller's key. Immutable.
+ * A request that is relayed to another VM, which runs it at an upstream of its region. It is never
+ * relayed again and does not contain the caller's key. Immutable.
  *
  * @param requestId the caller's id of the request
  * @param route name of the route
@@ -17,6 +17,8 @@
  * @param uri path and query for the upstream
  * @param headers the caller's headers that are sent to the upstream
  * @param body request body, must not be modified
+ * @param configurationVersion version of the configuration by which it was admitted; 0 from a VM of
+ *     an earlier build
  */
 public record RelayRequest(
         String requestId,
@@ -27,7 +29,8 @@
         String method,
         String uri,
         List<HeaderField> headers,
-        byte[] body) {
+        byte[] body,
+        long configurationVersion) {
     /** Rejects missing components and copies the headers. */
     public RelayRequest {
         Objects.requireNonNull(requestId, "requestId");
@@ -47,6 +50,15 @@
      */
     public RelayRequest withRemainingMillis(int millis) {
         return new RelayRequest(
-                requestId, route, service, customer, millis, method, uri, headers, body);
+                requestId,
+                route,
+                service,
+                customer,
+                millis,
+                method,
+                uri,
+                headers,
+                body,
+                configurationVersion);
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
@@ -193,6 +193,9 @@
         if (failure.message().equals(PromptGuard.REASON)) {
             return AttemptOutcome.QUARANTINED;
         }
+        if (RelayHandler.isOtherConfiguration(failure.message())) {
+            return AttemptOutcome.NOT_PERMITTED;
+        }
         boolean attempted = failure.code() != ErrorCode.NO_UPSTREAM;
         return attempted ? AttemptOutcome.REJECTED : AttemptOutcome.NOT_PLACED;
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
@@ -27,11 +27,19 @@
 
 /**
  * Runs requests relayed by other VMs at this region's replicas, and never relays them again.
- * Confined to one event loop.
+ *
+ * <p>The later of two versions of the configuration decides: what the version of the relaying VM
+ * permits is refused if this VM's is later and does not. Confined to one event loop.
  */
 public final class RelayHandler {
     private static final long RETRY_AFTER_MILLIS = 300;
 
+    /** The relaying VM has a later version, which permits what this one does not know. */
+    private static final String NOT_KNOWN_HERE = "not_known_here";
+
+    /** This VM has a later version, by which the request does not go to this service. */
+    private static final String CONFIGURATION_SUPERSEDED = "configuration_superseded";
+
     private final EntryContext context;
     private final Supplier<Optional<GatewayPublication>> publication;
     private final BooleanSupplier ending;
@@ -69,6 +77,11 @@
         return RelayAttempt.PATH;
     }
 
+    /** Tells whether a refusal is due to different versions of the configuration. */
+    static boolean isOtherConfiguration(String reason) {
+        return reason.equals(NOT_KNOWN_HERE) || reason.equals(CONFIGURATION_SUPERSEDED);
+    }
+
     /**
      * Number of requests that are running, or whose body or response is still being transferred.
      *
@@ -128,7 +141,18 @@
         RelayRequest relayed = codec.decodeRelayRequest(body.getBytes());
         Optional<RequestPlan> plan = plan(relayed);
         if (plan.isEmpty()) {
-            sink.refuse(Refusal.notRun("not_known_here", RETRY_AFTER_MILLIS));
+            long version = publication.get().map(GatewayPublication::version).orElse(0L);
+            boolean later = version > relayed.configurationVersion();
+            String reason = later ? CONFIGURATION_SUPERSEDED : NOT_KNOWN_HERE;
+            context.log()
+                    .record(
+                            EventCode.RELAY_REFUSED,
+                            relayed.requestId(),
+                            relayed.route(),
+                            reason,
+                            relayed.configurationVersion(),
+                            version);
+            sink.refuse(Refusal.notRun(reason, RETRY_AFTER_MILLIS));
             return;
         }
         if (!admits.test(plan.get())) {
@@ -164,7 +188,8 @@
                                                 configuration -> configuration.customer(name)));
         if (route.isEmpty()
                 || service.isEmpty()
-                || customer.isEmpty() == relayed.customer().isPresent()) {
+                || customer.isEmpty() == relayed.customer().isPresent()
+                || isSuperseded(relayed, route.get(), current.get().version())) {
             return Optional.empty();
         }
         MultiMap headers = MultiMap.caseInsensitiveMultiMap();
@@ -183,8 +208,19 @@
                         customer,
                         now,
                         now + relayed.remainingMillis() - context.gate().receiveDelayMillis(),
+                        relayed.configurationVersion(),
                         true);
         boolean allowed = plan.allowedIn(context.fleet().self().region());
         return allowed ? Optional.of(plan) : Optional.empty();
     }
+
+    /** Tells whether this VM's later version sends the route's requests to other services. */
+    private static boolean isSuperseded(RelayRequest relayed, RouteSpec route, long version) {
+        boolean versionKnown = relayed.configurationVersion() > 0;
+        return versionKnown
+                && version > relayed.configurationVersion()
+                && route.services().stream()
+                        .filter(share -> share.weight() > 0)
+                        .noneMatch(share -> share.service().equals(relayed.service()));
+    }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
@@ -127,7 +127,8 @@
                         plan.method(),
                         plan.uri(),
                         context.format().relayHeaders(plan.envelope(), resumeAfter),
-                        plan.body().getBytes());
+                        plan.body().getBytes(),
+                        plan.configurationVersion());
         RelayAttempt attempt =
                 new RelayAttempt(
                         context.vertx(),
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
@@ -270,6 +270,7 @@
                         keyRequired ? customer : Optional.empty(),
                         receivedAt,
                         receivedAt + timeoutMillis - context.gate().receiveDelayMillis(),
+                        current.version(),
                         false);
         Optional<Refusal> unfit = unfit(plan);
         if (unfit.isPresent()) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
@@ -55,14 +55,19 @@
 
     /** Leaves out the VM, or the other region, of an attempt that found no place there. */
     void notPlaced(RunningAttempt attempt, long nowMillis) {
+        leaveOut(attempt);
+        context.chooser()
+                .relayNotPlaced(
+                        plan.service().name(), attempt.region(), attempt.target(), nowMillis);
+    }
+
+    /** Leaves out the VM, or the other region, of an attempt, for this request only. */
+    void leaveOut(RunningAttempt attempt) {
         if (attempt.region().equals(context.fleet().self().region())) {
             tried.add(attempt.target());
         } else {
             fullRegions.add(attempt.region());
         }
-        context.chooser()
-                .relayNotPlaced(
-                        plan.service().name(), attempt.region(), attempt.target(), nowMillis);
     }
 
     private PlacementQuery query(long nowMillis) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -397,6 +397,8 @@
             context.fleet().markUnreachable(attempt.target(), now());
         } else if (outcome == AttemptOutcome.NOT_PLACED) {
             search.notPlaced(attempt, now());
+        } else if (outcome == AttemptOutcome.NOT_PERMITTED) {
+            search.leaveOut(attempt);
         }
         attempt.release();
         history.recordOutcome(outcome);
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayAttemptTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayAttemptTest.java
@@ -257,7 +257,8 @@
                 "POST",
                 "/a",
                 List.of(),
-                new byte[1]);
+                new byte[1],
+                1);
     }
 
     /** Records reports of silence and how the attempt ends. Thread-safe. */
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayHandlerTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayHandlerTest.java
@@ -20,6 +20,11 @@
 import io.vanillapoint.core.message.RelayRequest;
 import io.vanillapoint.core.prompt.SessionLocations;
 import io.vanillapoint.core.published.GatewayPublication;
+import io.vanillapoint.core.published.RouteKind;
+import io.vanillapoint.core.published.RouteSpec;
+import io.vanillapoint.core.published.ServiceShare;
+import io.vanillapoint.core.published.ServiceSpec;
+import io.vanillapoint.core.published.TrafficLimits;
 import io.vanillapoint.core.retry.RetryAllowance;
 import io.vanillapoint.core.retry.RetryBounds;
 import io.vanillapoint.core.upstream.PlacementWeights;
@@ -54,6 +59,7 @@
     private static final ZoneId ZONE = new ZoneId("z");
     private static final RegionId REGION = new RegionId("r");
     private static final long WAIT_SECONDS = 10;
+    private static final long ADMITTED_BY = 4;
 
     private final Vertx vertx = Vertx.vertx();
     private final LongSupplier clock = () -> System.nanoTime() / 1_000_000;
@@ -73,6 +79,22 @@
         assertThat(failure.runState(), is(RunState.NOT_RUN));
     }
 
+    /** The relaying VM is behind. */
+    @Test
+    void requestWhoseRouteLeadsElsewhereByNowIsNotRunByTheFormerService() throws Exception {
+        ForwardFailure failure = relay(() -> configuration(ADMITTED_BY + 1, "other"));
+        assertThat(failure.message(), is("configuration_superseded"));
+        assertThat(failure.code(), is(ErrorCode.NO_UPSTREAM));
+        assertThat(failure.runState(), is(RunState.NOT_RUN));
+    }
+
+    /** This VM is behind. The stub of the request format fails next. */
+    @Test
+    void requestThatALaterVersionAdmittedIsNotRefusedForAnEarlierOne() throws Exception {
+        ForwardFailure failure = relay(() -> configuration(ADMITTED_BY - 1, "other"));
+        assertThat(failure.message(), is("internal_error"));
+    }
+
     @Test
     void requestThatArrivesWhenTheProcessEndsIsRefusedAsNotRun() throws Exception {
         refusing = true;
@@ -139,7 +161,35 @@
                 "POST",
                 "/a",
                 List.of(),
-                new byte[0]);
+                new byte[0],
+                ADMITTED_BY);
+    }
+
+    /** A configuration in which the route leads to a service; two services are known. */
+    private static Optional<GatewayPublication> configuration(long version, String service) {
+        RouteSpec route =
+                new RouteSpec(
+                        "route",
+                        "h",
+                        "/",
+                        RouteKind.IDEMPOTENT,
+                        4_000,
+                        800,
+                        0,
+                        1,
+                        List.of(new ServiceShare(service, 1)),
+                        2,
+                        true,
+                        false,
+                        false,
+                        Set.of());
+        List<ServiceSpec> services =
+                List.of(
+                        new ServiceSpec("service", 10, 0, 0, Optional.empty()),
+                        new ServiceSpec("other", 10, 0, 0, Optional.empty()));
+        return Optional.of(
+                new GatewayPublication(
+                        version, List.of(route), services, List.of(), TrafficLimits.DEFAULT));
     }
 
     private EntryContext context() {
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -629,6 +629,7 @@
                 Optional.empty(),
                 now,
                 now + 4_000,
+                1,
                 relayed);
     }
 }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/SlotOwnerRelayTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/SlotOwnerRelayTest.java
@@ -215,6 +215,7 @@
                 Optional.empty(),
                 now,
                 now + 4_000,
+                1,
                 false);
     }
 }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UnansweredRequestTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UnansweredRequestTest.java
@@ -227,6 +227,7 @@
                 Optional.empty(),
                 now(),
                 now() + deadlineMillis,
+                1,
                 false);
     }
 
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UnexpectedErrorTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UnexpectedErrorTest.java
@@ -193,6 +193,7 @@
                 Optional.empty(),
                 now,
                 now + DEADLINE_MILLIS,
+                1,
                 false);
     }
 
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
@@ -251,6 +251,7 @@
                 .forEach(header -> headers.add(new THeader(header.name(), header.value())));
         message.setHeaders(headers);
         message.setBody(request.body());
+        message.setConfigurationVersion(request.configurationVersion());
         return serialize(message);
     }
 
@@ -279,7 +280,8 @@
                 message.getHeaders().stream()
                         .map(header -> new HeaderField(header.getName(), header.getValue()))
                         .toList(),
-                message.getBody());
+                message.getBody(),
+                message.getConfigurationVersion());
     }
 
     private static ReportPage page(TFleetReport message) {
--- a/vanillapoint-wire/src/main/thrift/peer.thrift
+++ b/vanillapoint-wire/src/main/thrift/peer.thrift
@@ -98,5 +98,6 @@
 struct TStoredDelta { 1: i64 revision, 2: list<TStoredItem> items, 3: bool complete, 4: optional i64 era }
 struct TRelayRequest {
   1: string requestId, 2: string route, 3: string serviceName, 4: optional string customer,
-  5: i32 remainingMillis, 6: string method, 7: string uri, 8: list<THeader> headers, 9: binary body
+  5: i32 remainingMillis, 6: string method, 7: string uri, 8: list<THeader> headers, 9: binary body,
+  10: optional i64 configurationVersion
 }
--- a/vanillapoint-wire/src/test/java/io/vanillapoint/wire/FleetCodecProperties.java
+++ b/vanillapoint-wire/src/test/java/io/vanillapoint/wire/FleetCodecProperties.java
@@ -98,7 +98,8 @@
                         "POST",
                         "/a/b",
                         List.of(new HeaderField("Request-Id", "id-1")),
-                        "body".getBytes());
+                        "body".getBytes(),
+                        7);
         try {
             byte[] bytes = corrupt(codec.encode(request), new Random(seed));
             RelayRequest decoded = codec.decodeRelayRequest(bytes);
