--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -2,14 +2,11 @@
 
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.core.fleet.TrafficVmSelector.VmLoad;
-import io.vanillapoint.core.hash.Rendezvous;
-import io.vanillapoint.core.published.StorePosition;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -394,90 +391,6 @@
         return otherVmUse.of(upstream);
     }
 
-    /**
-     * Finds a VM that has reached a later position of the platform's store. Among equally good
-     * ones, each VM that is behind prefers another, which spreads the load.
-     *
-     * @param position position that this VM has reached
-     * @param nowMillis monotonic time
-     * @return the VM with the latest position, or empty if none has a later one
-     */
-    public Optional<Member> storeSource(StorePosition position, long nowMillis) {
-        return storeSource(position, Set.of(), nowMillis);
-    }
-
-    /**
-     * Finds a VM that has reached a later position of the platform's store, one of the given VMs
-     * only if there is no other.
-     *
-     * @param position position that this VM has reached
-     * @param avoided names of VMs that did not answer
-     * @param nowMillis monotonic time
-     * @return the VM with the latest position, or empty if none has a later one
-     */
-    public Optional<Member> storeSource(
-            StorePosition position, Set<String> avoided, long nowMillis) {
-        Member best = null;
-        Member bestAvoided = null;
-        for (Member member : members.values()) {
-            if (!member.published().isAfter(position) || !alive(member, nowMillis)) {
-                continue;
-            }
-            if (avoided.contains(member.info().vm())) {
-                bestAvoided = preferred(member, bestAvoided);
-            } else {
-                best = preferred(member, best);
-            }
-        }
-        return Optional.ofNullable(best == null ? bestAvoided : best);
-    }
-
-    private Member preferred(Member member, Member other) {
-        return other == null || preferredOver(member, other) ? member : other;
-    }
-
-    /**
-     * Tells whether a VM of any region is heard that the platform's store answers directly.
-     *
-     * @param nowMillis monotonic time
-     * @return false if nobody else would tell this VM of a change
-     */
-    public boolean hearsStoreReaders(long nowMillis) {
-        return members.values().stream()
-                .anyMatch(member -> member.readsStore() && receivesFrom(member, nowMillis));
-    }
-
-    /**
-     * VMs of this region, without this one, that accept requests, whose heartbeats arrive and which
-     * the platform's store answers directly.
-     *
-     * @param nowMillis monotonic time
-     * @return names in no particular order
-     */
-    public List<String> storeReaders(long nowMillis) {
-        List<String> names = new ArrayList<>();
-        for (Member member : members.values()) {
-            if (member.readsStore()
-                    && inOwnRegion(member)
-                    && member.info().state().acceptsRequests()
-                    && receivesFrom(member, nowMillis)) {
-                names.add(member.info().vm());
-            }
-        }
-        return names;
-    }
-
-    private boolean preferredOver(Member member, Member other) {
-        if (!member.published().equals(other.published())) {
-            return member.published().isAfter(other.published());
-        }
-        if (inOwnRegion(member) != inOwnRegion(other)) {
-            return inOwnRegion(member);
-        }
-        long weight = Rendezvous.weight(self.vm(), member.info().vm());
-        return Long.compareUnsigned(weight, Rendezvous.weight(self.vm(), other.info().vm())) > 0;
-    }
-
     /**
      * Tells whether the VM's own heartbeats arrive, allowing for two lost ones. In a large fleet a
      * single VM sends one only every few seconds, but heartbeats from its region arrive all the
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/StoreReaders.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/StoreReaders.java
@@ -34,12 +34,15 @@
     public static boolean reads(FleetView view, long receiveDelayMillis, long nowMillis) {
         long own = Rendezvous.weight(RANK_KEY, view.self().vm());
         long higherRanked =
-                view.storeReaders(nowMillis + receiveDelayMillis).stream()
-                        .filter(
-                                vm ->
-                                        Long.compareUnsigned(Rendezvous.weight(RANK_KEY, vm), own)
-                                                > 0)
-                        .count();
+                new StoreVms(view)
+                        .readersInRegion(nowMillis + receiveDelayMillis).stream()
+                                .filter(
+                                        vm ->
+                                                Long.compareUnsigned(
+                                                                Rendezvous.weight(RANK_KEY, vm),
+                                                                own)
+                                                        > 0)
+                                .count();
         return higherRanked < PER_REGION;
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -176,108 +176,10 @@
      * @return the placement
      */
     public Placement choose(PlacementQuery query, long nowMillis) {
-        Candidate best = null;
-        Candidate bestIfAnswering = null;
-        boolean anyEligible = false;
-        boolean anyInRegion = false;
-        boolean allOutOfReach = true;
-        List<String> cachingEngines =
-                query.prompt()
-                        .map(prompt -> sessions.enginesCaching(prompt, nowMillis))
-                        .orElse(List.of());
         List<ReplicaTracker> serving = pool.serving(query.service().name(), nowMillis);
-        Set<String> preferred =
-                query.prompt()
-                        .map(prompt -> preferredEngines(serving, query, prompt))
-                        .orElse(Set.of());
-        double usualRate = usualUnansweredRate(serving);
-        Map<RegionId, Boolean> open = new HashMap<>();
-        Map<RegionId, Set<String>> remote = new HashMap<>();
-        Optional<SlotOwners> slotOwners = slotOwners(query.service().name(), nowMillis);
-        List<MemberInfo> relayOwners = new ArrayList<>();
-        RegionRelay regionRelay = new RegionRelay(fleet, relayBackoff, query, nowMillis);
-        boolean pathLost = pool.pathLost(query.service().name(), fleet.self().region());
-        for (ReplicaTracker tracker : serving) {
-            boolean local = tracker.region().equals(fleet.self().region());
-            if (!eligibleFor(tracker, query) || (!local && !query.mayRelay())) {
-                continue;
-            }
-            anyEligible = true;
-            boolean throughVm =
-                    local && slotOwners.isEmpty() && regionRelay.reaches(tracker, pathLost);
-            if (local) {
-                anyInRegion = true;
-                allOutOfReach &= pathLost || tracker.outOfReach(nowMillis);
-            }
-            boolean relayedInVain = local && pathLost && !query.mayRelay();
-            boolean usable =
-                    throughVm || (!relayedInVain && usable(tracker, local, query, open, nowMillis));
-            if (!throughVm && query.tried().contains(tracker.info().id())) {
-                continue;
-            }
-            if (local && slotOwners.isPresent()) {
-                usable &= slotOwners.get().hasRoom(tracker);
-                if (!usable && query.mayRelay() && !tracker.mayBeCold(nowMillis)) {
-                    relayOwners.addAll(slotOwners.get().others(tracker));
-                }
-            }
-            if (!usable) {
-                continue;
-            }
-            if (!local || throughVm) {
-                remote.computeIfAbsent(tracker.region(), unused -> new HashSet<>())
-                        .add(tracker.info().id());
-            }
-            Path path = throughVm ? Path.REGION_VM : local ? Path.DIRECT : Path.OTHER_REGION;
-            Candidate candidate = score(tracker, path, query, preferred, cachingEngines);
-            candidate.addSilenceLoss(usualRate);
-            if (best == null || candidate.loss < best.loss) {
-                best = candidate;
-            }
-            if (bestIfAnswering == null
-                    || candidate.lossIfAnswering() < bestIfAnswering.lossIfAnswering()) {
-                bestIfAnswering = candidate;
-            }
-        }
-        boolean ownerTried = relayOwners.stream().anyMatch(vm -> query.tried().contains(vm.vm()));
-        if ((best == null || best.path != Path.DIRECT) && !relayOwners.isEmpty() && !ownerTried) {
-            return relayToOwner(relayOwners);
-        }
-        if (best != null && best.path == Path.REGION_VM) {
-            return relayInRegion(best, query, regionRelay.vms(remoteIds(best, remote)));
-        }
-        return best == null
-                ? refusal(anyEligible, anyInRegion && allOutOfReach, query, nowMillis)
-                : place(best, bestIfAnswering, query, remote, nowMillis);
-    }
-
-    private Placement place(
-            Candidate best,
-            Candidate bestIfAnswering,
-            PlacementQuery query,
-            Map<RegionId, Set<String>> remote,
-            long nowMillis) {
-        Placement placement = placement(best, query, remoteIds(best, remote), nowMillis);
-        if (bestIfAnswering == best || !ignoresSilence(placement, bestIfAnswering, query)) {
-            return placement;
-        }
-        Set<String> ids = remoteIds(bestIfAnswering, remote);
-        return placement(bestIfAnswering, query, ids, nowMillis);
-    }
-
-    private boolean usable(
-            ReplicaTracker tracker,
-            boolean local,
-            PlacementQuery query,
-            Map<RegionId, Boolean> open,
-            long nowMillis) {
-        if (local) {
-            return pool.maySelect(tracker, query.service(), roster, nowMillis);
-        }
-        RegionId region = tracker.region();
-        return !tracker.cold(nowMillis)
-                && open.computeIfAbsent(region, other -> mayRelayTo(other, query, nowMillis))
-                && fleet.reach().reachedIn(region, tracker.info().id(), nowMillis);
+        Search search = new Search(query, serving, nowMillis);
+        serving.forEach(search::consider);
+        return search.placement();
     }
 
     /** Tells whether a request is placed as if all replicas answered all requests. */
@@ -297,10 +199,6 @@
         return rates.length == 0 ? 0 : rates[rates.length / USUAL_PART];
     }
 
-    private static Set<String> remoteIds(Candidate candidate, Map<RegionId, Set<String>> remote) {
-        return remote.getOrDefault(candidate.tracker.region(), Set.of());
-    }
-
     /**
      * Tells whether a request goes to a replica that leaves requests unanswered, to find out
      * whether it still does. A request that was sent before has waited long enough.
@@ -317,11 +215,6 @@
         return false;
     }
 
-    private boolean mayRelayTo(RegionId region, PlacementQuery query, long nowMillis) {
-        return fleet.isReachable(region, nowMillis)
-                && !relayBackoff.active(query.service().name(), region.value(), nowMillis);
-    }
-
     /**
      * Time after which a replica may accept a request that was rejected.
      *
@@ -358,22 +251,6 @@
         return pool.rejectionBackoffMillis(tracker, senders, nowMillis);
     }
 
-    private Placement refusal(
-            boolean anyEligible, boolean outOfReach, PlacementQuery query, long nowMillis) {
-        long backoffMillis = backoffMillis(query, nowMillis);
-        if (backoffMillis > 0) {
-            long retryAfterMillis = Math.max(DEFAULT_RETRY_AFTER_MILLIS, backoffMillis);
-            return new Placement.Refuse(RefusalReason.REPLICAS_QUIET, retryAfterMillis);
-        }
-        RefusalReason reason = RefusalReason.NO_REPLICA;
-        if (outOfReach) {
-            reason = RefusalReason.REPLICAS_UNREACHABLE;
-        } else if (anyEligible) {
-            reason = RefusalReason.ALL_REPLICAS_BUSY;
-        }
-        return new Placement.Refuse(reason, DEFAULT_RETRY_AFTER_MILLIS);
-    }
-
     private Optional<SlotOwners> slotOwners(String service, long nowMillis) {
         if (!pool.limitsRejections(service, nowMillis)) {
             return Optional.empty();
@@ -391,43 +268,6 @@
                 owner.region(), (long) PLAIN_REQUEST_MILLIS, Set.of(), Optional.of(owner));
     }
 
-    private Placement relayInRegion(Candidate best, PlacementQuery query, List<MemberInfo> vms) {
-        Optional<Placement> refusal = refusalIfTooLate(best, query);
-        if (refusal.isPresent()) {
-            return refusal.get();
-        }
-        MemberInfo vm = vms.get(Math.floorMod(nextRegionVm++, vms.size()));
-        return new Placement.Relay(
-                vm.region(), (long) best.expectedMillis, Set.of(), Optional.of(vm));
-    }
-
-    private Placement placement(
-            Candidate best, PlacementQuery query, Set<String> remote, long nowMillis) {
-        Optional<Placement> refusal = refusalIfTooLate(best, query);
-        if (refusal.isPresent()) {
-            return refusal.get();
-        }
-        if (best.path == Path.DIRECT) {
-            Optional<UpstreamReplica> source = cacheSource(best, query, nowMillis);
-            return new Placement.Local(
-                    best.tracker, best.uncachedTokens, (long) best.expectedMillis, source);
-        }
-        return new Placement.Relay(
-                best.tracker.region(), (long) best.expectedMillis, remote, Optional.empty());
-    }
-
-    private Optional<Placement> refusalIfTooLate(Candidate best, PlacementQuery query) {
-        double maxMillis = query.route().targetMillis() * weights.maxTargetMultiple();
-        boolean tooLate =
-                best.expectedMillis + query.elapsedMillis() > maxMillis
-                        || best.expectedMillis > query.remainingMillis();
-        long retryAfterMillis =
-                Math.max(DEFAULT_RETRY_AFTER_MILLIS, (long) (best.expectedMillis / 2));
-        return tooLate
-                ? Optional.of(new Placement.Refuse(RefusalReason.TOO_LATE, retryAfterMillis))
-                : Optional.empty();
-    }
-
     private Candidate score(
             ReplicaTracker tracker,
             Path path,
@@ -554,6 +394,173 @@
         return Math.min(1, Math.max(0, probability));
     }
 
+    /** The search of a place for one request. Valid for one moment. */
+    private final class Search {
+        private final PlacementQuery query;
+        private final long nowMillis;
+        private final List<String> cachingEngines;
+        private final Set<String> preferred;
+        private final double usualRate;
+        private final Optional<SlotOwners> slotOwners;
+        private final RegionRelay regionRelay;
+        private final boolean pathLost;
+        private final Map<RegionId, Boolean> openRegions = new HashMap<>();
+
+        /** Replicas that other VMs reach for this one, by region. */
+        private final Map<RegionId, Set<String>> reachedByOthers = new HashMap<>();
+
+        private final List<MemberInfo> relayOwners = new ArrayList<>();
+        private boolean anyEligible;
+        private boolean anyInRegion;
+        private boolean anyInReach;
+        private Candidate best;
+        private Candidate bestIfAnswering;
+
+        Search(PlacementQuery query, List<ReplicaTracker> serving, long nowMillis) {
+            this.query = query;
+            this.nowMillis = nowMillis;
+            String service = query.service().name();
+            cachingEngines =
+                    query.prompt()
+                            .map(prompt -> sessions.enginesCaching(prompt, nowMillis))
+                            .orElse(List.of());
+            preferred =
+                    query.prompt()
+                            .map(prompt -> preferredEngines(serving, query, prompt))
+                            .orElse(Set.of());
+            usualRate = usualUnansweredRate(serving);
+            slotOwners = slotOwners(service, nowMillis);
+            regionRelay = new RegionRelay(fleet, relayBackoff, query, nowMillis);
+            pathLost = pool.pathLost(service, fleet.self().region());
+        }
+
+        void consider(ReplicaTracker tracker) {
+            boolean local = tracker.region().equals(fleet.self().region());
+            if (!eligibleFor(tracker, query) || (!local && !query.mayRelay())) {
+                return;
+            }
+            anyEligible = true;
+            if (local) {
+                anyInRegion = true;
+                anyInReach |= !pathLost && !tracker.outOfReach(nowMillis);
+            }
+            Optional<Path> path = local ? pathInRegion(tracker) : pathToOtherRegion(tracker);
+            if (path.isEmpty()) {
+                return;
+            }
+            if (path.get() != Path.DIRECT) {
+                reachedByOthers
+                        .computeIfAbsent(tracker.region(), unused -> new HashSet<>())
+                        .add(tracker.info().id());
+            }
+            Candidate candidate = score(tracker, path.get(), query, preferred, cachingEngines);
+            candidate.addSilenceLoss(usualRate);
+            if (best == null || candidate.loss < best.loss) {
+                best = candidate;
+            }
+            if (bestIfAnswering == null
+                    || candidate.lossIfAnswering() < bestIfAnswering.lossIfAnswering()) {
+                bestIfAnswering = candidate;
+            }
+        }
+
+        private Optional<Path> pathInRegion(ReplicaTracker tracker) {
+            if (slotOwners.isEmpty() && regionRelay.reaches(tracker, pathLost)) {
+                return Optional.of(Path.REGION_VM);
+            }
+            if (query.tried().contains(tracker.info().id())) {
+                return Optional.empty();
+            }
+            // The relaying VM can choose another VM, which reaches the replica.
+            boolean relayedInVain = pathLost && !query.mayRelay();
+            boolean usable =
+                    !relayedInVain && pool.maySelect(tracker, query.service(), roster, nowMillis);
+            if (slotOwners.isPresent()) {
+                usable &= slotOwners.get().hasRoom(tracker);
+                if (!usable && query.mayRelay() && !tracker.mayBeCold(nowMillis)) {
+                    relayOwners.addAll(slotOwners.get().others(tracker));
+                }
+            }
+            return usable ? Optional.of(Path.DIRECT) : Optional.empty();
+        }
+
+        private Optional<Path> pathToOtherRegion(ReplicaTracker tracker) {
+            String id = tracker.info().id();
+            RegionId region = tracker.region();
+            boolean usable =
+                    !query.tried().contains(id)
+                            && !tracker.cold(nowMillis)
+                            && openRegions.computeIfAbsent(region, this::mayRelayTo)
+                            && fleet.reach().reachedIn(region, id, nowMillis);
+            return usable ? Optional.of(Path.OTHER_REGION) : Optional.empty();
+        }
+
+        private boolean mayRelayTo(RegionId region) {
+            return fleet.isReachable(region, nowMillis)
+                    && !relayBackoff.active(query.service().name(), region.value(), nowMillis);
+        }
+
+        Placement placement() {
+            boolean ownerTried =
+                    relayOwners.stream().anyMatch(vm -> query.tried().contains(vm.vm()));
+            boolean direct = best != null && best.path == Path.DIRECT;
+            if (!direct && !relayOwners.isEmpty() && !ownerTried) {
+                return relayToOwner(relayOwners);
+            }
+            if (best == null) {
+                return refusal();
+            }
+            Placement placement = placement(best);
+            boolean silenceIgnored =
+                    bestIfAnswering != best && ignoresSilence(placement, bestIfAnswering, query);
+            return silenceIgnored ? placement(bestIfAnswering) : placement;
+        }
+
+        private Placement refusal() {
+            long backoffMillis = backoffMillis(query, nowMillis);
+            if (backoffMillis > 0) {
+                long retryAfterMillis = Math.max(DEFAULT_RETRY_AFTER_MILLIS, backoffMillis);
+                return new Placement.Refuse(RefusalReason.REPLICAS_QUIET, retryAfterMillis);
+            }
+            RefusalReason reason = RefusalReason.NO_REPLICA;
+            if (anyInRegion && !anyInReach) {
+                reason = RefusalReason.REPLICAS_UNREACHABLE;
+            } else if (anyEligible) {
+                reason = RefusalReason.ALL_REPLICAS_BUSY;
+            }
+            return new Placement.Refuse(reason, DEFAULT_RETRY_AFTER_MILLIS);
+        }
+
+        private Placement placement(Candidate candidate) {
+            long expectedMillis = (long) candidate.expectedMillis;
+            double maxMillis = query.route().targetMillis() * weights.maxTargetMultiple();
+            if (candidate.expectedMillis + query.elapsedMillis() > maxMillis
+                    || candidate.expectedMillis > query.remainingMillis()) {
+                long retryAfterMillis = Math.max(DEFAULT_RETRY_AFTER_MILLIS, expectedMillis / 2);
+                return new Placement.Refuse(RefusalReason.TOO_LATE, retryAfterMillis);
+            }
+            ReplicaTracker tracker = candidate.tracker;
+            Set<String> replicas = reachedByOthers.getOrDefault(tracker.region(), Set.of());
+            return switch (candidate.path) {
+                case DIRECT ->
+                        new Placement.Local(
+                                tracker,
+                                candidate.uncachedTokens,
+                                expectedMillis,
+                                cacheSource(candidate, query, nowMillis));
+                case REGION_VM -> {
+                    List<MemberInfo> vms = regionRelay.vms(replicas);
+                    MemberInfo vm = vms.get(Math.floorMod(nextRegionVm++, vms.size()));
+                    yield new Placement.Relay(
+                            tracker.region(), expectedMillis, Set.of(), Optional.of(vm));
+                }
+                case OTHER_REGION ->
+                        new Placement.Relay(
+                                tracker.region(), expectedMillis, replicas, Optional.empty());
+            };
+        }
+    }
+
     /** How a request gets to a replica. */
     private enum Path {
         /** From this VM to a replica of its region. */
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/EntryControl.java
@@ -3,6 +3,7 @@
 import io.vanillapoint.core.fleet.FleetReport;
 import io.vanillapoint.core.fleet.FleetTiming;
 import io.vanillapoint.core.fleet.StoreReaders;
+import io.vanillapoint.core.fleet.StoreVms;
 import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.entry.port.PublishedSource;
 import io.vanillapoint.entry.traffic.EntryContext;
@@ -57,7 +58,9 @@
                                         context.fleet(),
                                         context.gate().receiveDelayMillis(),
                                         context.clock().getAsLong()),
-                        () -> context.fleet().hearsStoreReaders(context.clock().getAsLong()));
+                        () ->
+                                new StoreVms(context.fleet())
+                                        .anyReaderHeard(context.clock().getAsLong()));
         storeCopier =
                 new StoreCopier(
                         context.fleet(),
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopier.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopier.java
@@ -5,6 +5,7 @@
 import io.vanillapoint.api.event.EventSink;
 import io.vanillapoint.core.fleet.FleetView;
 import io.vanillapoint.core.fleet.Member;
+import io.vanillapoint.core.fleet.StoreVms;
 import io.vanillapoint.core.published.StoreChanges;
 import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.entry.http.BoundedBody;
@@ -47,7 +48,7 @@
     private static final long AVOID_MILLIS = 3_000;
 
     private final FleetCodec codec = new FleetCodec();
-    private final FleetView fleet;
+    private final StoreVms storeVms;
     private final PublishedState publishedState;
     private final StoreSync storeSync;
     private final HttpClient client;
@@ -71,7 +72,7 @@
             LongSupplier clock,
             int port,
             BooleanSupplier urgent) {
-        this.fleet = fleet;
+        storeVms = new StoreVms(fleet);
         this.publishedState = publishedState;
         this.storeSync = storeSync;
         this.client = client;
@@ -86,7 +87,7 @@
         long now = clock.getAsLong();
         avoidedUntil.values().removeIf(until -> now >= until);
         Optional<Member> source =
-                fleet.storeSource(publishedState.position(), avoidedUntil.keySet(), now);
+                storeVms.source(publishedState.position(), avoidedUntil.keySet(), now);
         if (source.isEmpty()) {
             behindSinceMillis = -1;
             return;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/HeldDenials.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/HeldDenials.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.entry.traffic;
 
 import io.vanillapoint.api.event.EventCode;
+import io.vanillapoint.core.fleet.StoreVms;
 import io.vanillapoint.core.published.StorePosition;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -99,7 +100,7 @@
 
     private void waited(Held request) {
         long now = context.clock().getAsLong();
-        boolean behind = context.fleet().storeSource(position.get(), now).isPresent();
+        boolean behind = new StoreVms(context.fleet()).anyAhead(position.get(), now);
         boolean mayWait = now - request.heldAtMillis + EXTENSION_MILLIS <= request.maxWaitMillis;
         if (behind && mayWait) {
             request.timer.start(EXTENSION_MILLIS);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.entry.traffic;
 
 import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.core.attempt.AttemptOutcome;
 import io.vanillapoint.core.upstream.Placement;
 import io.vanillapoint.core.upstream.PlacementQuery;
 import java.util.HashSet;
@@ -18,7 +19,7 @@
     private final RequestPlan plan;
     private final BooleanSupplier begun;
     private final Set<String> tried = new HashSet<>();
-    private final Set<RegionId> fullRegions = new HashSet<>();
+    private final Set<RegionId> leftOutRegions = new HashSet<>();
 
     /**
      * Creates a search.
@@ -53,20 +54,21 @@
         tried.add(replica);
     }
 
-    /** Leaves out the VM, or the other region, of an attempt that found no place there. */
-    void notPlaced(RunningAttempt attempt, long nowMillis) {
-        leaveOut(attempt);
-        context.chooser()
-                .relayNotPlaced(
-                        plan.service().name(), attempt.region(), attempt.target(), nowMillis);
-    }
-
-    /** Leaves out the VM, or the other region, of an attempt, for this request only. */
-    void leaveOut(RunningAttempt attempt) {
+    /** Leaves out the VM, or the other region, of an attempt that it could not run. */
+    void ended(RunningAttempt attempt, AttemptOutcome outcome, long nowMillis) {
+        boolean notPlaced = outcome == AttemptOutcome.NOT_PLACED;
+        if (!notPlaced && outcome != AttemptOutcome.NOT_PERMITTED) {
+            return;
+        }
         if (attempt.region().equals(context.fleet().self().region())) {
             tried.add(attempt.target());
         } else {
-            fullRegions.add(attempt.region());
+            leftOutRegions.add(attempt.region());
+        }
+        if (notPlaced) {
+            context.chooser()
+                    .relayNotPlaced(
+                            plan.service().name(), attempt.region(), attempt.target(), nowMillis);
         }
     }
 
@@ -76,7 +78,7 @@
                 plan.service(),
                 plan.envelope().prompt(),
                 plan.body().length(),
-                region -> plan.allowedIn(region) && !fullRegions.contains(region),
+                region -> plan.allowedIn(region) && !leftOutRegions.contains(region),
                 tried,
                 !plan.relayed(),
                 begun.getAsBoolean() ? 0 : nowMillis - plan.receivedAtMillis(),
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -395,11 +395,8 @@
         outcomes.ended(attempt, outcome, cause);
         if (outcome == AttemptOutcome.NOT_SENT && attempt.use().isEmpty()) {
             context.fleet().markUnreachable(attempt.target(), now());
-        } else if (outcome == AttemptOutcome.NOT_PLACED) {
-            search.notPlaced(attempt, now());
-        } else if (outcome == AttemptOutcome.NOT_PERMITTED) {
-            search.leaveOut(attempt);
         }
+        search.ended(attempt, outcome, now());
         attempt.release();
         history.recordOutcome(outcome);
         boolean again =
