A stopping VM leaves streams that it would cut to another VM

Such a request is refused as not run if nearly all of its route's last answers (0.95 of 128) took longer than the time that is left, and another VM that may process it accepts requests.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/DrainAdmission.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/DrainAdmission.java
@@ -1,9 +1,11 @@
 package io.vanillapoint.entry;
 
+import io.vanillapoint.core.fleet.FleetView;
 import io.vanillapoint.entry.control.StopSchedule;
-import io.vanillapoint.entry.traffic.EntryContext;
 import io.vanillapoint.entry.traffic.RequestPlan;
+import io.vanillapoint.entry.traffic.RouteDurations;
 import java.util.OptionalLong;
+import java.util.function.LongSupplier;
 
 /**
  * Refuses requests that a stopping VM would cut.
@@ -12,14 +14,19 @@
  * Confined to one event loop.
  */
 final class DrainAdmission {
-    private final EntryContext context;
+    private final FleetView fleet;
+    private final LongSupplier clock;
     private final StopSchedule schedule;
+    private final RouteDurations durations;
     private OptionalLong stopRequestedAtMillis = OptionalLong.empty();
     private boolean ending;
 
-    DrainAdmission(EntryContext context, StopSchedule schedule) {
-        this.context = context;
+    DrainAdmission(
+            FleetView fleet, LongSupplier clock, StopSchedule schedule, RouteDurations durations) {
+        this.fleet = fleet;
+        this.clock = clock;
         this.schedule = schedule;
+        this.durations = durations;
     }
 
     /** Records the stop request. */
@@ -49,14 +56,39 @@
     boolean admitsRelayed(RequestPlan plan) {
         return stopRequestedAtMillis.isEmpty()
                 || (plan.route().mayRunAgain()
-                        ? admits(plan.deadlineMillis())
+                        ? mayEnd(plan)
                         : !ending && schedule.finishes(elapsedMillis(), remainingMillis(plan)));
     }
 
-    /** Tells whether a request with this deadline, a monotonic time, is admitted. */
-    boolean admits(long deadlineMillis) {
+    /**
+     * Tells whether a caller's request is admitted. One that may run only once and probably lasts
+     * longer than this VM is left to another VM; if none accepts requests, most of them end in time
+     * all the same.
+     */
+    boolean admits(RequestPlan plan) {
         return stopRequestedAtMillis.isEmpty()
-                || (!ending && schedule.admits(elapsedMillis(), deadlineMillis - now()));
+                || (mayEnd(plan)
+                        && (plan.route().mayRunAgain()
+                                || endsInTime(plan)
+                                || !anotherVmAccepts(plan)));
+    }
+
+    private boolean mayEnd(RequestPlan plan) {
+        return !ending && schedule.admits(elapsedMillis(), remainingMillis(plan));
+    }
+
+    private boolean endsInTime(RequestPlan plan) {
+        long expectedMillis = durations.longMillis(plan.route().name()).orElse(0);
+        return schedule.finishes(elapsedMillis(), Math.min(expectedMillis, remainingMillis(plan)));
+    }
+
+    private boolean anotherVmAccepts(RequestPlan plan) {
+        return fleet.members().stream()
+                .anyMatch(
+                        member ->
+                                member.info().state().acceptsRequests()
+                                        && plan.allowedIn(member.info().region())
+                                        && fleet.alive(member, now()));
     }
 
     private long remainingMillis(RequestPlan plan) {
@@ -64,6 +96,6 @@
     }
 
     private long now() {
-        return context.clock().getAsLong();
+        return clock.getAsLong();
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -44,6 +44,7 @@
 import io.vanillapoint.entry.traffic.ReachLog;
 import io.vanillapoint.entry.traffic.ReplicaProber;
 import io.vanillapoint.entry.traffic.ResponseMemoryBudget;
+import io.vanillapoint.entry.traffic.RouteDurations;
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.Promise;
@@ -134,7 +135,8 @@
         lag = new EventLoopLag(tuning.tickMillis(), now());
         prompts = createPromptGuard(incarnation);
         EntryContext context = createContext(platform);
-        admission = new DrainAdmission(context, stopSchedule);
+        RouteDurations durations = new RouteDurations();
+        admission = new DrainAdmission(fleet, clock, stopSchedule, durations);
         callers =
                 new CallerHandler(
                         context,
@@ -142,7 +144,8 @@
                         publishedState::position,
                         grants,
                         this::stopping,
-                        admission::admits);
+                        admission::admits,
+                        durations);
         relays =
                 new RelayHandler(
                         context,
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
@@ -24,7 +24,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.LongPredicate;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -52,7 +52,8 @@
     private final Supplier<Optional<GatewayPublication>> publication;
     private final GrantMeter grants;
     private final BooleanSupplier closing;
-    private final LongPredicate admits;
+    private final Predicate<RequestPlan> admits;
+    private final RouteDurations durations;
     private final HeldDenials denials;
     private final Set<RequestRun> running = new HashSet<>();
     private final OpenResponses openResponses = new OpenResponses();
@@ -66,8 +67,9 @@
      * @param position supplies the position of the store that this VM has reached
      * @param grants meters customers' tokens
      * @param closing true if connections are to be closed after the response
-     * @param admits tells whether a request with this deadline, a monotonic time in milliseconds,
-     *     can end before the VM stops
+     * @param admits tells whether a request can end before the VM stops, or is better admitted all
+     *     the same
+     * @param durations records how long requests take
      */
     public CallerHandler(
             EntryContext context,
@@ -75,12 +77,14 @@
             Supplier<StorePosition> position,
             GrantMeter grants,
             BooleanSupplier closing,
-            LongPredicate admits) {
+            Predicate<RequestPlan> admits,
+            RouteDurations durations) {
         this.context = context;
         this.publication = publication;
         this.grants = grants;
         this.closing = closing;
         this.admits = admits;
+        this.durations = durations;
         denials = new HeldDenials(context, position);
     }
 
@@ -282,7 +286,7 @@
     }
 
     private Optional<Refusal> unfit(RequestPlan plan) {
-        if (!admits.test(plan.deadlineMillis())) {
+        if (!admits.test(plan)) {
             return Optional.of(Refusal.notRun("shutting_down", STARTUP_RETRY_AFTER_MILLIS));
         }
         return fitsEngines(plan)
@@ -340,15 +344,19 @@
 
     private void run(RequestPlan plan, CallerSink sink) {
         RequestRun[] created = new RequestRun[1];
-        RequestRun run = new RequestRun(context, plan, sink, () -> onEnded(plan, created[0]));
+        RequestRun run = new RequestRun(context, plan, sink, () -> onEnded(plan, created[0], sink));
         created[0] = run;
         running.add(run);
         sink.onClose(run::callerDisconnected);
         run.start();
     }
 
-    private void onEnded(RequestPlan plan, RequestRun run) {
+    private void onEnded(RequestPlan plan, RequestRun run, CallerSink sink) {
         running.remove(run);
+        if (sink.answered()) {
+            long millis = context.clock().getAsLong() - plan.receivedAtMillis();
+            durations.record(plan.route().name(), millis);
+        }
         if (run.notSent() && plan.customer().isPresent()) {
             grants.refund(plan.customer().get(), tokensOf(plan));
         }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerSink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerSink.java
@@ -12,9 +12,12 @@
 /** Writes the HTTP response to a caller. Confined to the connection's event loop. */
 final class CallerSink extends HttpResponseSink {
     private static final double MILLIS_PER_SECOND = 1_000;
+    private static final int SUCCESS_CLASS = 2;
 
     private final HttpServerRequest request;
     private final BooleanSupplier closing;
+    private boolean success;
+    private boolean answered;
 
     CallerSink(HttpServerRequest request, OpenResponses openResponses, BooleanSupplier closing) {
         super(request.response(), openResponses);
@@ -27,6 +30,7 @@
         if (closed()) {
             return;
         }
+        success = status / 100 == SUCCESS_CLASS;
         response().setStatusCode(status);
         headers.forEach(header -> response().headers().add(header.name(), header.value()));
         if (length.isPresent()) {
@@ -52,10 +56,16 @@
     @Override
     public void end() {
         if (!closed()) {
+            answered = success;
             endResponse();
         }
     }
 
+    /** Tells whether a successful response was written to its end. */
+    boolean answered() {
+        return answered;
+    }
+
     @Override
     public void abort() {
         request.connection().close();
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/CallerHandlerTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/CallerHandlerTest.java
@@ -66,7 +66,8 @@
                         () -> StorePosition.START,
                         new GrantMeter(new GrantTolerance(0)),
                         () -> false,
-                        deadline -> true);
+                        plan -> true,
+                        new RouteDurations());
         int port =
                 vertx.createHttpServer()
                         .requestHandler(handler::handle)
@@ -110,7 +111,8 @@
                         () -> StorePosition.START,
                         new GrantMeter(new GrantTolerance(0)),
                         () -> false,
-                        deadline -> true);
+                        plan -> true,
+                        new RouteDurations());
         int port =
                 vertx.createHttpServer()
                         .requestHandler(handler::handle)
