A relayed request carries the version that the relaying VM has in force, not the one that admitted it

A stream that was admitted before a route was dropped may still be resumed through another VM; the refusal is for VMs that are behind.

--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -254,7 +254,7 @@
             "request",
             "route",
             "reason",
-            "admitted_by",
+            "relayed_by_version",
             "version"),
     /** A replica could not be reached. */
     REPLICA_UNREACHABLE(2401, EventLevel.WARN, "replica unreachable", "replica", "cause"),
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/message/RelayRequest.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/message/RelayRequest.java
@@ -17,8 +17,8 @@
  * @param uri path and query for the upstream
  * @param headers the caller's headers that are sent to the upstream
  * @param body request body, must not be modified
- * @param configurationVersion version of the configuration by which it was admitted; 0 from a VM of
- *     an earlier build
+ * @param configurationVersion version of the configuration that the relaying VM has in force; 0
+ *     from a VM of an earlier build
  */
 public record RelayRequest(
         String requestId,
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -214,7 +214,8 @@
                 memory,
                 upstreamClient(),
                 VmClientFactory.create(vertx, failureCounter("vm")),
-                settings.peerPort());
+                settings.peerPort(),
+                this::configurationVersion);
     }
 
     private MemberInfo self(long incarnation) {
@@ -242,9 +243,7 @@
         metrics.gauge("fleet.heard_percent", () -> Math.round(100 * fleet.heardFraction(now())));
         metrics.gauge("publication.revision", () -> publishedState.position().revision());
         metrics.gauge("publication.era", () -> publishedState.position().era());
-        metrics.gauge(
-                "publication.version",
-                () -> publishedState.publication().map(GatewayPublication::version).orElse(0L));
+        metrics.gauge("publication.version", this::configurationVersion);
         metrics.gauge("store.lost_ms", control::storeUnavailableMillis);
         metrics.gauge("replicas.known", () -> pool.replicas().size());
         metrics.gauge("loop.delay_ms", () -> lag.delayMillis(now()));
@@ -254,6 +253,10 @@
         metrics.gauge("requests.running", () -> callers.running() + relays.running());
     }
 
+    private long configurationVersion() {
+        return publishedState.publication().map(GatewayPublication::version).orElse(0L);
+    }
+
     private long now() {
         return clock.getAsLong();
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
@@ -208,7 +208,6 @@
                         customer,
                         now,
                         now + relayed.remainingMillis() - context.gate().receiveDelayMillis(),
-                        relayed.configurationVersion(),
                         true);
         boolean allowed = plan.allowedIn(context.fleet().self().region());
         return allowed ? Optional.of(plan) : Optional.empty();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
@@ -128,7 +128,7 @@
                         plan.uri(),
                         context.format().relayHeaders(plan.envelope(), resumeAfter),
                         plan.body().getBytes(),
-                        plan.configurationVersion());
+                        context.configurationVersion().getAsLong());
         RelayAttempt attempt =
                 new RelayAttempt(
                         context.vertx(),
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
@@ -274,7 +274,6 @@
                         keyRequired ? customer : Optional.empty(),
                         receivedAt,
                         receivedAt + timeoutMillis - context.gate().receiveDelayMillis(),
-                        current.version(),
                         false);
         Optional<Refusal> unfit = unfit(plan);
         if (unfit.isPresent()) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EntryContext.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/EntryContext.java
@@ -34,6 +34,7 @@
  * @param upstreamClient HTTP client for replicas; opens a connection for each request
  * @param vmClient HTTP client for other VMs; pools its connections
  * @param peerPort port on which VMs accept relayed requests
+ * @param configurationVersion version of the configuration in force, 0 if there is none
  */
 public record EntryContext(
         Vertx vertx,
@@ -52,7 +53,8 @@
         ResponseMemoryBudget memory,
         HttpClient upstreamClient,
         HttpClient vmClient,
-        int peerPort) {
+        int peerPort,
+        LongSupplier configurationVersion) {
     /**
      * Boundary for unexpected errors.
      *
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestPlan.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestPlan.java
@@ -25,7 +25,6 @@
  * @param customer customer that is charged, empty on an open route
  * @param receivedAtMillis monotonic time at which its headers arrived
  * @param deadlineMillis monotonic time after which its response is no longer awaited
- * @param configurationVersion version of the configuration by which it was admitted
  * @param relayed true if another VM relayed it
  */
 public record RequestPlan(
@@ -38,7 +37,6 @@
         Optional<CustomerSpec> customer,
         long receivedAtMillis,
         long deadlineMillis,
-        long configurationVersion,
         boolean relayed) {
     /** Urgency of the most urgent requests; lower values are reserved for operators. */
     private static final int MOST_URGENT = 2;
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/DrainAdmissionTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/DrainAdmissionTest.java
@@ -136,7 +136,6 @@
                 Optional.empty(),
                 clock.get(),
                 clock.get() + 15_000,
-                1,
                 false);
     }
 }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayHandlerTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayHandlerTest.java
@@ -59,7 +59,7 @@
     private static final ZoneId ZONE = new ZoneId("z");
     private static final RegionId REGION = new RegionId("r");
     private static final long WAIT_SECONDS = 10;
-    private static final long ADMITTED_BY = 4;
+    private static final long RELAYED_BY = 4;
 
     private final Vertx vertx = Vertx.vertx();
     private final LongSupplier clock = () -> System.nanoTime() / 1_000_000;
@@ -82,7 +82,7 @@
     /** The relaying VM is behind. */
     @Test
     void requestWhoseRouteLeadsElsewhereByNowIsNotRunByTheFormerService() throws Exception {
-        ForwardFailure failure = relay(() -> configuration(ADMITTED_BY + 1, "other"));
+        ForwardFailure failure = relay(() -> configuration(RELAYED_BY + 1, "other"));
         assertThat(failure.message(), is("configuration_superseded"));
         assertThat(failure.code(), is(ErrorCode.NO_UPSTREAM));
         assertThat(failure.runState(), is(RunState.NOT_RUN));
@@ -91,7 +91,7 @@
     /** This VM is behind. The stub of the request format fails next. */
     @Test
     void requestThatALaterVersionAdmittedIsNotRefusedForAnEarlierOne() throws Exception {
-        ForwardFailure failure = relay(() -> configuration(ADMITTED_BY - 1, "other"));
+        ForwardFailure failure = relay(() -> configuration(RELAYED_BY - 1, "other"));
         assertThat(failure.message(), is("internal_error"));
     }
 
@@ -162,7 +162,7 @@
                 "/a",
                 List.of(),
                 new byte[0],
-                ADMITTED_BY);
+                RELAYED_BY);
     }
 
     /** A configuration in which the route leads to a service; two services are known. */
@@ -218,6 +218,7 @@
                 new ResponseMemoryBudget(),
                 vertx.createHttpClient(),
                 vertx.createHttpClient(),
-                17_600);
+                17_600,
+                () -> 1);
     }
 }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/CallerHandlerTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/CallerHandlerTest.java
@@ -103,7 +103,8 @@
                         stub.memory(),
                         stub.upstreamClient(),
                         stub.vmClient(),
-                        stub.peerPort());
+                        stub.peerPort(),
+                        stub.configurationVersion());
         CallerHandler handler =
                 new CallerHandler(
                         context,
@@ -161,7 +162,8 @@
                 new ResponseMemoryBudget(),
                 vertx.createHttpClient(),
                 vertx.createHttpClient(),
-                17_600);
+                17_600,
+                () -> 1);
     }
 
     /** Format whose reading of a request exhausts the stack. Stateless. */
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/ReplicaProberTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/ReplicaProberTest.java
@@ -129,7 +129,8 @@
                 new ResponseMemoryBudget(),
                 vertx.createHttpClient(),
                 vertx.createHttpClient(),
-                17_600);
+                17_600,
+                () -> 1);
     }
 
     /** Step of a probe. Immutable. */
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RequestRunTest.java
@@ -579,7 +579,8 @@
                 new ResponseMemoryBudget(),
                 vertx.createHttpClient(),
                 vertx.createHttpClient(),
-                17_600);
+                17_600,
+                () -> 1);
     }
 
     private RequestPlan plan(RouteKind kind, boolean relayed) {
@@ -629,7 +630,6 @@
                 Optional.empty(),
                 now,
                 now + 4_000,
-                1,
                 relayed);
     }
 }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/SlotOwnerRelayTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/SlotOwnerRelayTest.java
@@ -170,7 +170,8 @@
                 new ResponseMemoryBudget(),
                 vertx.createHttpClient(),
                 vertx.createHttpClient(),
-                peerPort);
+                peerPort,
+                () -> 1);
     }
 
     private static MemberInfo vm(String name, int capacity) {
@@ -215,7 +216,6 @@
                 Optional.empty(),
                 now,
                 now + 4_000,
-                1,
                 false);
     }
 }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UnansweredRequestTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UnansweredRequestTest.java
@@ -187,7 +187,8 @@
                 new ResponseMemoryBudget(),
                 vertx.createHttpClient(),
                 vertx.createHttpClient(),
-                17_600);
+                17_600,
+                () -> 1);
     }
 
     private RequestPlan plan(RouteKind kind, long deadlineMillis) {
@@ -227,7 +228,6 @@
                 Optional.empty(),
                 now(),
                 now() + deadlineMillis,
-                1,
                 false);
     }
 
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UnexpectedErrorTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UnexpectedErrorTest.java
@@ -152,7 +152,8 @@
                 new ResponseMemoryBudget(),
                 vertx.createHttpClient(),
                 vertx.createHttpClient(),
-                17_600);
+                17_600,
+                () -> 1);
     }
 
     private RequestPlan plan(RouteKind kind) {
@@ -193,7 +194,6 @@
                 Optional.empty(),
                 now,
                 now + DEADLINE_MILLIS,
-                1,
                 false);
     }
 
