--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ProbePlan.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ProbePlan.java
@@ -1,9 +1,10 @@
 package io.vanillapoint.core.upstream;
 
-import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 
 /**
  * Decides which replicas this VM probes with a status call: those that fail, those that may have
@@ -50,11 +51,12 @@
      * @return false if no probe is needed until a request fails
      */
     public boolean wanted(long nowMillis) {
-        return pool.replicas().stream()
-                .anyMatch(
-                        tracker ->
-                                (tracker.probeWanted(nowMillis) || pathSuspected(tracker))
-                                        && pool.serves(tracker, nowMillis));
+        return !pool.onSuspectedPaths().isEmpty()
+                || pool.replicas().stream()
+                        .anyMatch(
+                                tracker ->
+                                        tracker.probeWanted(nowMillis)
+                                                && pool.serves(tracker, nowMillis));
     }
 
     /**
@@ -65,14 +67,24 @@
      * @return replicas to probe now
      */
     public List<ReplicaTracker> start(long nowMillis) {
-        List<ReplicaTracker> due = new ArrayList<>();
+        Set<ReplicaTracker> due = new LinkedHashSet<>();
         for (ReplicaTracker tracker : pool.replicas()) {
-            if (due(tracker, nowMillis) && pool.serves(tracker, nowMillis)) {
+            if (tracker.probeDue(nowMillis)) {
                 due.add(tracker);
             }
         }
-        due.sort(Comparator.comparingLong(ReplicaTracker::nextProbeMillis));
-        List<ReplicaTracker> started = due.subList(0, Math.min(due.size(), permitted(nowMillis)));
+        for (ReplicaTracker tracker : pool.onSuspectedPaths()) {
+            if (tracker.mayStartProbe(nowMillis)) {
+                due.add(tracker);
+            }
+        }
+        List<ReplicaTracker> serving =
+                due.stream()
+                        .filter(tracker -> pool.serves(tracker, nowMillis))
+                        .sorted(Comparator.comparingLong(ReplicaTracker::nextProbeMillis))
+                        .toList();
+        List<ReplicaTracker> started =
+                serving.subList(0, Math.min(serving.size(), permitted(nowMillis)));
         tokens -= started.size();
         for (ReplicaTracker tracker : started) {
             tracker.probeStarted(random.nextInt(JITTER_MILLIS), nowMillis);
@@ -80,15 +92,6 @@
         return started;
     }
 
-    private boolean due(ReplicaTracker tracker, long nowMillis) {
-        return tracker.probeDue(nowMillis)
-                || (tracker.mayStartProbe(nowMillis) && pathSuspected(tracker));
-    }
-
-    private boolean pathSuspected(ReplicaTracker tracker) {
-        return pool.pathSuspected(tracker.info().service(), tracker.region());
-    }
-
     /** Number of probes that the rate permits now. */
     private int permitted(long nowMillis) {
         double refill = (nowMillis - refilledAtMillis) * MAX_PER_SECOND / MILLIS_PER_SECOND;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -317,9 +317,12 @@
      */
     public Set<String> unreachable(RegionId region, long nowMillis) {
         Set<String> ids = new HashSet<>();
+        Map<String, Boolean> pathsLost = new HashMap<>();
         for (ReplicaTracker tracker : replicas.values()) {
             boolean outOfReach =
-                    tracker.outOfReach(nowMillis) || pathLost(tracker.info().service(), region);
+                    tracker.outOfReach(nowMillis)
+                            || pathsLost.computeIfAbsent(
+                                    tracker.info().service(), service -> pathLost(service, region));
             if (outOfReach && tracker.region().equals(region) && serves(tracker, nowMillis)) {
                 ids.add(tracker.info().id());
             }
@@ -339,9 +342,29 @@
         return replicasFailingAlone(service, region) >= PATH_LOST_REPLICAS;
     }
 
-    /** Tells whether the other replicas should be probed since no connection opens at present. */
-    boolean pathSuspected(String service, RegionId region) {
-        return replicasFailingAlone(service, region) > 0;
+    /**
+     * Replicas that should be probed although they don't fail, since no connection to others of the
+     * same service and region opens at present.
+     *
+     * @return new list
+     */
+    List<ReplicaTracker> onSuspectedPaths() {
+        List<ReplicaTracker> suspected = new ArrayList<>();
+        for (Map.Entry<String, List<ReplicaTracker>> service : byService.entrySet()) {
+            Set<RegionId> failing = new HashSet<>();
+            for (ReplicaTracker tracker : service.getValue()) {
+                if (tracker.connectionsFailSince().isPresent()) {
+                    failing.add(tracker.region());
+                }
+            }
+            failing.removeIf(region -> replicasFailingAlone(service.getKey(), region) == 0);
+            for (ReplicaTracker tracker : service.getValue()) {
+                if (failing.contains(tracker.region())) {
+                    suspected.add(tracker);
+                }
+            }
+        }
+        return suspected;
     }
 
     /**
