--- a/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/LikelyCause.java
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/LikelyCause.java
@@ -81,6 +81,7 @@
                                                                             + zone.text("zone"))
                                                     .orElse("")
                                             + exhaustedRetryBudget(trace)
+                                            + replicasOutOfReach(trace)
                                             + replicaNotReady(trace)
                                             + replicaNotices(trace));
         }
@@ -187,6 +188,20 @@
                 .orElse("");
     }
 
+    private static String replicasOutOfReach(RequestTrace trace) {
+        return trace.lastContextEvent(EventCode.REPLICAS_OUT_OF_REACH)
+                .map(
+                        lost ->
+                                "; the VM had lost its paths to the "
+                                        + lost.text("replicas")
+                                        + " replicas of "
+                                        + lost.text("service")
+                                        + " in its region, which "
+                                        + lost.text("vms_reaching")
+                                        + " other VMs there reached")
+                .orElse("");
+    }
+
     private static String replicaNotReady(RequestTrace trace) {
         return trace.context().stream()
                 .filter(decision -> decision.code() == EventCode.REPLICA_CHANGED)
--- a/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/RequestTrace.java
+++ b/vanillapoint-cli/src/main/java/io/vanillapoint/cli/explain/RequestTrace.java
@@ -37,6 +37,8 @@
                     EventCode.EVACUATION,
                     EventCode.ENTRY_STARTED,
                     EventCode.ENTRY_STATE,
+                    EventCode.REPLICAS_OUT_OF_REACH,
+                    EventCode.REPLICAS_IN_REACH,
                     EventCode.LINES_LEFT_OUT);
 
     private static final Set<EventCode> REPLICA_EVENTS =
--- a/vanillapoint-cli/src/test/java/io/vanillapoint/cli/explain/RequestTraceTest.java
+++ b/vanillapoint-cli/src/test/java/io/vanillapoint/cli/explain/RequestTraceTest.java
@@ -73,6 +73,19 @@
         assertThat(LikelyCause.of(trace), containsString("its prompt parts 5f1e crash engines"));
     }
 
+    @Test
+    void likelyCauseOfRefusalNamesTheReplicasOutOfReach() throws IOException {
+        RequestTrace trace =
+                trace(
+                        "{\"at\":900,\"vm\":\"a\",\"event\":2412,\"service\":\"s\","
+                                + "\"replicas\":6,\"vms_reaching\":2}",
+                        "{\"at\":951,\"vm\":\"a\",\"event\":2307,\"request\":\"r1\","
+                                + "\"reason\":\"replicas_unreachable\"}");
+        assertThat(
+                LikelyCause.of(trace),
+                containsString("lost its paths to the 6 replicas of s in its region, which 2"));
+    }
+
     @Test
     void likelyCauseOfFailureNamesTheEngineThatCrashed() throws IOException {
         RequestTrace trace =
