A probe whose connection is accepted shows that the path to the replicas is not lost

Found on reading: replicas that don't know the status call would not clear the suspicion while there is no request for them. ReplicaProbeTest.acceptedProbeShowsThatThePathIsNotLost; by its last line it fails without the change (not run).

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -260,7 +260,8 @@
     }
 
     /**
-     * When the last request or probe was sent that the replica has answered.
+     * When the last request was sent that the replica has answered, or the last probe to which it
+     * has accepted a connection.
      *
      * @return monotonic time in milliseconds
      */
@@ -325,7 +326,7 @@
      * @return what this tells about a restart
      */
     public RestartEvidence probeAnswered(long startedAtMillis, long nowMillis) {
-        lastReachedMillis = Math.max(lastReachedMillis, ejection.probedAtMillis());
+        recordProbeReached();
         RestartEvidence evidence = RestartEvidence.of(info.startedAtMillis(), startedAtMillis);
         ejection.probeAnswered(evidence, nowMillis);
         return evidence;
@@ -346,9 +347,15 @@
      * @param nowMillis monotonic time
      */
     public void probeUnanswered(long nowMillis) {
+        recordProbeReached();
         ejection.probeUnanswered(nowMillis);
     }
 
+    /** An accepted connection shows the path to the replica, whatever follows. */
+    private void recordProbeReached() {
+        lastReachedMillis = Math.max(lastReachedMillis, ejection.probedAtMillis());
+    }
+
     /**
      * Records that the replica announced in a response that it leaves. Only a restart under the
      * same id clears this.
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaProbeTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaProbeTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -239,6 +240,18 @@
         assertThat("each replica gets its turn", probed, hasSize(101));
     }
 
+    @Test
+    void acceptedProbeShowsThatThePathIsNotLost() {
+        ReplicaTracker first = publish("i-a", START, 0);
+        ReplicaTracker second = publish("i-b", START, 0);
+        first.connectionFailed(1_000, 1_300);
+        second.connectionFailed(1_010, 1_310);
+        assertThat(pool.pathLost("s", replica.region()), is(true));
+        assertThat(plan.start(1_320), hasItem(replica));
+        replica.probeUnanswered(1_700);
+        assertThat(pool.pathLost("s", replica.region()), is(false));
+    }
+
     private boolean maySelect(long now) {
         return pool.maySelect(replica, SERVICE, ROSTER, now);
     }
