--- a/review/standin/Trial.java
+++ b/review/standin/Trial.java
@@ -314,6 +314,11 @@
 
     /** The platform's store: ranges and watches over all that was put. */
     static final class Store {
+        private static final int PAGE_BYTES = 1_000_000;
+
+        /** Changes older than this are no longer available to watches. */
+        private static final long HISTORY_MILLIS = 20_000;
+
         private final ServerSocket server;
         private final TreeMap<String, Item> items = new TreeMap<>();
         private long revision = 100;
@@ -335,11 +340,13 @@
                     key,
                     new Item(
                             revision,
+                            millis(),
                             "{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%d,\"createRevision\":%d,\"lease\":0}"
                                     .formatted(key, encoded, revision, revision)));
             notifyAll();
         }
 
+        /** Answers a range or a watch; null if the history is gone. */
         private synchronized String answer(String target) throws InterruptedException {
             Map<String, String> query = new HashMap<>();
             int mark = target.indexOf('?');
@@ -351,14 +358,7 @@
             }
             String prefix = query.getOrDefault("prefix", "");
             if (target.startsWith("/-/kv-range")) {
-                String after = query.getOrDefault("after", "");
-                StringJoiner list = new StringJoiner(",");
-                items.tailMap(after, after.isEmpty()).forEach((key, item) -> {
-                    if (key.startsWith(prefix)) {
-                        list.add(item.json);
-                    }
-                });
-                return "{\"items\":[" + list + "],\"hasMore\":false,\"asOf\":" + revision + "}";
+                return page(query.getOrDefault("after", ""), prefix);
             }
             long after = Long.parseLong(query.get("after"));
             long end = millis() + Long.parseLong(query.get("waitMs"));
@@ -366,18 +366,44 @@
                 wait(Math.max(1, end - millis()));
             }
             StringJoiner list = new StringJoiner(",");
-            items.forEach((key, item) -> {
-                if (item.revision > after && key.startsWith(prefix)) {
+            for (Map.Entry<String, Item> entry : items.entrySet()) {
+                Item item = entry.getValue();
+                if (item.revision > after && entry.getKey().startsWith(prefix)) {
+                    if (millis() - item.atMillis > HISTORY_MILLIS) {
+                        return null;
+                    }
                     list.add(item.json);
                 }
-            });
+            }
             return "{\"events\":[" + list + "],\"asOf\":" + revision + "}";
         }
 
+        /** One page of a listing: about a megabyte. */
+        private String page(String after, String prefix) {
+            StringJoiner list = new StringJoiner(",");
+            boolean hasMore = false;
+            for (Map.Entry<String, Item> item : items.tailMap(after, false).entrySet()) {
+                if (item.getKey().startsWith(prefix)) {
+                    if (list.length() >= PAGE_BYTES) {
+                        hasMore = true;
+                        break;
+                    }
+                    list.add(item.getValue().json);
+                }
+            }
+            return "{\"items\":[" + list + "],\"hasMore\":" + hasMore + ",\"asOf\":" + revision + "}";
+        }
+
         private void serve(Socket socket) throws Exception {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             for (Head head = Head.read(in); head != null; head = Head.read(in)) {
                 String body = answer(head.path());
+                if (body == null) {
+                    write(
+                            socket.getOutputStream(),
+                            "HTTP/1.1 410 Gone\r\nStore-Era: 1\r\nContent-Length: 0\r\n\r\n");
+                    continue;
+                }
                 write(
                         socket.getOutputStream(),
                         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
@@ -385,7 +411,7 @@
             }
         }
 
-        private record Item(long revision, String json) {}
+        private record Item(long revision, long atMillis, String json) {}
     }
 
     /** Serves one connection. */
