--- a/review/standin/TwoReplicas.java
+++ b/review/standin/TwoReplicas.java
@@ -89,17 +89,18 @@
             List<Stay> engines = stream.getValue();
             for (int next = 1; next < engines.size(); next++) {
                 Stay before = engines.get(next - 1);
-                long startedAt = engines.get(next).firstTokenAt;
+                Stay other = engines.get(next);
+                long startedAt = other.firstTokenAt;
                 if (startedAt == 0) {
                     continue;
                 }
                 both++;
-                long overlap = before.endedAt - startedAt;
+                long overlap = Math.min(before.endedAt, other.endedAt) - startedAt;
                 if (overlap >= ALLOWED_MILLIS) {
                     broken++;
                     trial.report(
-                            "%s goes on at %s after event %s, and %s still works on it %d ms later",
-                            stream.getKey(), engines.get(next).engine, engines.get(next).after, before.engine, overlap);
+                            "%s: %s goes on after event %s, and %s still works on it; both do for %d ms",
+                            stream.getKey(), other.engine, other.after, before.engine, overlap);
                 }
             }
         }
