--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
-# Compiles the stand-ins and the trials of the cases. Needs a JDK 17 and nothing else.
+# Compiles each case with the stand-ins that all cases share (1/standin). Needs a JDK 17 and nothing else.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")"
-mkdir -p target/classes
-javac --release 17 -d target/classes standin/*.java
+for number in 1 2 3; do
+  mkdir -p "$number/target"
+  javac --release 17 -d "$number/target" 1/standin/*.java "$number"/*.java
+done
