Prepare load-aware placement: scorer split off, fields of heartbeats, activation

Heartbeats get optional fields for outcomes, slowdown and deferrable work of upstreams; they are left out while load-aware placement is inactive.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
@@ -32,6 +32,8 @@
  *     by service
  * @param silences replicas, as far as the page covers them, that leave requests of the sender
  *     unanswered, by id
+ * @param signals what the sender has observed of the replicas that the page covers, by id; empty
+ *     while load-aware placement is inactive
  */
 public record FleetReport(
         MemberInfo self,
@@ -49,7 +51,8 @@
         QuarantineReport quarantine,
         Optional<Set<String>> unreachable,
         Map<String, Integer> rejectionLimits,
-        Map<String, SilenceCounts> silences) {
+        Map<String, SilenceCounts> silences,
+        Map<String, UpstreamSignals> signals) {
     /** Copies the collections. */
     public FleetReport {
         customers = Map.copyOf(customers);
@@ -59,6 +62,7 @@
         unreachable = unreachable.map(Set::copyOf);
         rejectionLimits = Map.copyOf(rejectionLimits);
         silences = Map.copyOf(silences);
+        signals = Map.copyOf(signals);
     }
 
     /**
@@ -100,6 +104,7 @@
         private Optional<Set<String>> unreachable = Optional.empty();
         private Map<String, Integer> rejectionLimits = Map.of();
         private Map<String, SilenceCounts> silences = Map.of();
+        private Map<String, UpstreamSignals> signals = Map.of();
 
         private Builder(MemberInfo self, long sequence) {
             this.self = Objects.requireNonNull(self, "self");
@@ -122,6 +127,7 @@
             unreachable = report.unreachable;
             rejectionLimits = report.rejectionLimits;
             silences = report.silences;
+            signals = report.signals;
         }
 
         /**
@@ -269,6 +275,17 @@
             return this;
         }
 
+        /**
+         * Sets what the sender has observed of replicas.
+         *
+         * @param observed signals of those that the page covers, by replica id
+         * @return this
+         */
+        public Builder signals(Map<String, UpstreamSignals> observed) {
+            signals = observed;
+            return this;
+        }
+
         /**
          * Builds the report.
          *
@@ -291,7 +308,8 @@
                     quarantine,
                     unreachable,
                     rejectionLimits,
-                    silences);
+                    silences,
+                    signals);
         }
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/OtherVmUse.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/OtherVmUse.java
@@ -45,9 +45,9 @@
     }
 
     private void add(String upstream, UpstreamUse use, int sign) {
-        UpstreamUse signed = new UpstreamUse(sign * use.requests(), sign * use.promptTokens());
+        UpstreamUse signed = sign < 0 ? use.negated() : use;
         UpstreamUse sum = sums.merge(upstream, signed, UpstreamUse::plus);
-        if (sum.requests() == 0 && sum.promptTokens() == 0) {
+        if (sum.equals(UpstreamUse.NONE)) {
             sums.remove(upstream);
         }
     }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPager.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPager.java
@@ -115,6 +115,7 @@
                 .rejectionLimits(rejectionLimits)
                 .unreachable(entries.unreachable())
                 .silences(entries.silences())
+                .signals(entries.signals())
                 .upstreams(entries.upstreams())
                 .quarantine(quarantine.chosen())
                 .others(others)
@@ -187,10 +188,13 @@
 
     private static int pageCount(Content content) {
         int bytes =
-                content.upstreams().keySet().stream().mapToInt(ReportPager::size).sum()
+                content.upstreams().entrySet().stream().mapToInt(ReportPager::size).sum()
                         + content.unreachable().stream().mapToInt(ReportPager::textSize).sum()
                         + content.silences().keySet().stream()
                                 .mapToInt(id -> silenceSize(id, content.upstreams().keySet()))
+                                .sum()
+                        + content.signals().entrySet().stream()
+                                .mapToInt(ReportPager::signalsSize)
                                 .sum();
         int pageBytes = UPSTREAM_BYTES;
         pageBytes -= content.quarantine().isEmpty() ? 0 : QUARANTINE_BYTES;
@@ -210,13 +214,26 @@
         return textSize(use.getKey()) + 2 * NUMBER_BYTES + STRUCT_END_BYTES;
     }
 
-    private static int size(String upstream) {
+    private static int size(Map.Entry<String, UpstreamUse> use) {
+        boolean deferrable = use.getValue().deferrableRequests() != 0;
+        return entrySize(use.getKey()) + (deferrable ? SHORT_NUMBER_BYTES + NUMBER_BYTES : 0);
+    }
+
+    /** Size of an upstream's entry without its optional fields. */
+    private static int entrySize(String upstream) {
         return textSize(upstream) + SHORT_NUMBER_BYTES + NUMBER_BYTES + STRUCT_END_BYTES;
     }
 
     /** Counts are added to the replica's entry if the report has one. */
     private static int silenceSize(String replica, Set<String> upstreams) {
-        return (upstreams.contains(replica) ? 0 : size(replica)) + 2 * SHORT_NUMBER_BYTES;
+        return (upstreams.contains(replica) ? 0 : entrySize(replica)) + 2 * SHORT_NUMBER_BYTES;
+    }
+
+    /** Upper bound, since the replica may have no entry otherwise. */
+    private static int signalsSize(Map.Entry<String, UpstreamSignals> signals) {
+        int optionalFields = signals.getValue().outcomes().isPresent() ? 2 : 0;
+        optionalFields += signals.getValue().slowdown().isPresent() ? 2 : 0;
+        return entrySize(signals.getKey()) + optionalFields * SHORT_NUMBER_BYTES;
     }
 
     private static int size(MemberInfo info) {
@@ -244,6 +261,7 @@
      * @param unreachable ids of the replicas of the sender's region that it can't reach
      * @param rejectionLimits rejections in a second that replicas survive, by service
      * @param silences replicas that leave requests of the sender unanswered, by id
+     * @param signals what the sender has observed of replicas, by id
      */
     public record Content(
             Map<String, CustomerUse> customers,
@@ -253,13 +271,15 @@
             QuarantineReport quarantine,
             Set<String> unreachable,
             Map<String, Integer> rejectionLimits,
-            Map<String, SilenceCounts> silences) {}
+            Map<String, SilenceCounts> silences,
+            Map<String, UpstreamSignals> signals) {}
 
     /** What one page tells of upstreams, and the bytes that it takes. */
     private record UpstreamEntries(
             Set<String> unreachable,
             Map<String, UpstreamUse> upstreams,
             Map<String, SilenceCounts> silences,
+            Map<String, UpstreamSignals> signals,
             int usedBytes) {
         static UpstreamEntries choose(Content content, ReportPage page, int maxBytes) {
             int freeBytes = maxBytes;
@@ -273,7 +293,7 @@
             }
             Map<String, UpstreamUse> upstreams = new HashMap<>();
             for (Map.Entry<String, UpstreamUse> use : content.upstreams().entrySet()) {
-                int size = size(use.getKey());
+                int size = size(use);
                 if (page.covers(use.getKey()) && size <= freeBytes) {
                     upstreams.put(use.getKey(), use.getValue());
                     freeBytes -= size;
@@ -287,7 +307,16 @@
                     freeBytes -= size;
                 }
             }
-            return new UpstreamEntries(unreachable, upstreams, silences, maxBytes - freeBytes);
+            Map<String, UpstreamSignals> signals = new HashMap<>();
+            for (Map.Entry<String, UpstreamSignals> observed : content.signals().entrySet()) {
+                int size = signalsSize(observed);
+                if (page.covers(observed.getKey()) && size <= freeBytes) {
+                    signals.put(observed.getKey(), observed.getValue());
+                    freeBytes -= size;
+                }
+            }
+            return new UpstreamEntries(
+                    unreachable, upstreams, silences, signals, maxBytes - freeBytes);
         }
     }
 
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/published/GatewayPublication.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/published/GatewayPublication.java
@@ -93,6 +93,15 @@
         return List.copyOf(customers.values());
     }
 
+    /**
+     * All routes.
+     *
+     * @return immutable collection
+     */
+    public List<RouteSpec> routes() {
+        return List.copyOf(routesByName.values());
+    }
+
     /**
      * Finds the route of a request.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -3,7 +3,6 @@
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.core.fleet.FleetView;
 import io.vanillapoint.core.fleet.MemberInfo;
-import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.fleet.VmRoster;
 import io.vanillapoint.core.hash.Rendezvous;
 import io.vanillapoint.core.prompt.PromptSummary;
@@ -31,55 +30,9 @@
  * processing the prompt again elsewhere. Confined to one thread.
  */
 public final class ReplicaChooser {
-    /** Probability that this region's preferred engine has cached a session this VM never sent. */
-    private static final double PREFERRED_HIT_PROBABILITY = 0.8;
-
-    /** The same for another region, which receives fewer requests of the session. */
-    private static final double REMOTE_PREFERRED_HIT_PROBABILITY = 0.1;
-
-    /** Assumed processing time of a plain request. */
-    private static final double PLAIN_REQUEST_MILLIS = 45;
-
-    /** Wait per queued request of a full engine, about a tenth of a long response's duration. */
-    private static final double SLOT_WAIT_MILLIS = 150;
-
-    /**
-     * Ratios of expected time to target from which responses may be late and are certainly late.
-     */
-    private static final double LATENESS_START_RATIO = 0.55;
-
-    private static final double LATENESS_CERTAIN_RATIO = 1.15;
-
-    /** Loss per unit of failure rate above {@link #BASELINE_FAILURE_RATE}. */
-    private static final double FAILING_REPLICA_LOSS = 0.8;
-
-    /** Loss for a request that is never answered. */
-    private static final double UNANSWERED_LOSS = 1;
-
     /** One in this many replicas leaves fewer requests unanswered than is usual. */
     private static final int USUAL_PART = 3;
 
-    /** Failure rate that services have in normal operation. */
-    private static final double BASELINE_FAILURE_RATE = 0.1;
-
-    /** Loss per target of expected time, to prefer the faster of replicas that are all in time. */
-    private static final double LOSS_PER_TARGET = 0.02;
-
-    /** Loss for a full batch, in which each token takes longer than in an empty one. */
-    private static final double FULL_BATCH_LOSS = 0.02;
-
-    /** Relative slowdown of a plain replica when all its slots are in use. */
-    private static final double FULL_LOAD_SLOWDOWN = 0.3;
-
-    /** Weight of the newest measurement in the smoothed round-trip time. */
-    private static final double NEWEST_ROUND_TRIP_WEIGHT = 0.125;
-
-    /** Additional time through another VM of this region. */
-    private static final double REGION_RELAY_MILLIS = 4;
-
-    /** Loss for the work of another VM and the bytes between availability zones. */
-    private static final double REGION_RELAY_LOSS = 0.01;
-
     /** Retry delay after a refusal, if there is no better estimate. */
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 400;
 
@@ -89,8 +42,7 @@
     private final PlacementWeights weights;
     private final SessionLocations sessions;
     private final RelayBackoff relayBackoff;
-    private final Map<String, EngineSpeed> speeds = new HashMap<>();
-    private final Map<RegionId, Double> roundTrips = new HashMap<>();
+    private final ReplicaScorer scorer;
     private final SlotTenure slotTenure = new SlotTenure();
     private int nextOwner;
     private int nextRegionVm;
@@ -114,6 +66,7 @@
         this.fleet = fleet;
         this.roster = roster;
         this.weights = weights;
+        scorer = new ReplicaScorer(fleet, weights);
         this.sessions = sessions;
         relayBackoff = new RelayBackoff(fleet);
     }
@@ -125,7 +78,7 @@
      * @return the estimate, to be updated with first events
      */
     public EngineSpeed speed(String service) {
-        return speeds.computeIfAbsent(service, unused -> new EngineSpeed());
+        return scorer.speed(service);
     }
 
     /**
@@ -135,8 +88,7 @@
      * @param millis measured time
      */
     public void recordRoundTrip(RegionId region, long millis) {
-        double previous = roundTrips.getOrDefault(region, weights.initialRoundTripMillis());
-        roundTrips.put(region, previous + NEWEST_ROUND_TRIP_WEIGHT * (millis - previous));
+        scorer.recordRoundTrip(region, millis);
     }
 
     /**
@@ -204,7 +156,7 @@
      * whether it still does. A request that was sent before has waited long enough.
      */
     private static boolean isTrial(Candidate candidate, PlacementQuery query) {
-        if (candidate.path != Path.DIRECT || !query.tried().isEmpty()) {
+        if (candidate.path != PlacementPath.DIRECT || !query.tried().isEmpty()) {
             return false;
         }
         SilenceEvidence silence = candidate.tracker.silence();
@@ -265,74 +217,10 @@
     private Placement relayToOwner(List<MemberInfo> owners) {
         MemberInfo owner = owners.get(Math.floorMod(nextOwner++, owners.size()));
         return new Placement.Relay(
-                owner.region(), (long) PLAIN_REQUEST_MILLIS, Set.of(), Optional.of(owner));
-    }
-
-    private Candidate score(
-            ReplicaTracker tracker,
-            Path path,
-            PlacementQuery query,
-            Set<String> preferred,
-            List<String> cachingEngines) {
-        UpstreamUse use = tracker.outstanding().plus(fleet.otherVmUse(tracker.info().id()));
-        Candidate candidate = new Candidate(tracker, path);
-        if (query.prompt().isPresent()) {
-            scoreEngine(candidate, query, use, preferred, cachingEngines);
-        } else {
-            int queued = Math.max(0, use.requests() + 1 - Math.max(1, tracker.info().slots()));
-            double queuedPerSlot = (double) queued / Math.max(1, tracker.info().slots());
-            double utilization = (double) use.requests() / Math.max(1, tracker.info().slots());
-            candidate.expectedMillis =
-                    PLAIN_REQUEST_MILLIS
-                            * (1 + queuedPerSlot + FULL_LOAD_SLOWDOWN * Math.min(1, utilization));
-        }
-        if (path == Path.REGION_VM) {
-            candidate.expectedMillis += REGION_RELAY_MILLIS;
-            candidate.loss += REGION_RELAY_LOSS;
-        } else if (path == Path.OTHER_REGION) {
-            candidate.expectedMillis +=
-                    roundTrips.getOrDefault(tracker.region(), weights.initialRoundTripMillis());
-            candidate.loss += weights.crossRegionPerKilobyte() * query.bodyBytes() / 1_000.0;
-        }
-        double targetRatio =
-                (candidate.expectedMillis + query.elapsedMillis()) / query.route().targetMillis();
-        candidate.loss += weights.lateAnswer() * lateness(targetRatio);
-        candidate.loss +=
-                FAILING_REPLICA_LOSS * Math.max(0, tracker.failureRate() - BASELINE_FAILURE_RATE);
-        candidate.loss += LOSS_PER_TARGET * targetRatio;
-        return candidate;
-    }
-
-    private void scoreEngine(
-            Candidate candidate,
-            PlacementQuery query,
-            UpstreamUse use,
-            Set<String> preferred,
-            List<String> cachingEngines) {
-        PromptSummary prompt = query.prompt().orElseThrow();
-        ReplicaTracker tracker = candidate.tracker;
-        long sharedTokens = prompt.sharedTokens();
-        long cachedTokens = tracker.prefixCache().cachedTokens(prompt);
-        if (cachingEngines.contains(tracker.info().id())) {
-            cachedTokens = Math.max(cachedTokens, sharedTokens);
-        } else if (preferred.contains(tracker.info().id())) {
-            double hitProbability =
-                    candidate.path == Path.OTHER_REGION
-                            ? REMOTE_PREFERRED_HIT_PROBABILITY
-                            : PREFERRED_HIT_PROBABILITY;
-            cachedTokens = Math.max(cachedTokens, (long) (sharedTokens * hitProbability));
-        }
-        candidate.uncachedTokens = Math.max(0, prompt.promptTokens() - cachedTokens);
-        long tokensAhead = use.promptTokens() + candidate.uncachedTokens;
-        candidate.expectedMillis = speed(query.service().name()).firstEventMillis(tokensAhead);
-        int slots = query.service().engine().map(EngineSpec::slots).orElse(1);
-        int waiting = use.requests() + 1 - slots;
-        if (waiting > 0) {
-            candidate.expectedMillis += SLOT_WAIT_MILLIS * waiting;
-        }
-        double recomputedTokens = Math.max(0, sharedTokens - cachedTokens);
-        candidate.loss += weights.recomputedPerKiloToken() * recomputedTokens / 1_000.0;
-        candidate.loss += FULL_BATCH_LOSS * use.requests() / Math.max(1, slots);
+                owner.region(),
+                (long) ReplicaScorer.PLAIN_REQUEST_MILLIS,
+                Set.of(),
+                Optional.of(owner));
     }
 
     /**
@@ -387,13 +275,6 @@
         return modelAvailable && query.regions().test(tracker.region());
     }
 
-    private static double lateness(double targetRatio) {
-        double probability =
-                (targetRatio - LATENESS_START_RATIO)
-                        / (LATENESS_CERTAIN_RATIO - LATENESS_START_RATIO);
-        return Math.min(1, Math.max(0, probability));
-    }
-
     /** The search of a place for one request. Valid for one moment. */
     private final class Search {
         private final PlacementQuery query;
@@ -444,16 +325,18 @@
                 anyInRegion = true;
                 anyInReach |= !pathLost && !tracker.outOfReach(nowMillis);
             }
-            Optional<Path> path = local ? pathInRegion(tracker) : pathToOtherRegion(tracker);
+            Optional<PlacementPath> path =
+                    local ? pathInRegion(tracker) : pathToOtherRegion(tracker);
             if (path.isEmpty()) {
                 return;
             }
-            if (path.get() != Path.DIRECT) {
+            if (path.get() != PlacementPath.DIRECT) {
                 reachedByOthers
                         .computeIfAbsent(tracker.region(), unused -> new HashSet<>())
                         .add(tracker.info().id());
             }
-            Candidate candidate = score(tracker, path.get(), query, preferred, cachingEngines);
+            Candidate candidate =
+                    scorer.score(tracker, path.get(), query, preferred, cachingEngines);
             candidate.addSilenceLoss(usualRate);
             if (best == null || candidate.loss < best.loss) {
                 best = candidate;
@@ -464,9 +347,9 @@
             }
         }
 
-        private Optional<Path> pathInRegion(ReplicaTracker tracker) {
+        private Optional<PlacementPath> pathInRegion(ReplicaTracker tracker) {
             if (slotOwners.isEmpty() && regionRelay.reaches(tracker, pathLost)) {
-                return Optional.of(Path.REGION_VM);
+                return Optional.of(PlacementPath.REGION_VM);
             }
             if (query.tried().contains(tracker.info().id())) {
                 return Optional.empty();
@@ -481,10 +364,10 @@
                     relayOwners.addAll(slotOwners.get().others(tracker));
                 }
             }
-            return usable ? Optional.of(Path.DIRECT) : Optional.empty();
+            return usable ? Optional.of(PlacementPath.DIRECT) : Optional.empty();
         }
 
-        private Optional<Path> pathToOtherRegion(ReplicaTracker tracker) {
+        private Optional<PlacementPath> pathToOtherRegion(ReplicaTracker tracker) {
             String id = tracker.info().id();
             RegionId region = tracker.region();
             boolean usable =
@@ -492,7 +375,7 @@
                             && !tracker.cold(nowMillis)
                             && openRegions.computeIfAbsent(region, this::mayRelayTo)
                             && fleet.reach().reachedIn(region, id, nowMillis);
-            return usable ? Optional.of(Path.OTHER_REGION) : Optional.empty();
+            return usable ? Optional.of(PlacementPath.OTHER_REGION) : Optional.empty();
         }
 
         private boolean mayRelayTo(RegionId region) {
@@ -503,7 +386,7 @@
         Placement placement() {
             boolean ownerTried =
                     relayOwners.stream().anyMatch(vm -> query.tried().contains(vm.vm()));
-            boolean direct = best != null && best.path == Path.DIRECT;
+            boolean direct = best != null && best.path == PlacementPath.DIRECT;
             if (!direct && !relayOwners.isEmpty() && !ownerTried) {
                 return relayToOwner(relayOwners);
             }
@@ -560,38 +443,4 @@
             };
         }
     }
-
-    /** How a request gets to a replica. */
-    private enum Path {
-        /** From this VM to a replica of its region. */
-        DIRECT,
-        /** Through another VM of this region. */
-        REGION_VM,
-        /** Through a VM of another region. */
-        OTHER_REGION
-    }
-
-    /** A candidate replica with its expected loss. */
-    private static final class Candidate {
-        private final ReplicaTracker tracker;
-        private final Path path;
-        private double loss;
-        private double silenceLoss;
-        private double expectedMillis;
-        private long uncachedTokens;
-
-        Candidate(ReplicaTracker tracker, Path path) {
-            this.tracker = tracker;
-            this.path = path;
-        }
-
-        void addSilenceLoss(double usualRate) {
-            silenceLoss = UNANSWERED_LOSS * Math.max(0, tracker.unansweredRate() - usualRate);
-            loss += silenceLoss;
-        }
-
-        double lossIfAnswering() {
-            return loss - silenceLoss;
-        }
-    }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -1,6 +1,8 @@
 package io.vanillapoint.core.upstream;
 
 import io.vanillapoint.api.model.RegionId;
+import io.vanillapoint.core.fleet.FleetReport;
+import io.vanillapoint.core.fleet.UpstreamSignals;
 import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.prompt.PrefixCacheModel;
 import io.vanillapoint.core.prompt.PromptSummary;
@@ -136,6 +138,14 @@
         return silence;
     }
 
+    /** What this VM has observed of the replica, for the heartbeat. */
+    UpstreamSignals signals(long nowMillis) {
+        return UpstreamSignals.NONE;
+    }
+
+    /** Adds what another VM has observed of the replica, {@code NONE} if nothing. */
+    void mergeSignals(FleetReport report, UpstreamSignals observed, long nowMillis) {}
+
     /**
      * Tells whether the most recent attempts could not reach the replica.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -4,6 +4,7 @@
 import io.vanillapoint.api.model.ZoneId;
 import io.vanillapoint.core.fleet.FleetReport;
 import io.vanillapoint.core.fleet.SilenceCounts;
+import io.vanillapoint.core.fleet.UpstreamSignals;
 import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.fleet.VmRoster;
 import io.vanillapoint.core.published.ServiceSpec;
@@ -47,6 +48,7 @@
     private final Map<String, ResponseTimes> responseTimes = new HashMap<>();
     private final Set<ZoneId> evacuated = new HashSet<>();
     private final RejectionLimits rejectionLimits = new RejectionLimits();
+    private final LoadAwareness loadAwareness = new LoadAwareness();
 
     /**
      * Creates an empty pool.
@@ -421,6 +423,52 @@
         }
     }
 
+    /**
+     * What this VM has observed of replicas, for the heartbeat.
+     *
+     * @param nowMillis monotonic time
+     * @return new map by replica id, empty while load-aware placement is inactive
+     */
+    public Map<String, UpstreamSignals> signals(long nowMillis) {
+        Map<String, UpstreamSignals> signals = new HashMap<>();
+        if (!loadAwareness.active(nowMillis)) {
+            return signals;
+        }
+        for (ReplicaTracker tracker : replicas.values()) {
+            UpstreamSignals observed = tracker.signals(nowMillis);
+            if (!observed.equals(UpstreamSignals.NONE)) {
+                signals.put(tracker.info().id(), observed);
+            }
+        }
+        return signals;
+    }
+
+    /**
+     * Processes what another VM of the region has observed of replicas.
+     *
+     * @param report heartbeat of the VM
+     * @param nowMillis monotonic time
+     */
+    public void mergeSignals(FleetReport report, long nowMillis) {
+        for (ReplicaTracker tracker : replicas.values()) {
+            String id = tracker.info().id();
+            if (report.page().covers(id)) {
+                UpstreamSignals observed = report.signals().getOrDefault(id, UpstreamSignals.NONE);
+                observed.slowdown().ifPresent(ignored -> loadAwareness.slowdownReported(nowMillis));
+                tracker.mergeSignals(report, observed, nowMillis);
+            }
+        }
+    }
+
+    /**
+     * Whether placement takes the load of replicas into account.
+     *
+     * @return the decision, updated with the configuration and with reports of replicas
+     */
+    public LoadAwareness loadAwareness() {
+        return loadAwareness;
+    }
+
     private static boolean leaving(ReplicaTracker tracker, long nowMillis) {
         boolean removed = tracker.removedAtMillis() <= nowMillis;
         boolean graceExpired = tracker.removedAtMillis() < nowMillis - REMOVED_GRACE_MILLIS;
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/SimulatedFleet.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/fleet/SimulatedFleet.java
@@ -172,6 +172,11 @@
             return Map.of();
         }
 
+        /** What a VM has observed of replicas. */
+        default Map<String, UpstreamSignals> signals(Node node) {
+            return Map.of();
+        }
+
         /** Tells whether a VM's build reports unreachable replicas. */
         default boolean reportsReach(Node node) {
             return true;
@@ -344,7 +349,8 @@
                             listener.quarantine(Node.this),
                             listener.unreachable(Node.this),
                             Map.of(),
-                            listener.silences(Node.this));
+                            listener.silences(Node.this),
+                            listener.signals(Node.this));
             pager.fill(next, view.self(), content, kind.maxMembers());
             return listener.reportsReach(Node.this) ? next.build() : withoutReach(next.build());
         }
--- a/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
+++ b/vanillapoint-emulator/src/main/java/io/vanillapoint/emulator/VmModel.java
@@ -94,7 +94,8 @@
                         QuarantineReport.EMPTY,
                         pool.unreachable(region, now),
                         pool.receivedRejectionLimits(now),
-                        pool.silences(now));
+                        pool.silences(now),
+                        pool.signals(now));
         reportPager.fill(report, view.self(), content, ReportKind.BEAT.maxMembers());
         return report.build();
     }
@@ -107,5 +108,6 @@
             pool.mergeRejectionLimits(report.rejectionLimits(), now);
         }
         pool.mergeSilences(report, now);
+        pool.mergeSignals(report, now);
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -413,6 +413,7 @@
         List<CustomerSpend> spends = fleet.receive(report, now);
         sessions.mergeReads(report.reads(), now);
         pool.mergeSilences(report, now);
+        pool.mergeSignals(report, now);
         prompts.merge(report.quarantine());
         if (report.self().region().equals(fleet.self().region())) {
             pool.mergeRejectionLimits(report.rejectionLimits(), now);
@@ -428,6 +429,7 @@
         if (fleet.self().state() == MemberState.STARTING) {
             changeState(MemberState.READY, "configuration received");
         }
+        pool.loadAwareness().configure(publication);
         callers.configurationChanged();
     }
 
@@ -465,7 +467,8 @@
                         prompts.report(),
                         pool.unreachable(fleet.self().region(), now),
                         pool.receivedRejectionLimits(now),
-                        pool.silences(now)),
+                        pool.silences(now),
+                        pool.signals(now)),
                 kind.maxMembers());
         return report.build();
     }
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FleetLinkTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FleetLinkTest.java
@@ -138,6 +138,7 @@
                                     QuarantineReport.EMPTY,
                                     Set.of(),
                                     Map.of(),
+                                    Map.of(),
                                     Map.of());
                     pager.fill(report, fleet.self(), all, kind.maxMembers());
                     return report.build();
--- a/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
+++ b/vanillapoint-wire/src/main/java/io/vanillapoint/wire/FleetCodec.java
@@ -12,6 +12,7 @@
 import io.vanillapoint.core.fleet.ReportPage;
 import io.vanillapoint.core.fleet.SessionCacheEntry;
 import io.vanillapoint.core.fleet.SilenceCounts;
+import io.vanillapoint.core.fleet.UpstreamSignals;
 import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.message.HeaderField;
 import io.vanillapoint.core.message.RelayRequest;
@@ -71,12 +72,9 @@
                                 customers.add(new TCustomerUse(name, use.tokens(), use.level())));
         message.setCustomers(customers);
         List<TUpstreamUse> upstreams = new ArrayList<>();
-        report.upstreams()
-                .forEach(
-                        (id, use) ->
-                                upstreams.add(
-                                        new TUpstreamUse(id, use.requests(), use.promptTokens())));
-        report.silences().forEach((id, counts) -> addSilence(upstreams, id, counts));
+        report.upstreams().forEach((id, use) -> upstreams.add(UpstreamCodec.encode(id, use)));
+        report.silences().forEach((id, counts) -> UpstreamCodec.add(upstreams, id, counts));
+        report.signals().forEach((id, signals) -> UpstreamCodec.add(upstreams, id, signals));
         message.setUpstreams(upstreams);
         List<TSessionRead> reads = new ArrayList<>();
         for (SessionCacheEntry read : report.reads()) {
@@ -103,21 +101,6 @@
         return serialize(message);
     }
 
-    /** Adds counts to the entry of a replica, or one without outstanding requests. */
-    private static void addSilence(List<TUpstreamUse> upstreams, String id, SilenceCounts counts) {
-        TUpstreamUse entry =
-                upstreams.stream()
-                        .filter(use -> use.getUpstream().equals(id))
-                        .findFirst()
-                        .orElseGet(
-                                () -> {
-                                    TUpstreamUse idle = new TUpstreamUse(id, 0, 0);
-                                    upstreams.add(idle);
-                                    return idle;
-                                });
-        entry.setUnanswered(counts.unanswered()).setAnswered(counts.answered());
-    }
-
     /**
      * Decodes a heartbeat.
      *
@@ -141,16 +124,15 @@
                                         new CustomerUse(use.getTokens(), use.getLevel())));
         Map<String, UpstreamUse> upstreams = new HashMap<>();
         Map<String, SilenceCounts> silences = new HashMap<>();
-        for (TUpstreamUse use : message.getUpstreams()) {
-            UpstreamUse outstanding = new UpstreamUse(use.getRequests(), use.getPromptTokens());
-            boolean silent = use.isSetUnanswered() && use.isSetAnswered();
-            if (silent) {
-                silences.put(
-                        use.getUpstream(),
-                        new SilenceCounts(use.getUnanswered(), use.getAnswered()));
-            }
-            if (!silent || !outstanding.equals(UpstreamUse.NONE)) {
-                upstreams.put(use.getUpstream(), outstanding);
+        Map<String, UpstreamSignals> signals = new HashMap<>();
+        for (TUpstreamUse entry : message.getUpstreams()) {
+            String id = entry.getUpstream();
+            UpstreamCodec.silence(entry).ifPresent(counts -> silences.put(id, counts));
+            UpstreamCodec.signals(entry).ifPresent(observed -> signals.put(id, observed));
+            UpstreamUse use = UpstreamCodec.use(entry);
+            boolean onlyObserved = silences.containsKey(id) || signals.containsKey(id);
+            if (!onlyObserved || !use.equals(UpstreamUse.NONE)) {
+                upstreams.put(id, use);
             }
         }
         FleetReport.Builder report =
@@ -165,6 +147,7 @@
                         .customers(customers)
                         .upstreams(upstreams)
                         .silences(silences)
+                        .signals(signals)
                         .reads(
                                 message.getReads().stream()
                                         .map(
--- a/vanillapoint-wire/src/main/thrift/peer.thrift
+++ b/vanillapoint-wire/src/main/thrift/peer.thrift
@@ -76,7 +76,10 @@
 struct TCustomerUse { 1: string customer, 2: i64 tokens, 3: i64 level }
 struct TUpstreamUse {
   1: string upstream, 2: i32 requests, 3: i64 promptTokens,
-  4: optional i32 unanswered, 5: optional i32 answered
+  4: optional i32 unanswered, 5: optional i32 answered,
+  6: optional i32 failures, 7: optional i32 successes,
+  8: optional i32 deferrableRequests, 9: optional i64 deferrablePromptTokens,
+  10: optional i32 slowdownPercent, 11: optional i32 slowdownAgeMillis
 }
 struct TSessionRead { 1: i64 session, 2: string upstream, 3: i32 ageMillis }
 struct TSuspectRequest { 1: i64 crash, 2: i32 ageMillis, 3: i32 stage, 4: i64 customer, 5: list<i64> parts }
--- a/vanillapoint-wire/src/test/java/io/vanillapoint/wire/ReportPacketTest.java
+++ b/vanillapoint-wire/src/test/java/io/vanillapoint/wire/ReportPacketTest.java
@@ -16,6 +16,9 @@
 import io.vanillapoint.core.fleet.ReportPager;
 import io.vanillapoint.core.fleet.SessionCacheEntry;
 import io.vanillapoint.core.fleet.SilenceCounts;
+import io.vanillapoint.core.fleet.UpstreamSignals;
+import io.vanillapoint.core.fleet.UpstreamSignals.OutcomeCounts;
+import io.vanillapoint.core.fleet.UpstreamSignals.Slowdown;
 import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.core.quarantine.AttemptStage;
@@ -29,6 +32,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -101,6 +105,7 @@
                         QuarantineReport.EMPTY,
                         Set.of(),
                         Map.of(),
+                        Map.of(),
                         Map.of());
         for (int heartbeat = 1; heartbeat <= 200; heartbeat++) {
             encodeAndDecode(pager, knowledge, ReportKind.BEAT, heartbeat);
@@ -152,7 +157,7 @@
         Map<String, UpstreamUse> upstreamUses = new HashMap<>();
         for (int i = 0; i < upstreams; i++) {
             String id = "i-" + Long.toHexString(random.nextLong(1L << 40));
-            upstreamUses.put(id, new UpstreamUse(random.nextInt(64), random.nextInt(400_000)));
+            upstreamUses.put(id, upstreamUse());
         }
         Map<String, SilenceCounts> silences = new HashMap<>();
         for (String id : upstreamUses.keySet()) {
@@ -175,7 +180,28 @@
                 quarantine(random),
                 Set.copyOf(upstreamUses.keySet()),
                 rejectionLimits(),
-                silences);
+                silences,
+                signals(upstreamUses.keySet()));
+    }
+
+    private UpstreamUse upstreamUse() {
+        return new UpstreamUse(
+                random.nextInt(64),
+                random.nextInt(400_000),
+                random.nextInt(64),
+                random.nextInt(400_000));
+    }
+
+    private Map<String, UpstreamSignals> signals(Set<String> ids) {
+        Map<String, UpstreamSignals> signals = new HashMap<>();
+        for (String id : ids) {
+            signals.put(
+                    id,
+                    new UpstreamSignals(
+                            Optional.of(new OutcomeCounts(Integer.MAX_VALUE, random.nextInt(900))),
+                            Optional.of(new Slowdown(Integer.MAX_VALUE, random.nextInt(900)))));
+        }
+        return signals;
     }
 
     private static Map<String, Integer> rejectionLimits() {
