--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPager.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPager.java
@@ -194,7 +194,9 @@
                                 .mapToInt(id -> silenceSize(id, content.upstreams().keySet()))
                                 .sum()
                         + content.signals().entrySet().stream()
-                                .mapToInt(ReportPager::signalsSize)
+                                .mapToInt(
+                                        signals ->
+                                                signalsSize(signals, content.upstreams().keySet()))
                                 .sum();
         int pageBytes = UPSTREAM_BYTES;
         pageBytes -= content.quarantine().isEmpty() ? 0 : QUARANTINE_BYTES;
@@ -229,11 +231,14 @@
         return (upstreams.contains(replica) ? 0 : entrySize(replica)) + 2 * SHORT_NUMBER_BYTES;
     }
 
-    /** Upper bound, since the replica may have no entry otherwise. */
-    private static int signalsSize(Map.Entry<String, UpstreamSignals> signals) {
-        int optionalFields = signals.getValue().outcomes().isPresent() ? 2 : 0;
-        optionalFields += signals.getValue().slowdown().isPresent() ? 2 : 0;
-        return entrySize(signals.getKey()) + optionalFields * SHORT_NUMBER_BYTES;
+    /** Signals are added to the replica's entry if the report has one. */
+    private static int signalsSize(
+            Map.Entry<String, UpstreamSignals> signals, Set<String> upstreams) {
+        int numbers = signals.getValue().outcomes().isPresent() ? 2 : 0;
+        numbers += signals.getValue().slowdown().isPresent() ? 2 : 0;
+        String replica = signals.getKey();
+        return (upstreams.contains(replica) ? 0 : entrySize(replica))
+                + numbers * SHORT_NUMBER_BYTES;
     }
 
     private static int size(MemberInfo info) {
@@ -309,7 +314,7 @@
             }
             Map<String, UpstreamSignals> signals = new HashMap<>();
             for (Map.Entry<String, UpstreamSignals> observed : content.signals().entrySet()) {
-                int size = signalsSize(observed);
+                int size = signalsSize(observed, upstreams.keySet());
                 if (page.covers(observed.getKey()) && size <= freeBytes) {
                     signals.put(observed.getKey(), observed.getValue());
                     freeBytes -= size;
--- a/vanillapoint-wire/src/test/java/io/vanillapoint/wire/ReportPacketTest.java
+++ b/vanillapoint-wire/src/test/java/io/vanillapoint/wire/ReportPacketTest.java
@@ -192,9 +192,13 @@
                 random.nextInt(400_000));
     }
 
+    /** A third of the replicas has evidence or a recent report at a time. */
     private Map<String, UpstreamSignals> signals(Set<String> ids) {
         Map<String, UpstreamSignals> signals = new HashMap<>();
         for (String id : ids) {
+            if (random.nextInt(3) > 0) {
+                continue;
+            }
             signals.put(
                     id,
                     new UpstreamSignals(
