--- /dev/null
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/process/package-info.java
@@ -0,0 +1,2 @@
+/** Ends a process whose event loop has ended or hangs. */
+package io.vanillapoint.entry.process;
