--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/IncomingBody.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/IncomingBody.java
@@ -30,6 +30,7 @@
     private final long maxBytes;
     private final BodyMemoryBudget.Reservation memory;
     private final Listener listener;
+    private final long transferMillis;
     private final boolean chunked;
     private Buffer body;
     private long timer = -1;
@@ -39,12 +40,14 @@
             HttpServerRequest request,
             long maxBytes,
             BodyMemoryBudget.Reservation memory,
-            Listener listener) {
+            Listener listener,
+            long transferMillis) {
         this.vertx = vertx;
         this.request = request;
         this.maxBytes = maxBytes;
         this.memory = memory;
         this.listener = listener;
+        this.transferMillis = transferMillis;
         chunked = request.headers().contains(HttpHeaders.TRANSFER_ENCODING);
     }
 
@@ -63,19 +66,31 @@
             long maxBytes,
             BodyMemoryBudget.Reservation memory,
             Listener listener) {
-        new IncomingBody(vertx, request, maxBytes, memory, listener).start();
+        read(vertx, request, maxBytes, memory, listener, MAX_TRANSFER_MILLIS);
+    }
+
+    /** Starts reading with another time limit, in milliseconds. */
+    static void read(
+            Vertx vertx,
+            HttpServerRequest request,
+            long maxBytes,
+            BodyMemoryBudget.Reservation memory,
+            Listener listener,
+            long transferMillis) {
+        new IncomingBody(vertx, request, maxBytes, memory, listener, transferMillis).start();
     }
 
     /**
      * Length that a request declares.
      *
      * @param request the request
-     * @return bytes; 0 if it declares none, and the largest number if it declares no number
+     * @return bytes; 0 if it declares none, and the largest number if what it declares is none
      */
     public static long declaredLength(HttpServerRequest request) {
         String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
         try {
-            return length == null ? 0 : Long.parseLong(length);
+            long bytes = length == null ? 0 : Long.parseLong(length);
+            return bytes < 0 ? Long.MAX_VALUE : bytes;
         } catch (NumberFormatException e) {
             return Long.MAX_VALUE;
         }
@@ -91,9 +106,9 @@
             listener.rejected(Rejection.NO_MEMORY);
             return;
         }
-        body = Buffer.buffer((int) declared);
+        body = Buffer.buffer(Math.toIntExact(declared));
         if (declared > 0 || chunked) {
-            timer = vertx.setTimer(MAX_TRANSFER_MILLIS, ignored -> reject(Rejection.TOO_SLOW));
+            timer = vertx.setTimer(transferMillis, ignored -> reject(Rejection.TOO_SLOW));
         }
         request.exceptionHandler(ignored -> stop());
         request.handler(this::append);
