Bound the time for which two engines work on one stream

Cause: the attempt at a silent engine stayed open until the attempt beside it had delivered an event.

Change: AttemptPair, split off RequestRun, holds the two attempts. 150 ms after the head of the second response (less the delays of relays) the first attempt is closed. The rest of 0.4 s is for the cancellation: one retransmission of a lost packet (200 ms) and 50 ms for late event loops. While no head has arrived, the first attempt remains. A VM that runs a relayed stream passes the head on at once, so that the relaying VM knows when the engine began; the caller still gets it with the first event.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -91,6 +91,16 @@
         scorer.recordRoundTrip(region, millis);
     }
 
+    /**
+     * Smoothed round-trip time to the VMs of a region, from relayed requests.
+     *
+     * @param region the region
+     * @return milliseconds, an assumed time if none was measured
+     */
+    public double roundTripMillis(RegionId region) {
+        return scorer.roundTripMillis(region);
+    }
+
     /**
      * Records that a request is relayed.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaScorer.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaScorer.java
@@ -78,6 +78,13 @@
         roundTrips.put(region, previous + NEWEST_ROUND_TRIP_WEIGHT * (millis - previous));
     }
 
+    /** Round-trip time to the VMs of a region, in milliseconds. */
+    double roundTripMillis(RegionId region) {
+        boolean own = region.equals(fleet.self().region());
+        return roundTrips.getOrDefault(
+                region, own ? REGION_RELAY_MILLIS : weights.initialRoundTripMillis());
+    }
+
     /**
      * Computes the expected time and loss of a request at a replica.
      *
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -18,10 +18,11 @@
  * Executes one admitted request, with its retries, until its response has ended.
  *
  * <p>Invariants: at most one attempt is active beside one whose replica is silent; a silent one
- * stays open until another has delivered something; the sink gets exactly one complete response,
- * one refusal or one abort, unless the caller has disconnected; a refusal marked "not run" is sent
- * only if no attempt may have run; a relayed request runs on one replica at most, since retries are
- * up to the relaying VM. Confined to one event loop.
+ * stays open until another has delivered something, or works on the same stream for as long as
+ * {@link AttemptPair} permits; the sink gets exactly one complete response, one refusal or one
+ * abort, unless the caller has disconnected; a refusal marked "not run" is sent only if no attempt
+ * may have run; a relayed request runs on one replica at most, since retries are up to the relaying
+ * VM. Confined to one event loop.
  */
 public final class RequestRun implements RunningAttempt.Owner {
     /** Shortest time in which a replica can answer; no attempt is started with less. */
@@ -42,8 +43,7 @@
     private final RestartableTimer progressCheck;
     private final AttemptHistory history = new AttemptHistory();
     private final PlacementSearch search;
-    private RunningAttempt current;
-    private RunningAttempt silent;
+    private final AttemptPair attempts;
     private long firstDataAtMillis = -1;
     private boolean done;
     private boolean callerDisconnected;
@@ -73,6 +73,8 @@
                 new RestartableTimer(
                         context.vertx(), () -> guarded("checking a replica", this::checkReplica));
         log = new RequestLog(context.log(), plan);
+        attempts =
+                new AttemptPair(context, log, () -> guarded("ending an overlap", this::endOverlap));
     }
 
     /** Starts the first attempt. */
@@ -90,7 +92,8 @@
             return;
         }
         callerDisconnected = true;
-        boolean keepRunning = plan.route().kind() == RouteKind.AT_MOST_ONCE && current != null;
+        boolean keepRunning =
+                plan.route().kind() == RouteKind.AT_MOST_ONCE && attempts.current() != null;
         context.log().record(EventCode.CALLER_LEFT, id(), elapsed(), !keepRunning);
         context.metrics().count("caller_left");
         if (!keepRunning) {
@@ -105,6 +108,7 @@
 
     /** Ends an attempt that has not begun to respond if its prompt is withheld by now. */
     public void recheckPrompt() {
+        RunningAttempt current = attempts.current();
         boolean waiting =
                 current != null
                         && current.use().isPresent()
@@ -112,10 +116,10 @@
         if (done || !waiting || !context.prompts().withholds(plan)) {
             return;
         }
-        if (silent == null) {
-            terminate("prompt is withheld", PromptGuard.REASON);
-        } else {
+        if (attempts.hasSilent()) {
             reinstateSilent();
+        } else {
+            terminate("prompt is withheld", PromptGuard.REASON);
         }
     }
 
@@ -131,7 +135,7 @@
 
     @Override
     public void received(RunningAttempt attempt, String step, Runnable reaction) {
-        if (!done && (attempt == current || attempt == silent)) {
+        if (!done && attempts.contains(attempt)) {
             guarded(step, reaction);
         }
     }
@@ -139,7 +143,7 @@
     @Override
     public void head(RunningAttempt attempt, ResponseEnvelope head) {
         attempt.headReceived(head, now());
-        if (attempt == silent && !head.success()) {
+        if (attempts.isSilent(attempt) && !head.success()) {
             dropSilent(AttemptOutcome.FAILED, "status " + head.status());
             return;
         }
@@ -153,7 +157,7 @@
         }
         outcomes.answered(attempt, failure);
         boolean usable = head.success() || !(delivery.begun() || head.claimsNotRun());
-        if (!usable || (failure && silent != null)) {
+        if (!usable || (failure && attempts.hasSilent())) {
             attempt.cancel();
             attemptEnded(attempt, AttemptOutcome.FAILED, "status " + head.status(), 0);
             return;
@@ -164,8 +168,10 @@
             return;
         }
         attempt.accept(head, stream);
-        if (stream && silent == null) {
-            delivery.beginStream(attempt);
+        if (stream && attempts.hasSilent()) {
+            attempts.engineBegan(attempt);
+        } else if (stream) {
+            beginStream(attempt);
         }
     }
 
@@ -174,7 +180,7 @@
         attempt.replicaResponded(now());
         if (attempt.buffered()) {
             bufferData(attempt, data);
-        } else if (silent != null) {
+        } else if (attempts.hasSilent()) {
             contend(attempt, data);
         } else {
             streamData(attempt, data);
@@ -191,7 +197,7 @@
         ResponseEnvelope response = attempt.response();
         settle(attempt);
         outcomes.completed(attempt);
-        current = null;
+        attempts.endCurrent();
         try {
             if (streamed) {
                 delivery.endStream();
@@ -207,7 +213,7 @@
 
     @Override
     public void stalled(RunningAttempt attempt) {
-        if (attempt == current && acquireRepeat(now())) {
+        if (attempt == attempts.current() && acquireRepeat(now())) {
             replace(attempt, Reason.SILENT);
         }
     }
@@ -218,7 +224,7 @@
         if (outcome == AttemptOutcome.LOST) {
             outcomes.broken(attempt);
         }
-        if (attempt == silent) {
+        if (attempts.isSilent(attempt)) {
             outcomes.ended(attempt, outcome, cause);
             dropSilent(outcome, cause);
         } else {
@@ -265,7 +271,7 @@
 
     /** Keeps the attempt that has answered, and ends the one beside it. */
     private void settle(RunningAttempt attempt) {
-        if (attempt == silent) {
+        if (attempts.isSilent(attempt)) {
             reinstateSilent();
             return;
         }
@@ -274,15 +280,30 @@
 
     /** Ends the silent attempt and goes on with the one beside it, if there is one by now. */
     private void dropSilent(AttemptOutcome outcome, String cause) {
-        endSilent(outcome, cause);
-        deliverKeptBack(current);
+        attempts.endSilent(outcome, cause);
+        deliverKeptBack(attempts.current());
+    }
+
+    /** Ends the silent attempt of a stream that another engine works on by now. */
+    private void endOverlap() {
+        if (!done && attempts.hasSilent()) {
+            dropSilent(AttemptOutcome.SUPERSEDED, "another engine works on the stream");
+        }
+    }
+
+    /** The VM that relayed the request has to know when an engine works on the stream. */
+    private void beginStream(RunningAttempt attempt) {
+        delivery.beginStream(attempt);
+        if (plan.relayed()) {
+            delivery.sendStreamHead();
+        }
     }
 
     private void deliverKeptBack(RunningAttempt attempt) {
         if (attempt == null || attempt.response() == null || attempt.buffered()) {
             return;
         }
-        delivery.beginStream(attempt);
+        beginStream(attempt);
         Buffer keptBack = attempt.takeKeptBack();
         if (keptBack.length() > 0) {
             streamData(attempt, keptBack);
@@ -299,7 +320,7 @@
     }
 
     private void startNext() {
-        if (done || callerDisconnected || current != null) {
+        if (done || callerDisconnected || attempts.current() != null) {
             return;
         }
         long now = now();
@@ -326,20 +347,23 @@
     }
 
     private void sendLocal(Placement.Local local, long now) {
-        current = starter.createAtReplica(this, local, now);
-        search.tried(current.target());
+        RunningAttempt attempt = starter.createAtReplica(this, local, now);
+        attempts.begin(attempt);
+        search.tried(attempt.target());
         history.recordSend();
         log.placed(local, history.sent(), now);
-        starter.sendToReplica(local, delivery.resumeAfter(plan), current);
+        starter.sendToReplica(local, delivery.resumeAfter(plan), attempt);
         startMonitor();
     }
 
     private void sendRelay(Placement.Relay relay, long now) {
         MemberInfo vm = starter.chooseVm(relay, history.sent(), now);
-        current = RunningAttempt.atVm(this, context.memory(), vm.vm(), relay.region());
+        RunningAttempt attempt =
+                RunningAttempt.atVm(this, context.memory(), vm.vm(), relay.region());
+        attempts.begin(attempt);
         history.recordSend();
         log.relayed(vm, relay, history.sent(), now);
-        starter.sendToVm(vm, delivery.resumeAfter(plan), current);
+        starter.sendToVm(vm, delivery.resumeAfter(plan), attempt);
     }
 
     private void reject(RunningAttempt attempt, ResponseEnvelope head) {
@@ -391,7 +415,7 @@
         if (done) {
             return;
         }
-        current = null;
+        attempts.endCurrent();
         outcomes.ended(attempt, outcome, cause);
         if (outcome == AttemptOutcome.NOT_SENT && attempt.use().isEmpty()) {
             context.fleet().markUnreachable(attempt.target(), now());
@@ -422,10 +446,10 @@
 
     /** Goes on with the silent attempt if there is one; otherwise the request ends. */
     private void giveUp(String reason, long retryAfterMillis) {
-        if (silent == null) {
-            endWithoutAnswer(reason, retryAfterMillis);
-        } else {
+        if (attempts.hasSilent()) {
             reinstateSilent();
+        } else {
+            endWithoutAnswer(reason, retryAfterMillis);
         }
     }
 
@@ -446,6 +470,7 @@
 
     private void startMonitor() {
         progressCheck.cancel();
+        RunningAttempt current = attempts.current();
         if (plan.route().mayRunAgain() && current.use().isPresent()) {
             progressCheck.start(current.firstCheckMillis());
         }
@@ -456,7 +481,7 @@
      * relaying VM is told and may replace it.
      */
     private void checkReplica() {
-        RunningAttempt attempt = current;
+        RunningAttempt attempt = attempts.current();
         if (done || attempt == null || attempt.use().isEmpty()) {
             return;
         }
@@ -473,8 +498,8 @@
     }
 
     private boolean acquireRepeat(long now) {
-        return silent == null
-                && !current.paused()
+        return !attempts.hasSilent()
+                && !attempts.current().paused()
                 && delivery.resumable()
                 && context.gate().receiveDelayMillis() == 0
                 && !plan.relayed()
@@ -493,45 +518,26 @@
         log.attemptSilent(attempt, reason.text(), now());
         attempt.keepBack(delivery.partialEvent());
         delivery.restartEvent();
-        silent = attempt;
-        current = null;
+        attempts.setAsideCurrent();
         scheduleNextAttempt();
     }
 
     /** Makes the silent attempt the current one again, instead of the one beside it. */
     private void reinstateSilent() {
-        RunningAttempt repeat = current;
-        current = silent;
-        silent = null;
-        if (repeat != null) {
-            repeat.close();
-            String cause = "silent replica is kept";
-            log.attemptEnded(repeat, AttemptOutcome.SUPERSEDED, cause, "over", now());
-        }
+        attempts.reinstateSilent();
         delivery.restartEvent();
         startMonitor();
-        deliverKeptBack(current);
-    }
-
-    private void endSilent(AttemptOutcome outcome, String cause) {
-        if (silent != null) {
-            RunningAttempt ended = silent;
-            silent = null;
-            ended.close();
-            log.attemptEnded(ended, outcome, cause, "over", now());
-        }
+        deliverKeptBack(attempts.current());
     }
 
     private void terminate(String cause, String reason) {
         if (done) {
             return;
         }
-        endSilent(AttemptOutcome.LOST, cause);
-        if (current != null) {
-            current.close();
+        attempts.endSilent(AttemptOutcome.LOST, cause);
+        if (attempts.current() != null) {
+            attempts.closeCurrent(AttemptOutcome.LOST, cause);
             history.recordOutcome(AttemptOutcome.LOST);
-            log.attemptEnded(current, AttemptOutcome.LOST, cause, "over", now());
-            current = null;
         }
         endWithoutAnswer(reason, 0);
     }
@@ -552,7 +558,7 @@
             if (history.sent() > 0) {
                 history.recordOutcome(AttemptOutcome.LOST);
             }
-            if (silent != null) {
+            if (attempts.hasSilent()) {
                 reinstateSilent();
                 return;
             }
@@ -572,13 +578,7 @@
             return;
         }
         done = true;
-        for (RunningAttempt open : new RunningAttempt[] {current, silent}) {
-            if (open != null) {
-                open.close();
-            }
-        }
-        current = null;
-        silent = null;
+        attempts.closeAll();
         deadline.cancel();
         progressCheck.cancel();
         context.metrics().recordRequest(plan.route().kind().name(), outcome, elapsed());
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseDelivery.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseDelivery.java
@@ -10,8 +10,9 @@
  * contribute to it, any other response once it is complete.
  *
  * <p>Invariants: the sink gets one head at most, that of a stream together with its first event, so
- * that a stream which breaks off before can still be refused; bytes of a stream reach it only as
- * whole events until its end. Confined to one event loop.
+ * that a stream which breaks off before can still be refused, unless a VM that relayed the request
+ * is told earlier; bytes of a stream reach it only as whole events until its end. Confined to one
+ * event loop.
  */
 final class ResponseDelivery {
     private final ResponseSink sink;
@@ -45,6 +46,15 @@
         }
     }
 
+    /** Sends the head of a stream before its first event, to a VM that relayed the request. */
+    void sendStreamHead() {
+        if (!begun) {
+            begun = true;
+            ResponseEnvelope head = origin.response();
+            sink.head(head.status(), head.headers(), OptionalLong.empty());
+        }
+    }
+
     /** Tells whether a successful response can go on with the stream that has begun, if any. */
     boolean accepts(ResponseEnvelope head) {
         return !begun || head.mediaType().equals(origin.response().mediaType());
@@ -130,12 +140,4 @@
     private boolean continues(RunningAttempt attempt) {
         return begun && attempt != origin;
     }
-
-    private void sendStreamHead() {
-        if (!begun) {
-            begun = true;
-            ResponseEnvelope head = origin.response();
-            sink.head(head.status(), head.headers(), OptionalLong.empty());
-        }
-    }
 }
