--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/process/LoopWatchdog.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/process/LoopWatchdog.java
@@ -20,8 +20,8 @@
     /** Longest time without an iteration. A busy VM was up to 8.4 s behind, with iterations. */
     public static final long LIMIT_MILLIS = 10_000;
 
-    /** Detects an ended loop well within a second, at ten wake-ups a second. */
-    private static final long INTERVAL_MILLIS = 100;
+    /** Detects an ended loop well within a second; each wake-up takes processor time. */
+    private static final long INTERVAL_MILLIS = 250;
 
     /** Longest gap that counts in full; allows for a thread that is scheduled late. */
     private static final long MAX_STEP_MILLIS = 2 * INTERVAL_MILLIS;
