Read the store on after answers that are too large

Cause: a watch whose answer exceeds the limit of a body was repeated from the same revision, so no later revision was read until the history had gone (20 s); a withdrawn key ran requests for 21 s.

Change: StoreReadPlan decides on the next call and its pause. A watch that would fail again is followed by a listing in pages, the configuration and evacuations first and again every second. Pages are applied as they arrive, and a listing goes on after the page that failed. Large values that can't be read are replaced by a description when they are read, so that copies between VMs stay small; a copy that is too large leads to a listing. Pauses are drawn at random, so that VMs that lose the store together do not return together.

--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -124,6 +124,9 @@
             "source"),
     /** Values could not be copied from another VM; another attempt follows. */
     STORE_NOT_COPIED(2112, EventLevel.WARN, "store not copied", "from", "error"),
+    /** An answer of the store was too large; the store is listed in pages. */
+    STORE_ANSWER_TOO_LARGE(
+            2113, EventLevel.WARN, "store answer too large", "call", "error", "revision"),
     /** A VM was discovered or changed its state. */
     MEMBER_CHANGED(2201, EventLevel.INFO, "member", "member", "state", "incarnation"),
     /** A VM has stopped sending messages and is no longer listed for callers. */
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/published/PublishedTable.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/published/PublishedTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Local copy of the platform's store, updated from reads, watches and other VMs in any order.
@@ -79,6 +80,23 @@
         return changes.complete() ? replace(changes) : apply(changes);
     }
 
+    /**
+     * Applies a complete listing of a part of the keys. The position stays, since changes to other
+     * keys may be missing. A listing of another era is ignored.
+     *
+     * @param listing all keys of the part that exist
+     * @param part tells whether a key belongs to the part
+     * @return the items that were newer than those in the table, removals included
+     */
+    public List<StoredItem> mergePart(StoreChanges listing, Predicate<String> part) {
+        if (listing.position().era() != position.era()) {
+            return List.of();
+        }
+        List<StoredItem> changes = new ArrayList<>(listing.items());
+        addRemovals(listing, part, changes);
+        return apply(StoreChanges.changes(position, changes));
+    }
+
     /**
      * Changes since a position, for a VM whose copy is older.
      *
@@ -115,17 +133,23 @@
     private List<StoredItem> replace(StoreChanges listing) {
         long startRevision = listing.position().revision();
         List<StoredItem> changes = new ArrayList<>(listing.items());
-        for (StoredItem existing : missingFrom(listing)) {
-            if (existing.revision() <= startRevision) {
-                changes.add(removal(existing, startRevision));
-            }
-        }
+        addRemovals(listing, key -> true, changes);
         if (listing.position().isAfter(position)) {
             removalsTrackedAfter = startRevision;
         }
         return apply(StoreChanges.changes(listing.position(), changes));
     }
 
+    private void addRemovals(
+            StoreChanges listing, Predicate<String> part, List<StoredItem> changes) {
+        long startRevision = listing.position().revision();
+        for (StoredItem existing : missingFrom(listing)) {
+            if (existing.revision() <= startRevision && part.test(existing.key())) {
+                changes.add(removal(existing, startRevision));
+            }
+        }
+    }
+
     /** Replaces the content of earlier eras. */
     private List<StoredItem> adopt(StoreChanges listing) {
         List<StoredItem> changed = new ArrayList<>();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
@@ -201,6 +201,26 @@
         return applied;
     }
 
+    /**
+     * Applies a listing of the configuration and the evacuations. The position stays, since changes
+     * to replicas may be missing. A listing of another era than the known one is ignored.
+     *
+     * @param listing the configuration and all evacuations that exist
+     * @param source where the listing came from, for the log
+     */
+    public void mergeOrders(StoreChanges listing, String source) {
+        List<StoredItem> changed = table.mergePart(listing, this::isOrder);
+        changed.forEach(item -> heldBack.remove(item.key()));
+        apply(changed, source, false);
+    }
+
+    private boolean isOrder(String key) {
+        return switch (format.kind(key)) {
+            case CONFIGURATION, EVACUATION -> true;
+            default -> false;
+        };
+    }
+
     private int mergeIntoTable(StoreChanges changes, String source, boolean storeWasUnavailable) {
         StorePosition before = table.position();
         boolean restored = table.precedesEraOf(changes) && changes.complete();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopier.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreCopier.java
@@ -1,5 +1,6 @@
 package io.vanillapoint.entry.control;
 
+import io.vanillapoint.api.error.ErrorCode;
 import io.vanillapoint.api.error.VanillapointException;
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.event.EventSink;
@@ -122,15 +123,26 @@
                         body -> {
                             copyInProgress = false;
                             if (body.failed()) {
-                                avoidedUntil.put(vm, clock.getAsLong() + AVOID_MILLIS);
-                                log.record(
-                                        EventCode.STORE_NOT_COPIED, vm, body.cause().getMessage());
+                                copyFailed(vm, body.cause());
                             } else {
                                 applyCopy(vm, body.result());
                             }
                         });
     }
 
+    /**
+     * Asks another VM next. An answer that is too large would be as large from any VM, so the store
+     * is listed instead, in pages.
+     */
+    private void copyFailed(String vm, Throwable cause) {
+        avoidedUntil.put(vm, clock.getAsLong() + AVOID_MILLIS);
+        log.record(EventCode.STORE_NOT_COPIED, vm, cause.getMessage());
+        if (cause instanceof VanillapointException failure
+                && failure.code() == ErrorCode.BAD_MESSAGE) {
+            storeSync.listingNeeded();
+        }
+    }
+
     /** Another VM that keeps sending bytes never exceeds the idle timeout of the request. */
     private static Future<Buffer> answer(HttpClientRequest request) {
         return request.send()
@@ -152,7 +164,9 @@
                     items);
             storeSync.stateCopied();
         } catch (VanillapointException e) {
+            avoidedUntil.put(vm, clock.getAsLong() + AVOID_MILLIS);
             log.record(EventCode.PEER_BAD_FRAME, vm, e.getMessage());
+            storeSync.listingNeeded();
         }
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
@@ -3,24 +3,31 @@
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.api.event.EventSink;
 import io.vanillapoint.core.published.StoreChanges;
+import io.vanillapoint.core.published.StoreListing;
+import io.vanillapoint.core.published.StorePage;
 import io.vanillapoint.core.published.StorePosition;
+import io.vanillapoint.core.published.StoreReadPlan;
+import io.vanillapoint.core.published.StoreReadPlan.Call;
 import io.vanillapoint.entry.log.UnexpectedErrors;
 import io.vanillapoint.entry.port.PublishedSource;
+import io.vanillapoint.entry.port.PublishedSource.Part;
 import io.vanillapoint.entry.port.StoreException;
 import io.vertx.core.AsyncResult;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.ToLongFunction;
 
 /**
- * Applies the platform's store to the published state: one listing, then successive watches.
+ * Makes the calls to the platform's store that a {@link StoreReadPlan} decides on and applies the
+ * answers to the published state.
  *
  * <p>Invariants: at most one call to the store is in progress; once the state is populated, calls
- * are made only while this VM is a store reader. Failed calls are retried with a capped exponential
- * backoff. Another call follows each call, whatever its answer does, and also one whose end is
- * never reported. Confined to one event loop.
+ * are made only while this VM is a store reader. Another call follows each call, whatever its
+ * answer does, and also one whose end is never reported. Confined to one event loop.
  */
 final class StoreSync {
     /** Longest wait of one watch, which bounds the time to detect a stalled connection. */
@@ -38,23 +45,15 @@
     /** A watch answered later than this after its wait was delayed by an unavailable store. */
     private static final long WATCH_DELAY_MILLIS = 300;
 
-    /**
-     * Entries of live replicas expire and are published again within about two seconds of the
-     * store's recovery.
-     */
-    private static final long ENTRY_RECOVERY_MILLIS = 2_500;
+    /** A call without an end after this time is abandoned. A call has time limits of its own. */
+    private static final long MAX_CALL_MILLIS = 15_000;
 
-    private static final long INITIAL_BACKOFF_MILLIS = 200;
-    private static final long MAX_BACKOFF_MILLIS = 1_000;
-
-    /** A call without an end after this time is abandoned. A listing may have many pages. */
-    private static final long MAX_CALL_MILLIS = 30_000;
+    /** Pause after a call that could not be made or merged. */
+    private static final long ERROR_PAUSE_MILLIS = 1_000;
 
     /** Interval at which a reader that does not go on is looked for. */
     private static final long STALL_CHECK_MILLIS = 1_000;
 
-    private static final long NO_PAUSE = 0;
-
     private final Vertx vertx;
     private final PublishedSource source;
     private final PublishedState publishedState;
@@ -63,7 +62,11 @@
     private final LongSupplier clock;
     private final BooleanSupplier selectedAsReader;
     private final BooleanSupplier othersRead;
-    private boolean populated;
+    private final StoreReadPlan plan =
+            new StoreReadPlan(() -> ThreadLocalRandom.current().nextDouble());
+    private final StoreAvailability availability;
+    private StoreListing orders = new StoreListing();
+    private StoreListing all = new StoreListing();
 
     /** Number of the newest call; the answer of any other is ignored. */
     private long currentCall;
@@ -75,17 +78,10 @@
 
     private boolean watching;
     private boolean reading = true;
-    private long unavailableSinceMillis = -1;
-    private long backoffMillis = INITIAL_BACKOFF_MILLIS;
-
-    /** Pause before the next listing if the store lacks the history after each one. */
-    private long relistMillis = INITIAL_BACKOFF_MILLIS;
-
     private boolean eraUnusable;
     private long watchStartedAtMillis;
     private long watchMillis = WATCH_MILLIS;
-    private long lastAnswerAtMillis = -ANSWERED_MILLIS;
-    private long recoveredAtMillis = Long.MIN_VALUE / 2;
+    private Call callMade = Call.LIST_ALL;
 
     StoreSync(
             Vertx vertx,
@@ -104,6 +100,9 @@
         this.clock = clock;
         this.selectedAsReader = selectedAsReader;
         this.othersRead = othersRead;
+        availability =
+                new StoreAvailability(
+                        log, clock, () -> publishedState.position().revision(), ANSWERED_MILLIS);
     }
 
     void start() {
@@ -115,9 +114,10 @@
     private void next() {
         long call = ++currentCall;
         stalledAtMillis = clock.getAsLong() + MAX_CALL_MILLIS;
-        long pauseMillis = MAX_BACKOFF_MILLIS;
+        long pauseMillis = ERROR_PAUSE_MILLIS;
         try {
-            if (!populated) {
+            callMade = plan.next(clock.getAsLong());
+            if (callMade != Call.WATCH) {
                 callInProgress = true;
                 list(call);
             } else if (selectedAsReader.getAsBoolean()) {
@@ -126,7 +126,7 @@
                 watch(call);
             } else {
                 setReading(false);
-                markAvailable();
+                availability.available();
                 pauseMillis = READER_CHECK_MILLIS;
             }
         } catch (Throwable e) {
@@ -142,7 +142,7 @@
     private void nextAfter(long pauseMillis) {
         callInProgress = false;
         stalledAtMillis = clock.getAsLong() + pauseMillis + STALL_CHECK_MILLIS;
-        if (pauseMillis == NO_PAUSE) {
+        if (pauseMillis == StoreReadPlan.NO_PAUSE) {
             next();
         } else {
             long call = currentCall;
@@ -167,7 +167,7 @@
         currentCall++;
         watching = false;
         errors.contain("abandoning a call to the store", source::cancelWatch);
-        end(Future.failedFuture(noAnswer()), this::merge);
+        end(Future.failedFuture(noAnswer()), ignored -> StoreReadPlan.NO_PAUSE);
     }
 
     private static StoreException noAnswer() {
@@ -184,8 +184,7 @@
 
     /** Tells whether the store has answered recently enough to count as available. */
     boolean answeredRecently() {
-        return unavailableSinceMillis < 0
-                && clock.getAsLong() - lastAnswerAtMillis < ANSWERED_MILLIS;
+        return availability.answeredRecently();
     }
 
     /**
@@ -193,8 +192,7 @@
      * replicas may have expired.
      */
     boolean storeWasUnavailable() {
-        return unavailableSinceMillis >= 0
-                || clock.getAsLong() - recoveredAtMillis < ENTRY_RECOVERY_MILLIS;
+        return availability.wasUnavailable();
     }
 
     /**
@@ -202,23 +200,42 @@
      * time is cancelled, so that the next one starts at the new revision.
      */
     void stateCopied() {
-        populated = true;
+        plan.allListed();
+        all = new StoreListing();
         if (watching && clock.getAsLong() - watchStartedAtMillis > watchMillis / 2) {
             source.cancelWatch();
         }
     }
 
+    /**
+     * Lists the store after the call in progress, since another VM's values can't be copied whole.
+     */
+    void listingNeeded() {
+        if (plan.populated()) {
+            plan.listingNeeded(clock.getAsLong());
+            startListings();
+        }
+    }
+
     /** Time since the store became unavailable in milliseconds, negative while it is available. */
     long unavailableMillis() {
-        return unavailableSinceMillis < 0 ? -1 : clock.getAsLong() - unavailableSinceMillis;
+        return availability.unavailableMillis();
+    }
+
+    private void startListings() {
+        orders = new StoreListing();
+        all = new StoreListing();
     }
 
     private void list(long call) {
-        source.list()
+        boolean listsOrders = callMade == Call.LIST_ORDERS;
+        StoreListing listing = listsOrders ? orders : all;
+        Part part = listsOrders ? Part.ORDERS : Part.ALL;
+        source.page(part, listing.after())
                 .onComplete(
                         answer -> {
                             if (call == currentCall) {
-                                end(answer, this::merge);
+                                end(answer, page -> mergePage(listing, page));
                             }
                         });
     }
@@ -242,55 +259,81 @@
      * before the next call. An unexpected error counts as a failure of the store; a listing
      * follows, since the answer may be merged in part.
      */
-    private void end(AsyncResult<StoreChanges> answer, ToLongFunction<StoreChanges> merge) {
-        long pauseMillis = MAX_BACKOFF_MILLIS;
+    private <T> void end(AsyncResult<T> answer, ToLongFunction<T> merge) {
+        long pauseMillis = ERROR_PAUSE_MILLIS;
         try {
             pauseMillis =
                     answer.failed()
-                            ? storeFailed(answer.cause())
+                            ? callFailed(answer.cause())
                             : merge.applyAsLong(answer.result());
         } catch (Throwable e) {
-            populated = false;
+            plan.listingNeeded(clock.getAsLong());
+            startListings();
             errors.record("merging the store's answer", e);
-            errors.contain("recording a failure of the store", () -> storeFailed(e));
+            errors.contain("recording a failure of the store", () -> callFailed(e));
         } finally {
             nextAfter(pauseMillis);
         }
     }
 
-    private long merge(StoreChanges answer) {
-        StoreChanges listing = withUsableEra(answer);
-        if (isOutdated(listing)) {
-            return storeFailed(outdated(listing));
+    /** Merges a page. The pages before the last one change only what they contain. */
+    private long mergePage(StoreListing listing, StorePage answer) {
+        long era = usableEra(answer.position());
+        if (isOutdated(era)) {
+            startListings();
+            return callFailed(outdated(era));
         }
-        publishedState.merge(listing, "listing", storeWasUnavailable());
-        populated = true;
-        storeAnswered();
-        return NO_PAUSE;
+        StorePage page = answer.withEra(era);
+        Optional<String> problem = listing.add(page);
+        if (problem.isPresent()) {
+            startListings();
+            return callFailed(new StoreException(StoreException.Kind.UNREACHABLE, problem.get()));
+        }
+        if (!listing.complete()) {
+            if (!publishedState.position().equals(StorePosition.START)) {
+                StorePosition unchanged = new StorePosition(era, 0);
+                publishedState.merge(
+                        StoreChanges.changes(unchanged, page.items()),
+                        "listing",
+                        storeWasUnavailable());
+            }
+        } else if (listing == orders) {
+            publishedState.mergeOrders(listing.changes(), "listing");
+            orders = new StoreListing();
+            plan.ordersListed(clock.getAsLong());
+        } else {
+            publishedState.merge(listing.changes(), "listing", storeWasUnavailable());
+            all = new StoreListing();
+            plan.allListed();
+        }
+        plan.answered();
+        availability.answered();
+        return StoreReadPlan.NO_PAUSE;
     }
 
     private long mergeWatched(StoreChanges answer) {
         if (clock.getAsLong() - watchStartedAtMillis > watchMillis + WATCH_DELAY_MILLIS) {
-            recoveredAtMillis = clock.getAsLong();
+            availability.recovered();
         }
-        StoreChanges changes = withUsableEra(answer);
-        if (isOutdated(changes)) {
-            return storeFailed(outdated(changes));
+        long era = usableEra(answer.position());
+        if (isOutdated(era)) {
+            return callFailed(outdated(era));
         }
-        relistMillis = INITIAL_BACKOFF_MILLIS;
-        if (changes.position().era() > publishedState.position().era()) {
-            populated = false;
-            recoveredAtMillis = clock.getAsLong();
+        if (era > publishedState.position().era()) {
+            plan.eraChanged();
+            startListings();
+            availability.recovered();
         } else {
-            publishedState.merge(changes, "watch", storeWasUnavailable());
+            publishedState.merge(answer.withEra(era), "watch", storeWasUnavailable());
         }
-        storeAnswered();
-        return NO_PAUSE;
+        plan.watchAnswered();
+        availability.answered();
+        return StoreReadPlan.NO_PAUSE;
     }
 
     /** An answer without a usable era counts as one of the era that this VM knows. */
-    private StoreChanges withUsableEra(StoreChanges changes) {
-        long era = changes.position().era();
+    private long usableEra(StorePosition position) {
+        long era = position.era();
         long known = publishedState.position().era();
         boolean missing = era == StorePosition.NO_ERA && known != StorePosition.NO_ERA;
         boolean unusable = missing || era == StorePosition.INVALID_ERA;
@@ -299,53 +342,44 @@
             log.record(EventCode.STORE_ERA_UNUSABLE, problem, known);
         }
         eraUnusable = unusable;
-        return unusable ? changes.withEra(known) : changes;
+        return unusable ? known : era;
     }
 
     /** An answer of an earlier era changes nothing; the next call is made after a pause. */
-    private boolean isOutdated(StoreChanges changes) {
-        return changes.position().era() < publishedState.position().era();
+    private boolean isOutdated(long era) {
+        return era < publishedState.position().era();
     }
 
-    private StoreException outdated(StoreChanges changes) {
-        long era = changes.position().era();
+    private StoreException outdated(long era) {
         long known = publishedState.position().era();
         return new StoreException(
                 StoreException.Kind.REFUSED,
                 "answer is of era " + era + ", era " + known + " is known");
     }
 
-    /** Returns the pause before the next call. */
-    private long storeFailed(Throwable cause) {
-        if (cause instanceof StoreException failure
-                && failure.kind() == StoreException.Kind.HISTORY_GONE) {
-            populated = false;
-            backoffMillis = Math.max(backoffMillis, relistMillis);
-            relistMillis = Math.min(MAX_BACKOFF_MILLIS, relistMillis * 2);
+    /**
+     * Records a failure and returns the pause before the next call. A store whose answer is too
+     * large is available.
+     */
+    private long callFailed(Throwable cause) {
+        Optional<StoreException.Kind> kind =
+                cause instanceof StoreException failure
+                        ? Optional.of(failure.kind())
+                        : Optional.empty();
+        // An unexpected error may be due to the content of the answer.
+        boolean relist = kind.map(StoreException.Kind::needsListing).orElse(true);
+        if (relist && callMade == Call.WATCH) {
+            startListings();
         }
-        if (unavailableSinceMillis < 0) {
-            unavailableSinceMillis = clock.getAsLong();
+        if (kind.filter(StoreException.Kind.TOO_LARGE::equals).isPresent()) {
             log.record(
-                    EventCode.STORE_LOST, cause.getMessage(), publishedState.position().revision());
-        }
-        long pauseMillis = backoffMillis;
-        backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
-        return pauseMillis;
-    }
-
-    private void storeAnswered() {
-        lastAnswerAtMillis = clock.getAsLong();
-        backoffMillis = INITIAL_BACKOFF_MILLIS;
-        markAvailable();
-    }
-
-    /** The store is available again, either to this VM or to the VMs that now read it. */
-    private void markAvailable() {
-        if (unavailableSinceMillis >= 0) {
-            long unavailable = clock.getAsLong() - unavailableSinceMillis;
-            unavailableSinceMillis = -1;
-            recoveredAtMillis = clock.getAsLong();
-            log.record(EventCode.STORE_REGAINED, publishedState.position().revision(), unavailable);
+                    EventCode.STORE_ANSWER_TOO_LARGE,
+                    callMade,
+                    cause.getMessage(),
+                    publishedState.position().revision());
+        } else {
+            availability.lost(cause);
         }
+        return plan.failed(callMade, relist, clock.getAsLong());
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/PublishedSource.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/PublishedSource.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.entry.port;
 
 import io.vanillapoint.core.published.StoreChanges;
+import io.vanillapoint.core.published.StorePage;
 import io.vertx.core.Future;
 
 /**
@@ -8,13 +9,23 @@
  * loop.
  */
 public interface PublishedSource {
+    /** Part of the values that a listing returns. */
+    enum Part {
+        /** The configuration and the evacuations. */
+        ORDERS,
+        /** All values. */
+        ALL
+    }
+
     /**
-     * Lists all values.
+     * Reads one page of a listing. Values that can't be read and are large may be replaced by a
+     * description of the fault, which can't be read either and names the size.
      *
-     * @return all values with the position at which the listing started; changes after it may or
-     *     may not be included
+     * @param part values to list
+     * @param after key after which the page starts, empty for the first page
+     * @return the page, in the order of the keys
      */
-    Future<StoreChanges> list();
+    Future<StorePage> page(Part part, String after);
 
     /**
      * Waits for changes. The era of the result is {@code NO_ERA} if the store does not tell it and
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/StoreException.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/StoreException.java
@@ -11,10 +11,24 @@
     public enum Kind {
         /** The requested history has been compacted; a full listing is needed. */
         HISTORY_GONE,
+        /** The response is too large, or its transfer takes too long. */
+        TOO_LARGE,
+        /** The response is malformed, possibly because of one entry. */
+        MALFORMED,
         /** The store refused the call. */
         REFUSED,
-        /** There was no response, or it was malformed. */
-        UNREACHABLE
+        /** There was no response. */
+        UNREACHABLE;
+
+        /**
+         * Tells whether a watch from the same revision would fail again, so that a listing is
+         * needed.
+         *
+         * @return true if the failure depends on the content of the response
+         */
+        public boolean needsListing() {
+            return this == HISTORY_GONE || this == TOO_LARGE || this == MALFORMED;
+        }
     }
 
     private final Kind kind;
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FakeSource.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FakeSource.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.entry.control;
 
 import io.vanillapoint.core.published.StoreChanges;
+import io.vanillapoint.core.published.StorePage;
 import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.entry.port.PublishedSource;
 import io.vertx.core.Future;
@@ -19,8 +20,8 @@
     private final Queue<Error> errors = new ConcurrentLinkedQueue<>();
 
     @Override
-    public Future<StoreChanges> list() {
-        return Future.succeededFuture(new StoreChanges(new StorePosition(1, 4), true, List.of()));
+    public Future<StorePage> page(Part part, String after) {
+        return Future.succeededFuture(new StorePage(new StorePosition(1, 4), List.of(), false));
     }
 
     @Override
