--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FakeSource.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/FakeSource.java
@@ -10,17 +10,22 @@
 import java.util.Queue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
 /** A store whose watches are completed by the test. Safe for use by several threads. */
 final class FakeSource implements PublishedSource {
     private final BlockingQueue<Promise<StoreChanges>> watches = new LinkedBlockingQueue<>();
+    private final CountDownLatch orderListings = new CountDownLatch(1);
     private volatile long lastWaitMillis;
     private final Queue<Error> errors = new ConcurrentLinkedQueue<>();
 
     @Override
     public Future<StorePage> page(Part part, String after) {
+        if (part == Part.ORDERS) {
+            orderListings.countDown();
+        }
         return Future.succeededFuture(new StorePage(new StorePosition(1, 4), List.of(), false));
     }
 
@@ -39,6 +44,11 @@
     @Override
     public void cancelWatch() {}
 
+    /** Tells whether the configuration and evacuations are listed within half a minute. */
+    boolean awaitOrderListing() throws InterruptedException {
+        return orderListings.await(30, TimeUnit.SECONDS);
+    }
+
     /** Lets the next watch throw. */
     void failNextWatch(Error error) {
         errors.add(error);
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreCopierTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/StoreCopierTest.java
@@ -21,6 +21,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
@@ -46,6 +47,8 @@
     private final UnexpectedErrors errors =
             new UnexpectedErrors((code, values) -> {}, new EntryMetrics());
     private final RecordingLog log = new RecordingLog();
+    private final FakeSource source = new FakeSource();
+    private boolean readsStore;
     private final CountDownLatch copies = new CountDownLatch(COPIES);
 
     @AfterEach
@@ -70,6 +73,26 @@
         assertThat("copies began", copies.await(WAIT_SECONDS, TimeUnit.SECONDS), is(true));
     }
 
+    /** Guards against copies that are too large from each VM, and are repeated. */
+    @Test
+    void storeIsListedAfterACopyThatIsTooLarge() throws Exception {
+        int port =
+                vertx.createHttpServer()
+                        .requestHandler(
+                                request ->
+                                        request.response().end(Buffer.buffer(new byte[17 << 20])))
+                        .listen(0, HOST)
+                        .await(10, TimeUnit.SECONDS)
+                        .actualPort();
+        vertx.runOnContext(
+                ignored -> {
+                    readsStore = true;
+                    start(port, vertx.createHttpClient());
+                });
+        assertThat("listed", source.awaitOrderListing(), is(true));
+        assertThat(log.codes(), hasItem(EventCode.STORE_NOT_COPIED));
+    }
+
     @Test
     void anotherVmIsAskedAfterOneThatDoesNotAnswer() throws Exception {
         HttpServer silent =
@@ -141,13 +164,16 @@
         StoreSync sync =
                 new StoreSync(
                         vertx,
-                        new FakeSource(),
+                        source,
                         state,
                         (code, values) -> {},
                         errors,
                         clock,
                         () -> false,
                         () -> true);
+        if (readsStore) {
+            sync.start();
+        }
         StoreCopier copier =
                 new StoreCopier(fleet, state, sync, client, log, clock, port, () -> false);
         long[] sequence = new long[1];
