Detect relays that fall silent after their acknowledgement

Cause: after the acknowledgement of a relayed request, a connection that fell silent without a reset showed only at the deadline of the request.

Change: the relaying VM asks for keep-alive frames by a query of the path, which earlier builds ignore. The other VM acknowledges with the interval (250 ms) and sends a frame in each interval without another one. Four intervals without a frame are reported like a missing acknowledgement; they are counted, since a VM that is behind runs a timer before it reads. Nothing is counted while the response is paused, or if the other VM tells no interval.

Evidence: connectionThatFallsSilentAfterTheAcknowledgementIsReportedInTime failed in a scratch copy without the timer and passes now. The tests of pooled connections that fall silent, of slow responses that are awaited and of silent replicas (SilentReplicaTest) pass; the first and the last found no fault.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
@@ -35,6 +35,15 @@
 
     static final String PATH = "/relay";
 
+    /** Query that asks for frames in fixed intervals. VMs of earlier builds ignore it. */
+    static final String KEEP_ALIVE = "keep-alive";
+
+    /**
+     * Number of intervals without a frame after which a connection counts as silent. They are
+     * counted rather than measured, since a VM that is behind runs a timer before it reads.
+     */
+    private static final int SILENT_INTERVALS = 3;
+
     /**
      * Wait for the acknowledgement of a request before another attempt is made beside it: allows
      * for one round trip between regions, a lost packet and a busy VM.
@@ -49,6 +58,8 @@
     private long acknowledgementTimer = -1;
     private long sentAtNanos;
     private boolean headReceived;
+    private boolean acknowledged;
+    private int intervalsWithoutFrame;
 
     /**
      * Creates an attempt that has not been sent.
@@ -90,7 +101,7 @@
                         .setMethod(HttpMethod.POST)
                         .setHost(host)
                         .setPort(port)
-                        .setURI(PATH);
+                        .setURI(PATH + "?" + KEEP_ALIVE);
         client.request(target)
                 .onComplete(
                         connected -> {
@@ -164,9 +175,11 @@
         if (done()) {
             return;
         }
-        if (message instanceof ForwardCredit) {
-            stopTimer();
-            acknowledgementListener.accept((System.nanoTime() - sentAtNanos) / 1_000_000);
+        intervalsWithoutFrame = 0;
+        if (message instanceof ForwardCredit credit) {
+            if (!acknowledged) {
+                acknowledged(credit.bytes());
+            }
         } else if (message instanceof ForwardHead head) {
             headReceived = true;
             MultiMap headers = MultiMap.caseInsensitiveMultiMap();
@@ -185,6 +198,31 @@
         }
     }
 
+    /** A VM of an earlier build tells no interval and sends no frames in between. */
+    private void acknowledged(long keepAliveMillis) {
+        acknowledged = true;
+        stopTimer();
+        if (keepAliveMillis > 0) {
+            startSilenceTimer(keepAliveMillis);
+        }
+        acknowledgementListener.accept((System.nanoTime() - sentAtNanos) / 1_000_000);
+    }
+
+    /** The request stays open, as without an acknowledgement. */
+    private void startSilenceTimer(long keepAliveMillis) {
+        acknowledgementTimer =
+                vertx.setTimer(
+                        keepAliveMillis,
+                        ignored -> {
+                            startSilenceTimer(keepAliveMillis);
+                            intervalsWithoutFrame = paused() ? 0 : intervalsWithoutFrame + 1;
+                            if (intervalsWithoutFrame > SILENT_INTERVALS) {
+                                intervalsWithoutFrame = 0;
+                                listener().stalled();
+                            }
+                        });
+    }
+
     /** A request whose response has begun has run, whatever the failure states. */
     private AttemptOutcome outcome(ForwardFailure failure) {
         if (headReceived || failure.runState() != RunState.NOT_RUN) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayHandler.java
@@ -121,7 +121,11 @@
 
     private void run(HttpServerRequest request, RelaySink sink, Buffer body) {
         try {
-            sink.acknowledge();
+            if (RelayAttempt.KEEP_ALIVE.equals(request.query())) {
+                sink.acknowledgeWithKeepAlive(context.vertx());
+            } else {
+                sink.acknowledge();
+            }
             if (ending.getAsBoolean()) {
                 sink.refuse(Refusal.notRun("shutting_down", RETRY_AFTER_MILLIS));
                 return;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelaySink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelaySink.java
@@ -13,6 +13,7 @@
 import io.vanillapoint.entry.traffic.HttpResponseSink;
 import io.vanillapoint.entry.traffic.OpenResponses;
 import io.vanillapoint.entry.traffic.Refusal;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
@@ -24,8 +25,12 @@
  * the connection's event loop.
  */
 final class RelaySink extends HttpResponseSink {
+    /** Interval of the frames that keep a relay alive; three may be missing before it is silent. */
+    static final long KEEP_ALIVE_MILLIS = 250;
+
     private final FrameWriter frames = new FrameWriter();
     private long dataBytes;
+    private boolean sentInInterval;
 
     RelaySink(HttpServerResponse response, OpenResponses openResponses) {
         super(response, openResponses);
@@ -37,6 +42,27 @@
         send(new ForwardCredit(0, 0));
     }
 
+    /**
+     * Acknowledges the request and sends a frame in each interval without another one until the
+     * response has ended, so that the other VM can tell a connection that has fallen silent from a
+     * slow upstream. Two frames are less than two intervals apart.
+     *
+     * @param vertx event loop of the connection
+     */
+    void acknowledgeWithKeepAlive(Vertx vertx) {
+        send(new ForwardCredit(0, KEEP_ALIVE_MILLIS));
+        vertx.setPeriodic(
+                KEEP_ALIVE_MILLIS,
+                timer -> {
+                    if (closed()) {
+                        vertx.cancelTimer(timer);
+                    } else if (!sentInInterval && !response().writeQueueFull()) {
+                        send(new ForwardCredit(0, KEEP_ALIVE_MILLIS));
+                    }
+                    sentInInterval = false;
+                });
+    }
+
     @Override
     public void head(int status, List<HeaderField> headers, OptionalLong length) {
         send(new ForwardHead(0, status, headers));
@@ -81,6 +107,7 @@
 
     private void send(PeerMessage message) {
         if (!closed()) {
+            sentInInterval = true;
             response().write(frames.frame(message));
         }
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/HttpAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/HttpAttempt.java
@@ -15,6 +15,7 @@
     private HttpClientRequest request;
     private HttpClientResponse response;
     private boolean done;
+    private boolean paused;
 
     /**
      * Creates an attempt that has not been sent.
@@ -34,6 +35,7 @@
 
     @Override
     public final void pause() {
+        paused = true;
         if (response != null) {
             response.pause();
         }
@@ -41,6 +43,7 @@
 
     @Override
     public final void resume() {
+        paused = false;
         if (response != null) {
             response.resume();
         }
@@ -63,6 +66,15 @@
         return done;
     }
 
+    /**
+     * Tells whether this VM has stopped reading the response.
+     *
+     * @return true between a pause and the next resumption
+     */
+    protected final boolean paused() {
+        return paused;
+    }
+
     /**
      * The listener, to be called only while the attempt is not done.
      *
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayAttemptTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/relay/RelayAttemptTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
 
 import io.vanillapoint.api.error.ErrorCode;
 import io.vanillapoint.api.error.RunState;
@@ -14,6 +15,7 @@
 import io.vanillapoint.core.message.RelayRequest;
 import io.vanillapoint.entry.port.ResponseEnvelope;
 import io.vanillapoint.entry.traffic.AttemptListener;
+import io.vanillapoint.entry.traffic.OpenResponses;
 import io.vanillapoint.entry.traffic.StubRequestFormat;
 import io.vanillapoint.wire.FleetCodec;
 import io.vertx.core.Promise;
@@ -44,6 +46,9 @@
     /** Time after which all copies of a response have arrived. */
     private static final long COPIES_READ_MILLIS = 200;
 
+    /** Bound of the detection of silence, with an allowance for a busy machine. */
+    private static final long SILENCE_MILLIS = 2_000;
+
     private final Vertx vertx = Vertx.vertx();
     private final FleetCodec codec = new FleetCodec();
     private final FrameWriter frames = new FrameWriter();
@@ -190,6 +195,57 @@
         assertThat(arrived.get(), is(2));
     }
 
+    /** Guards against a pooled connection that accepts a request and never sends a byte again. */
+    @Test
+    void pooledConnectionThatFallsSilentIsReportedWithinASecond() throws Exception {
+        Buffer answered =
+                rawResponse(acknowledgement().appendBuffer(frames.frame(new ForwardEnd(0, 0))));
+        AtomicInteger arrived = new AtomicInteger();
+        int port =
+                listenRaw(
+                        socket -> {
+                            if (arrived.getAndIncrement() == 0) {
+                                socket.write(answered);
+                            }
+                        });
+        HttpClient client = VmClientFactory.create(vertx, connection -> {});
+        vertx.runOnContext(ignored -> start(client, port, "r1"));
+        assertThat(reports.poll(WAIT_SECONDS, TimeUnit.SECONDS), is("end"));
+        vertx.runOnContext(ignored -> start(client, port, "r2"));
+        assertThat(reports.poll(SILENCE_MILLIS, TimeUnit.MILLISECONDS), is("stalled"));
+    }
+
+    /** Guards against silence after the acknowledgement that shows only at the deadline. */
+    @Test
+    void connectionThatFallsSilentAfterTheAcknowledgementIsReportedInTime() throws Exception {
+        Buffer alive = frames.frame(new ForwardCredit(0, RelaySink.KEEP_ALIVE_MILLIS));
+        int port =
+                listenRaw(
+                        socket ->
+                                socket.write("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n")
+                                        .compose(ignored -> socket.write(alive)));
+        HttpClient client = VmClientFactory.create(vertx, connection -> {});
+        vertx.runOnContext(ignored -> start(client, port, "r1"));
+        assertThat(reports.poll(SILENCE_MILLIS, TimeUnit.MILLISECONDS), is("stalled"));
+    }
+
+    /** Guards against a slow upstream behind a sound connection that is taken for silent. */
+    @Test
+    void slowResponseOverAConnectionThatIsKeptAliveIsAwaited() throws Exception {
+        int port =
+                vertx.createHttpServer()
+                        .requestHandler(
+                                request ->
+                                        new RelaySink(request.response(), new OpenResponses())
+                                                .acknowledgeWithKeepAlive(vertx))
+                        .listen(0, "127.0.0.1")
+                        .await(WAIT_SECONDS, TimeUnit.SECONDS)
+                        .actualPort();
+        HttpClient client = VmClientFactory.create(vertx, connection -> {});
+        vertx.runOnContext(ignored -> start(client, port, "r1"));
+        assertThat(reports.poll(SILENCE_MILLIS, TimeUnit.MILLISECONDS), is(nullValue()));
+    }
+
     /** Listens on raw connections; the action runs for each request. */
     private int listenRaw(Consumer<NetSocket> onRequest) throws Exception {
         return vertx.createNetServer()
