Spread the return times of refused requests; 502 and 504 only after a send

Cause: 502 and 504 were also sent for requests that had reached no replica: a deadline that passed, or an error, while the connection was opened, on this VM or on the one that the request was relayed to. Callers can't repeat an at-most-once request after them.

Change: an attempt tells whether its request may have left the VM; if none has, the request ends with 503, not run. Another VM gets the time left less a round trip, so that its word arrives before the deadline, and a deadline that passed there is not taken for a lack of capacity. If placement takes load into account, Retry-After comes from RoomForecast, new requests leave the reserved capacity, and a request that has to be refused does not wait for an event loop that is behind. Other deployments keep the constants.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptHistory.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptHistory.java
@@ -8,6 +8,7 @@
 public final class AttemptHistory {
     private int sendCount;
     private int unsentCount;
+    private int outcomeCount;
     private boolean mayHaveRun;
 
     /**
@@ -16,6 +17,7 @@
      * @param outcome outcome of the attempt
      */
     public void recordOutcome(AttemptOutcome outcome) {
+        outcomeCount++;
         if (!outcome.mayHaveReached()) {
             unsentCount++;
         }
@@ -27,6 +29,15 @@
         sendCount++;
     }
 
+    /**
+     * Tells whether an attempt has no outcome yet.
+     *
+     * @return true if one is still open, or ended with a response
+     */
+    public boolean hasOpen() {
+        return sendCount > outcomeCount;
+    }
+
     /**
      * Number of attempts that reached a replica or may have.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptOutcome.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/attempt/AttemptOutcome.java
@@ -4,7 +4,7 @@
 public enum AttemptOutcome {
     /** The connection could not be opened, so nothing was sent. */
     NOT_SENT(false, false, true),
-    /** This VM did not send the request, because its replica may no longer be used. */
+    /** The request was not sent: its replica may no longer be used, or its time was over. */
     WITHHELD(false, false, false),
     /** Another VM had no replica for the request. */
     NOT_PLACED(false, false, false),
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -29,7 +29,7 @@
  * VMs of a region agree without coordination, and moves only when the wait there costs more than
  * processing the prompt again elsewhere. Confined to one thread.
  */
-public final class ReplicaChooser {
+public final class ReplicaChooser implements RoomEstimator {
     /** One in this many replicas leaves fewer requests unanswered than is usual. */
     private static final int USUAL_PART = 3;
 
@@ -43,6 +43,7 @@
     private final SessionLocations sessions;
     private final RelayBackoff relayBackoff;
     private final ReplicaScorer scorer;
+    private final RoomForecast forecast = new RoomForecast();
     private final SlotTenure slotTenure = new SlotTenure();
     private int nextOwner;
     private int nextRegionVm;
@@ -198,6 +199,48 @@
         return shortestMillis == Long.MAX_VALUE ? 0 : shortestMillis;
     }
 
+    /**
+     * Return times of refused requests, and the capacity that is reserved for them.
+     *
+     * @return the forecast of this VM
+     */
+    public RoomForecast forecast() {
+        return forecast;
+    }
+
+    /**
+     * Longest expected time with which a request is placed.
+     *
+     * @param query the request
+     * @return milliseconds since its caller sent it
+     */
+    public double longestMillis(PlacementQuery query) {
+        return query.route().targetMillis() * weights.maxTargetMultiple();
+    }
+
+    @Override
+    public RoomEstimate estimate(PlacementQuery query, long nowMillis) {
+        double earliestMillis = Double.MAX_VALUE;
+        double requestsPerMilli = 0;
+        for (ReplicaTracker tracker : pool.serving(query.service().name(), nowMillis)) {
+            boolean local = tracker.region().equals(fleet.self().region());
+            boolean reachable = local || fleet.isReachable(tracker.region(), nowMillis);
+            if (tracker.failing() || !reachable || !eligibleFor(tracker, query)) {
+                continue;
+            }
+            PlacementPath path = local ? PlacementPath.DIRECT : PlacementPath.OTHER_REGION;
+            Candidate candidate = scorer.score(tracker, path, query, Set.of(), List.of());
+            double availableMillis =
+                    candidate.expectedMillis + tracker.backoffRemainingMillis(nowMillis);
+            earliestMillis = Math.min(earliestMillis, availableMillis);
+            requestsPerMilli += 1 / scorer.occupancyMillis(candidate, query);
+        }
+        return requestsPerMilli == 0
+                ? new RoomEstimate(DEFAULT_RETRY_AFTER_MILLIS, 1)
+                : new RoomEstimate(
+                        Math.max(0, earliestMillis - longestMillis(query)), 1 / requestsPerMilli);
+    }
+
     /**
      * Time for which this VM must back off from a replica of this region that rejected a request
      * without asking for a time itself.
@@ -426,7 +469,7 @@
 
         private Placement placement(Candidate candidate) {
             long expectedMillis = (long) candidate.expectedMillis;
-            double maxMillis = query.route().targetMillis() * weights.maxTargetMultiple();
+            double maxMillis = longestMillis(query);
             if (candidate.expectedMillis + query.elapsedMillis() > maxMillis
                     || candidate.expectedMillis > query.remainingMillis()) {
                 long retryAfterMillis = Math.max(DEFAULT_RETRY_AFTER_MILLIS, expectedMillis / 2);
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaScorer.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaScorer.java
@@ -158,6 +158,16 @@
         candidate.loss += FULL_BATCH_LOSS * use.requests() / Math.max(1, slots);
     }
 
+    /** Time for which a request takes up one place of a replica, in milliseconds. */
+    double occupancyMillis(Candidate candidate, PlacementQuery query) {
+        if (query.prompt().isEmpty()) {
+            return PLAIN_REQUEST_MILLIS / Math.max(1, candidate.tracker.info().slots());
+        }
+        EngineSpeed speed = speed(query.service().name());
+        return Math.max(
+                1, speed.firstEventMillis(candidate.uncachedTokens) - speed.firstEventMillis(0));
+    }
+
     private static double lateness(double targetRatio) {
         double probability =
                 (targetRatio - LATENESS_START_RATIO)
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/relay/RelayAttempt.java
@@ -16,6 +16,7 @@
 import io.vanillapoint.entry.traffic.AttemptListener;
 import io.vanillapoint.entry.traffic.HttpAttempt;
 import io.vanillapoint.entry.traffic.PromptGuard;
+import io.vanillapoint.entry.traffic.Refusal;
 import io.vanillapoint.wire.FleetCodec;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -111,7 +112,7 @@
         requestOpened(connected);
         long remaining = remainingMillis.getAsLong();
         if (done() || remaining <= 0) {
-            // The request's deadline timer sends the timeout to the caller.
+            // The request's deadline timer refuses the request, which has not run.
             reset();
             return;
         }
@@ -134,7 +135,9 @@
                                         () -> readResponse(answered.result()));
                             }
                         });
-        connected.end(Buffer.buffer(CODEC.encode(relayed.withRemainingMillis((int) remaining))));
+        Buffer body = Buffer.buffer(CODEC.encode(relayed.withRemainingMillis((int) remaining)));
+        sending();
+        connected.end(body);
     }
 
     private void readResponse(HttpClientResponse response) {
@@ -197,6 +200,9 @@
             return AttemptOutcome.NOT_PERMITTED;
         }
         boolean attempted = failure.code() != ErrorCode.NO_UPSTREAM;
+        if (!attempted && Refusal.isExpired(failure.message())) {
+            return AttemptOutcome.WITHHELD;
+        }
         return attempted ? AttemptOutcome.REJECTED : AttemptOutcome.NOT_PLACED;
     }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptPair.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptPair.java
@@ -103,12 +103,14 @@
         }
     }
 
-    /** Closes the current attempt. */
-    void closeCurrent(AttemptOutcome outcome, String cause) {
+    /** Closes the current attempt; its outcome tells whether it may have run. */
+    AttemptOutcome closeCurrent(String cause) {
         RunningAttempt ended = current;
+        AttemptOutcome outcome = ended.sent() ? AttemptOutcome.LOST : AttemptOutcome.NOT_SENT;
         endCurrent();
         ended.close();
         logEnd(ended, outcome, cause);
+        return outcome;
     }
 
     /** Closes all attempts without an entry in the log. */
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
@@ -123,7 +123,7 @@
                         plan.route().name(),
                         plan.service().name(),
                         plan.customer().map(CustomerSpec::name),
-                        (int) remainingMillis(),
+                        (int) remainingMillisAt(vm),
                         plan.method(),
                         plan.uri(),
                         context.format().relayHeaders(plan.envelope(), resumeAfter),
@@ -133,7 +133,7 @@
                 new RelayAttempt(
                         context.vertx(),
                         context.format(),
-                        this::remainingMillis,
+                        () -> remainingMillisAt(vm),
                         () -> context.prompts().maySend(plan),
                         running,
                         millis -> context.chooser().recordRoundTrip(vm.region(), millis));
@@ -156,6 +156,14 @@
                 && context.prompts().maySend(plan);
     }
 
+    /**
+     * Time left for another VM, so that its refusal of a request that it has not sent arrives here
+     * before the deadline; a later response would be too late for the caller.
+     */
+    private long remainingMillisAt(MemberInfo vm) {
+        return remainingMillis() - (long) context.chooser().roundTripMillis(vm.region());
+    }
+
     /** Time left until the deadline, less the margin for the response. */
     private long remainingMillis() {
         return plan.deadlineMillis() - context.clock().getAsLong() - RESPONSE_MARGIN_MILLIS;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
@@ -4,6 +4,9 @@
 import io.vanillapoint.core.attempt.AttemptOutcome;
 import io.vanillapoint.core.upstream.Placement;
 import io.vanillapoint.core.upstream.PlacementQuery;
+import io.vanillapoint.core.upstream.RefusalReason;
+import io.vanillapoint.core.upstream.RoomEstimate;
+import io.vanillapoint.core.upstream.RoomForecast;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -20,6 +23,8 @@
     private final BooleanSupplier begun;
     private final Set<String> tried = new HashSet<>();
     private final Set<RegionId> leftOutRegions = new HashSet<>();
+    private boolean judged;
+    private boolean returned;
 
     /**
      * Creates a search.
@@ -35,7 +40,66 @@
 
     /** Chooses a place for the next attempt. */
     Placement choose(long nowMillis) {
-        return context.chooser().choose(query(nowMillis), nowMillis);
+        PlacementQuery query = query(nowMillis);
+        Placement placement = context.chooser().choose(query, nowMillis);
+        if (!forecasts(nowMillis)) {
+            return placement;
+        }
+        if (placement instanceof Placement.Refuse refuse) {
+            boolean quiet = refuse.reason() == RefusalReason.REPLICAS_QUIET;
+            return quiet ? refuse : new Placement.Refuse(refuse.reason(), 0);
+        }
+        return hasRoomBesideReserved(placement, query, nowMillis)
+                ? placement
+                : new Placement.Refuse(RefusalReason.TOO_LATE, 0);
+    }
+
+    /**
+     * Tells whether a request that has just arrived has to be refused, so that it need not wait
+     * until the event loop has caught up.
+     */
+    boolean refusedOnArrival(long nowMillis, long shortestMillis) {
+        return forecasts(nowMillis)
+                && context.gate().receiveDelayMillis() > 0
+                && (plan.deadlineMillis() - nowMillis < shortestMillis || !finds(nowMillis));
+    }
+
+    /** A VM that runs a relayed request leaves its return time to the relaying VM. */
+    private boolean forecasts(long nowMillis) {
+        return !plan.relayed() && context.pool().loadAwareness().active(nowMillis);
+    }
+
+    /**
+     * Tells whether a new request leaves the capacity that is reserved for requests that are to
+     * return within its target.
+     */
+    private boolean hasRoomBesideReserved(
+            Placement placement, PlacementQuery query, long nowMillis) {
+        RoomForecast forecast = context.chooser().forecast();
+        if (!judged) {
+            judged = true;
+            long timeGiven = plan.deadlineMillis() - plan.receivedAtMillis();
+            long lostMillis = plan.route().timeoutMillis() - timeGiven;
+            returned = forecast.redeem(kind(), lostMillis, nowMillis);
+        }
+        if (returned || !tried.isEmpty()) {
+            return true;
+        }
+        long targetMillis = (long) plan.route().targetMillis();
+        double aheadMillis =
+                query.elapsedMillis() + forecast.reservedMillis(kind(), targetMillis, nowMillis);
+        return expectedMillis(placement) + aheadMillis <= context.chooser().longestMillis(query);
+    }
+
+    private static long expectedMillis(Placement placement) {
+        if (placement instanceof Placement.Local local) {
+            return local.expectedMillis();
+        }
+        return placement instanceof Placement.Relay relay ? relay.expectedMillis() : 0;
+    }
+
+    private String kind() {
+        return plan.service().name() + "/" + plan.route().name();
     }
 
     /** Tells whether there is a place for another attempt. */
@@ -43,8 +107,23 @@
         return !(choose(nowMillis) instanceof Placement.Refuse);
     }
 
-    /** Time after which a replica may accept the request. */
+    /**
+     * Time after which a replica may accept the request. If load is taken into account, capacity is
+     * reserved for its return; all VMs that retry are assumed to refuse as many requests as this
+     * one.
+     */
     long retryAfterMillis(long nowMillis) {
+        if (forecasts(nowMillis)) {
+            RoomEstimate room = context.chooser().estimate(query(nowMillis), nowMillis);
+            double occupancyMillis = room.occupancyMillis() * context.retries().vmCount();
+            return context.chooser()
+                    .forecast()
+                    .reserve(
+                            kind(),
+                            new RoomEstimate(room.roomMillis(), occupancyMillis),
+                            plan.deadlineMillis() - nowMillis,
+                            nowMillis);
+        }
         long backoffMillis = context.chooser().backoffMillis(query(nowMillis), nowMillis);
         return Math.max(MIN_RETRY_AFTER_MILLIS, backoffMillis);
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/Refusal.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/Refusal.java
@@ -1,6 +1,8 @@
 package io.vanillapoint.entry.traffic;
 
 import io.vanillapoint.core.attempt.AttemptHistory;
+import io.vanillapoint.core.attempt.AttemptOutcome;
+import java.util.Locale;
 
 /**
  * A final error response of the gateway itself. Immutable.
@@ -19,6 +21,12 @@
     /** Status of a request that exceeds its customer's rate limit. */
     public static final int TOO_MANY_REQUESTS = 429;
 
+    /** Reason of a request whose deadline has passed. */
+    static final String TIMEOUT = "timeout";
+
+    /** Reason of a request that has too little time left for an attempt. */
+    static final String NO_TIME = "no_time";
+
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
 
@@ -44,6 +52,24 @@
         return new Refusal(UNAVAILABLE, reason, true, true, retryAfterMillis);
     }
 
+    /** Reason of a request whose last attempt has ended without a response. */
+    static String reason(AttemptOutcome outcome, String cause) {
+        return outcome == AttemptOutcome.FAILED
+                ? "replica_" + cause.replace(' ', '_')
+                : "attempt_" + outcome.name().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Tells whether a reason is that of a request without time left, which says nothing about the
+     * replicas.
+     *
+     * @param reason reason of a refusal
+     * @return true if the deadline was the reason
+     */
+    public static boolean isExpired(String reason) {
+        return reason.equals(TIMEOUT) || reason.equals(NO_TIME);
+    }
+
     /**
      * Refuses a request that is malformed or not allowed.
      *
@@ -100,6 +126,6 @@
      * @return the refusal
      */
     public static Refusal timedOut() {
-        return new Refusal(GATEWAY_TIMEOUT, "timeout", false, true, 0);
+        return new Refusal(GATEWAY_TIMEOUT, TIMEOUT, false, true, 0);
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -11,7 +11,6 @@
 import io.vanillapoint.core.upstream.Placement;
 import io.vanillapoint.entry.port.ResponseEnvelope;
 import io.vertx.core.buffer.Buffer;
-import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -68,7 +67,7 @@
         deadline =
                 new RestartableTimer(
                         context.vertx(),
-                        () -> guarded("deadline", () -> terminate("deadline", "timeout")));
+                        () -> guarded("deadline", () -> terminate("deadline", Refusal.TIMEOUT)));
         progressCheck =
                 new RestartableTimer(
                         context.vertx(), () -> guarded("checking a replica", this::checkReplica));
@@ -83,6 +82,10 @@
         if (!plan.relayed()) {
             context.retries().recordRequest(plan.service().name(), now());
         }
+        if (search.refusedOnArrival(now(), MIN_ATTEMPT_MILLIS)) {
+            guarded("placing", this::startNext);
+            return;
+        }
         scheduleNextAttempt();
     }
 
@@ -325,7 +328,7 @@
         }
         long now = now();
         if (plan.deadlineMillis() - now < MIN_ATTEMPT_MILLIS) {
-            giveUp("no_time", 0);
+            giveUp(Refusal.NO_TIME, 0);
             return;
         }
         Optional<Refusal> withheld = context.prompts().check(plan, "place");
@@ -434,16 +437,10 @@
             delivery.restartEvent();
             scheduleNextAttempt();
         } else {
-            giveUp(reason(outcome, cause), retryAfterMillis);
+            giveUp(Refusal.reason(outcome, cause), retryAfterMillis);
         }
     }
 
-    private static String reason(AttemptOutcome outcome, String cause) {
-        return outcome == AttemptOutcome.FAILED
-                ? "replica_" + cause.replace(' ', '_')
-                : "attempt_" + outcome.name().toLowerCase(Locale.ROOT);
-    }
-
     /** Goes on with the silent attempt if there is one; otherwise the request ends. */
     private void giveUp(String reason, long retryAfterMillis) {
         if (attempts.hasSilent()) {
@@ -461,7 +458,8 @@
             return;
         }
         boolean expired = plan.deadlineMillis() - now() < MIN_ATTEMPT_MILLIS;
-        long wait = retryAfterMillis > 0 ? retryAfterMillis : search.retryAfterMillis(now());
+        boolean known = retryAfterMillis > 0 || history.mayHaveRun();
+        long wait = known ? retryAfterMillis : search.retryAfterMillis(now());
         Refusal refusal = Refusal.after(history, expired, reason, wait);
         sink.refuse(refusal);
         log.refused(refusal, now());
@@ -500,6 +498,7 @@
     private boolean acquireRepeat(long now) {
         return !attempts.hasSilent()
                 && !attempts.current().paused()
+                && attempts.current().sent()
                 && delivery.resumable()
                 && context.gate().receiveDelayMillis() == 0
                 && !plan.relayed()
@@ -536,8 +535,7 @@
         }
         attempts.endSilent(AttemptOutcome.LOST, cause);
         if (attempts.current() != null) {
-            attempts.closeCurrent(AttemptOutcome.LOST, cause);
-            history.recordOutcome(AttemptOutcome.LOST);
+            history.recordOutcome(attempts.closeCurrent(cause));
         }
         endWithoutAnswer(reason, 0);
     }
@@ -552,10 +550,10 @@
         }
     }
 
-    /** Ends the attempt that met an error; whatever was sent may have run. */
+    /** Ends the attempt that met an error; it may have run if it was sent. */
     private void endAfterError() {
         try {
-            if (history.sent() > 0) {
+            if (attempts.current() == null && history.hasOpen()) {
                 history.recordOutcome(AttemptOutcome.LOST);
             }
             if (attempts.hasSilent()) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RunningAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RunningAttempt.java
@@ -170,6 +170,11 @@
         return monitor.checkProgress(readUntilMillis, nowMillis);
     }
 
+    /** Tells whether the request may have left this VM. */
+    boolean sent() {
+        return connection != null && connection.sent();
+    }
+
     /** Tells whether this VM has stopped reading the response. */
     boolean paused() {
         return paused;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/UpstreamAttempt.java
@@ -63,7 +63,7 @@
         requestOpened(request);
         long remaining = remainingMillis.getAsLong();
         if (done() || remaining <= 0) {
-            // The request's deadline timer sends the timeout to the caller.
+            // The request's deadline timer refuses the request, which has not run.
             reset();
             return;
         }
@@ -90,6 +90,7 @@
                                         () -> readResponse(answered.result()));
                             }
                         });
+        sending();
         if (body.length() > 0) {
             request.end(body);
         } else {
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RecordingSink.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/RecordingSink.java
@@ -10,6 +10,7 @@
 final class RecordingSink implements ResponseSink {
     private final StringBuilder calls = new StringBuilder();
     private final Buffer body = Buffer.buffer();
+    private Refusal refusal;
     private RuntimeException headFailure;
     private boolean full;
     private Consumer<Runnable> drain = Runnable::run;
@@ -50,6 +51,7 @@
 
     @Override
     public void refuse(Refusal refusal) {
+        this.refusal = refusal;
         calls.append("refuse ").append(refusal.status()).append(' ').append(refusal.reason());
         calls.append(refusal.notRun() ? " not run " : " ");
     }
@@ -74,6 +76,11 @@
         drain = drainHandler;
     }
 
+    /** The last refusal, null if there was none. */
+    Refusal refusal() {
+        return refusal;
+    }
+
     /** All bytes of the body. */
     String body() {
         return body.toString();
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/SlotOwnerRelayTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/SlotOwnerRelayTest.java
@@ -99,6 +99,18 @@
         assertThat(log.codes(), not(hasItem(EventCode.PLACED)));
     }
 
+    /** Guards against 502 and 504 for a request that the other VM has not sent to a replica. */
+    @Test
+    void requestWhoseDeadlinePassedAtTheOwnerBeforeItWasSentIsRefusedAsNotRun() throws Exception {
+        int port =
+                listen(
+                        new ForwardCredit(0, 0),
+                        new ForwardFailure(
+                                0, ErrorCode.NO_UPSTREAM, "timeout", RunState.NOT_RUN, 0));
+        runToEnd(port);
+        assertThat(sink.calls(), is("refuse 503 attempt_withheld not run"));
+    }
+
     @Test
     void requestIsRefusedIfNoOwnerCanBeReached() throws Exception {
         // Port 1 of the loopback address has no listener.
