--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
@@ -121,23 +121,23 @@
                 new RelayAttempt(
                         context.vertx(),
                         context.format(),
-                        this::remainingMillis,
+                        () -> remainingMillisAt(vm),
                         () -> context.prompts().maySend(plan),
                         running,
                         millis -> context.chooser().recordRoundTrip(vm.region(), millis));
         running.connection(attempt);
         attempt.start(
-                context.vmClient(), vm.host(), context.peerPort(), () -> relayRequest(resumeAfter));
+                context.vmClient(), vm.host(), context.peerPort(), () -> relayRequest(vm, resumeAfter));
     }
 
     /** Copies the body, so it is called only when the request is sent. */
-    private RelayRequest relayRequest(OptionalLong resumeAfter) {
+    private RelayRequest relayRequest(MemberInfo vm, OptionalLong resumeAfter) {
         return new RelayRequest(
                 plan.envelope().requestId(),
                 plan.route().name(),
                 plan.service().name(),
                 plan.customer().map(CustomerSpec::name),
-                (int) remainingMillis(),
+                (int) remainingMillisAt(vm),
                 plan.method(),
                 plan.uri(),
                 context.format().relayHeaders(plan.envelope(), resumeAfter),
@@ -160,6 +160,14 @@
                 && context.prompts().maySend(plan);
     }
 
+    /**
+     * Time left for another VM, so that its refusal of a request that it has not sent arrives here
+     * before the deadline; a later response would be too late for the caller.
+     */
+    private long remainingMillisAt(MemberInfo vm) {
+        return remainingMillis() - (long) context.chooser().roundTripMillis(vm.region());
+    }
+
     /** Time left until the deadline, less the margin for the response. */
     private long remainingMillis() {
         return plan.deadlineMillis() - context.clock().getAsLong() - RESPONSE_MARGIN_MILLIS;
