Eject replicas that fail fast, by evidence shared among the VMs of a region

Change: FailureEvidence and ServiceFailures compare replicas with the better third of their service; VMs exchange a logical clock of failures and successes; OutlierFilter keeps requests away and sends trials; NearTies draws among equal losses. Active only with LoadAwareness.

--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -337,6 +337,17 @@
             "elapsed_ms",
             "expected_ms",
             "unanswered_percent"),
+    /** A replica fails clearly more requests than is usual for its service. */
+    REPLICA_EJECTED(
+            2417,
+            EventLevel.WARN,
+            "replica ejected",
+            "replica",
+            "service",
+            "failed_percent",
+            "usual_percent"),
+    /** The ejection of a replica that failed requests has ended. */
+    REPLICA_REINSTATED(2418, EventLevel.INFO, "replica reinstated", "replica", "ejected_ms"),
     /** Log lines were omitted to limit the log rate. */
     LINES_LEFT_OUT(2901, EventLevel.WARN, "lines left out", "event", "lines");
 
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -212,6 +212,25 @@
                 || (ended && silenceMillis > timing.suspectMillis());
     }
 
+    /**
+     * Number of VMs of the own region that carry requests, including this one.
+     *
+     * @param nowMillis monotonic time
+     * @return 1 or more
+     */
+    public int regionVmsWithRequests(long nowMillis) {
+        int vms = 1;
+        for (Member member : members.values()) {
+            boolean carries =
+                    member.load() >= LoadMeter.REQUEST_CPU_MILLIS
+                            && member.info().region().equals(self.region());
+            if (carries && alive(member, nowMillis)) {
+                vms++;
+            }
+        }
+        return vms;
+    }
+
     /**
      * Tells whether a VM has been heard of recently, directly or through others.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -18,6 +18,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 
 /**
  * Chooses the replica, or the other region, with the lowest expected loss of a request's value: for
@@ -44,6 +46,7 @@
     private final RelayBackoff relayBackoff;
     private final ReplicaScorer scorer;
     private final SlotTenure slotTenure = new SlotTenure();
+    private final RandomGenerator random;
     private int nextOwner;
     private int nextRegionVm;
 
@@ -69,6 +72,8 @@
         scorer = new ReplicaScorer(fleet, weights);
         this.sessions = sessions;
         relayBackoff = new RelayBackoff(fleet);
+        String process = fleet.self().vm() + fleet.self().incarnation();
+        random = new SplittableRandom(Rendezvous.seed(process));
     }
 
     /**
@@ -134,6 +139,20 @@
         return search.placement();
     }
 
+    private OutlierFilter outlierFilter(
+            PlacementQuery query, List<ReplicaTracker> serving, long nowMillis) {
+        if (!pool.loadAwareness().active(nowMillis)) {
+            return OutlierFilter.inactive(query);
+        }
+        return OutlierFilter.of(
+                query,
+                pool.failures(query.service().name()),
+                serving,
+                fleet.self().vm(),
+                fleet.regionVmsWithRequests(nowMillis),
+                nowMillis);
+    }
+
     /** Tells whether a request is placed as if all replicas answered all requests. */
     private static boolean ignoresSilence(
             Placement placement, Candidate bestIfAnswering, PlacementQuery query) {
@@ -247,12 +266,16 @@
 
     /** Returns the engine of each region most likely to cache a session that is new to this VM. */
     private static Set<String> preferredEngines(
-            List<ReplicaTracker> serving, PlacementQuery query, PromptSummary prompt) {
+            List<ReplicaTracker> serving,
+            PlacementQuery query,
+            PromptSummary prompt,
+            OutlierFilter outliers) {
         long seed = Rendezvous.seed(prompt.affinityKey());
         Map<RegionId, ReplicaTracker> best = new HashMap<>();
         Map<RegionId, Long> weights = new HashMap<>();
         for (ReplicaTracker tracker : serving) {
-            if (tracker.failing() || !eligibleFor(tracker, query)) {
+            boolean avoided = tracker.failing() || outliers.avoids(tracker);
+            if (avoided || !eligibleFor(tracker, query)) {
                 continue;
             }
             long weight = Rendezvous.seededWeight(seed, tracker.info().id());
@@ -282,6 +305,7 @@
         private final List<String> cachingEngines;
         private final Set<String> preferred;
         private final double usualRate;
+        private final OutlierFilter outliers;
         private final Optional<SlotOwners> slotOwners;
         private final RegionRelay regionRelay;
         private final boolean pathLost;
@@ -291,6 +315,7 @@
         private final Map<RegionId, Set<String>> reachedByOthers = new HashMap<>();
 
         private final List<MemberInfo> relayOwners = new ArrayList<>();
+        private final NearTies nearTies = new NearTies(random);
         private boolean anyEligible;
         private boolean anyInRegion;
         private boolean anyInReach;
@@ -301,13 +326,14 @@
             this.query = query;
             this.nowMillis = nowMillis;
             String service = query.service().name();
+            outliers = outlierFilter(query, serving, nowMillis);
             cachingEngines =
                     query.prompt()
                             .map(prompt -> sessions.enginesCaching(prompt, nowMillis))
                             .orElse(List.of());
             preferred =
                     query.prompt()
-                            .map(prompt -> preferredEngines(serving, query, prompt))
+                            .map(prompt -> preferredEngines(serving, query, prompt, outliers))
                             .orElse(Set.of());
             usualRate = usualUnansweredRate(serving);
             slotOwners = slotOwners(service, nowMillis);
@@ -338,6 +364,12 @@
             Candidate candidate =
                     scorer.score(tracker, path.get(), query, preferred, cachingEngines);
             candidate.addSilenceLoss(usualRate);
+            if (outliers.rejects(candidate)) {
+                return;
+            }
+            if (outliers.active()) {
+                nearTies.add(candidate);
+            }
             if (best == null || candidate.loss < best.loss) {
                 best = candidate;
             }
@@ -390,9 +422,21 @@
             if (!direct && !relayOwners.isEmpty() && !ownerTried) {
                 return relayToOwner(relayOwners);
             }
+            if (best == null) {
+                best = outliers.bestRejected();
+                bestIfAnswering = best;
+            }
             if (best == null) {
                 return refusal();
             }
+            if (outliers.trial() != null
+                    && placement(outliers.trial()) instanceof Placement.Local trial) {
+                return trial;
+            }
+            if (best == bestIfAnswering) {
+                best = nearTies.choose(best);
+                bestIfAnswering = best;
+            }
             Placement placement = placement(best);
             boolean silenceIgnored =
                     bestIfAnswering != best && ignoresSilence(placement, bestIfAnswering, query);
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaScorer.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaScorer.java
@@ -113,12 +113,16 @@
         double targetRatio =
                 (candidate.expectedMillis + query.elapsedMillis()) / query.route().targetMillis();
         candidate.loss += weights.lateAnswer() * lateness(targetRatio);
-        candidate.loss +=
-                FAILING_REPLICA_LOSS * Math.max(0, tracker.failureRate() - BASELINE_FAILURE_RATE);
+        candidate.loss += failureRateLoss(tracker);
         candidate.loss += LOSS_PER_TARGET * targetRatio;
         return candidate;
     }
 
+    /** Loss by the smoothed failure rate of this VM's own responses. */
+    static double failureRateLoss(ReplicaTracker tracker) {
+        return FAILING_REPLICA_LOSS * Math.max(0, tracker.failureRate() - BASELINE_FAILURE_RATE);
+    }
+
     private void scoreEngine(
             Candidate candidate,
             PlacementQuery query,
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -8,6 +8,7 @@
 import io.vanillapoint.core.prompt.PromptSummary;
 import io.vanillapoint.core.published.ReplicaState;
 import io.vanillapoint.core.published.UpstreamReplica;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -44,18 +45,21 @@
     private final ColdStartGate coldGate;
     private final PrefixCacheModel prefixCache;
     private final SilenceEvidence silence;
+    private final FailureEvidence failures;
 
     ReplicaTracker(
             UpstreamReplica info,
             RegionId region,
             long cacheTokens,
             ResponseTimes responseTimes,
+            ServiceFailures serviceFailures,
             long nowMillis) {
         this.info = info;
         this.region = region;
         this.coldGate = new ColdStartGate(nowMillis);
         this.prefixCache = new PrefixCacheModel(cacheTokens);
         this.silence = new SilenceEvidence(responseTimes);
+        this.failures = new FailureEvidence(serviceFailures);
         this.coldUntilMillis = nowMillis + info.coldMillis();
         this.coldSinceMillis = nowMillis;
         this.changedAtMillis = nowMillis;
@@ -138,13 +142,51 @@
         return silence;
     }
 
+    /** Evidence that the replica fails more requests than is usual for its service. */
+    FailureEvidence failures() {
+        return failures;
+    }
+
+    /**
+     * Tells whether the replica is ejected because it fails clearly more requests than is usual for
+     * its service. Requests of load-aware placement avoid it then.
+     *
+     * @return true as of the last request to the service
+     */
+    public boolean outlier() {
+        return failures.outlier();
+    }
+
+    /**
+     * Part of the replica's last responses to all VMs that failed, as far as known here.
+     *
+     * @return from 0 to 1
+     */
+    public double observedFailureRate() {
+        return failures.observedRate();
+    }
+
+    /**
+     * Adds an outcome to the evidence of load-aware placement. Unlike {@link #recordOutcome}, it
+     * counts each response at once, whatever becomes of the request at other replicas.
+     *
+     * @param failure true if the replica failed the request
+     * @param sentAtMillis when the request was sent
+     * @param nowMillis monotonic time
+     */
+    public void recordEvidence(boolean failure, long sentAtMillis, long nowMillis) {
+        failures.record(failure, sentAtMillis, nowMillis);
+    }
+
     /** What this VM has observed of the replica, for the heartbeat. */
     UpstreamSignals signals(long nowMillis) {
-        return UpstreamSignals.NONE;
+        return new UpstreamSignals(failures.counts(nowMillis), Optional.empty());
     }
 
     /** Adds what another VM has observed of the replica, {@code NONE} if nothing. */
-    void mergeSignals(FleetReport report, UpstreamSignals observed, long nowMillis) {}
+    void mergeSignals(FleetReport report, UpstreamSignals observed, long nowMillis) {
+        observed.outcomes().ifPresent(counts -> failures.merge(counts, nowMillis));
+    }
 
     /**
      * Tells whether the most recent attempts could not reach the replica.
@@ -215,6 +257,7 @@
      * @return the response, to be told when it begins or ends
      */
     public AwaitedResponse awaitResponse(long expectedMillis, OptionalInt urgency, long nowMillis) {
+        failures.requestSent(nowMillis);
         return silence.sent(expectedMillis, urgency, nowMillis);
     }
 
@@ -455,6 +498,7 @@
             leavingReported = false;
             failureRate = 0;
             silence.reset();
+            failures.reset();
         }
         info = newInfo;
         removedAtMillis = Long.MAX_VALUE;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -46,6 +46,7 @@
     private final Map<String, ReplicaTracker> replicas = new HashMap<>();
     private final Map<String, List<ReplicaTracker>> byService = new HashMap<>();
     private final Map<String, ResponseTimes> responseTimes = new HashMap<>();
+    private final Map<String, ServiceFailures> failures = new HashMap<>();
     private final Set<ZoneId> evacuated = new HashSet<>();
     private final RejectionLimits rejectionLimits = new RejectionLimits();
     private final LoadAwareness loadAwareness = new LoadAwareness();
@@ -87,6 +88,7 @@
                         cacheTokens,
                         responseTimes.computeIfAbsent(
                                 info.service(), unused -> new ResponseTimes()),
+                        failures(info.service()),
                         nowMillis);
         replicas.put(info.id(), tracker);
         rebuild();
@@ -460,6 +462,21 @@
         }
     }
 
+    /**
+     * Failure rate that the better replicas of a service have.
+     *
+     * @param service name of the service
+     * @return from 0 to 1
+     */
+    public double usualFailureRate(String service) {
+        return failures(service).usualRate();
+    }
+
+    /** Usual failure rate of a service. */
+    ServiceFailures failures(String service) {
+        return failures.computeIfAbsent(service, unused -> new ServiceFailures());
+    }
+
     /**
      * Whether placement takes the load of replicas into account.
      *
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -40,6 +40,7 @@
 import io.vanillapoint.entry.traffic.EntryContext;
 import io.vanillapoint.entry.traffic.EventLoopGate;
 import io.vanillapoint.entry.traffic.EventLoopLag;
+import io.vanillapoint.entry.traffic.OutlierLog;
 import io.vanillapoint.entry.traffic.PromptGuard;
 import io.vanillapoint.entry.traffic.ReachLog;
 import io.vanillapoint.entry.traffic.ReplicaProber;
@@ -94,6 +95,7 @@
     private final EntryListeners listeners;
     private final ReplicaProber prober;
     private final ReachLog reachLog;
+    private final OutlierLog outlierLog;
     private final Promise<Void> stopped = Promise.promise();
     private final EventLoopLag lag;
     private final LoadMeter load = new LoadMeter();
@@ -155,6 +157,7 @@
         ProbePlan probes = new ProbePlan(pool, settings.vm().hashCode() + incarnation, now());
         prober = new ReplicaProber(context, platform.replicaStatus(), probes);
         reachLog = new ReachLog(context);
+        outlierLog = new OutlierLog(context);
         control =
                 new EntryControl(
                         context,
@@ -326,6 +329,7 @@
         errors.contain("dropping replicas", () -> pool.prune(now()));
         errors.contain("probing replicas", prober::check);
         errors.contain("logging what is in reach", reachLog::check);
+        errors.contain("logging ejected replicas", outlierLog::check);
         errors.contain("releasing prompts", prompts::prune);
         errors.contain("updating the list of VMs", this::updateRoster);
         errors.contain("flushing the log", log::flush);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaOutcomes.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaOutcomes.java
@@ -22,9 +22,11 @@
     /**
      * Records the outcome for the replica's health. Some requests fail on every replica, so the
      * failure of a request that may be retried counts against a replica only if another replica
-     * succeeds with it.
+     * succeeds with it. The evidence of load-aware placement is relative to the service's usual
+     * rate and counts all outcomes at once.
      */
     void answered(RunningAttempt attempt, boolean failure) {
+        recordEvidence(attempt, failure);
         if (!failure) {
             previousFailed.ifPresent(replica -> replica.recordOutcome(true));
         }
@@ -35,18 +37,28 @@
 
     /** Records a failure after which the request is retried. */
     void failedBeforeRetry(RunningAttempt attempt) {
+        recordEvidence(attempt, true);
         previousFailed = attempt.use().map(ReplicaUse::tracker);
     }
 
     /** Records a response that no replica should give. */
     void misbehaved(RunningAttempt attempt) {
+        recordEvidence(attempt, true);
         attempt.ifAtReplica(use -> use.tracker().recordOutcome(true));
     }
 
+    private void recordEvidence(RunningAttempt attempt, boolean failure) {
+        long now = context.clock().getAsLong();
+        if (context.pool().loadAwareness().active(now)) {
+            attempt.ifAtReplica(
+                    use -> use.tracker().recordEvidence(failure, use.sentAtMillis(), now));
+        }
+    }
+
     /** Records that a replica makes no progress. */
     void noProgress(RunningAttempt attempt, Reason reason) {
         if (reason == Reason.STALLED) {
-            misbehaved(attempt);
+            attempt.ifAtReplica(use -> use.tracker().recordOutcome(true));
         }
     }
 
@@ -77,6 +89,9 @@
     /** Records that the connection broke before the response had ended. */
     void broken(RunningAttempt attempt) {
         long now = context.clock().getAsLong();
+        if (attempt.response() != null) {
+            recordEvidence(attempt, true);
+        }
         attempt.ifAtReplica(
                 use -> context.prompts().attemptBroken(plan, use.tracker(), attempt.stage(now)));
     }
