Estimate an engine's queue by urgency while load-aware placement is active

Cause: placement assumed that a request waits for all prompt tokens outstanding at an engine. Short prompts therefore appeared late behind long ones that the engine serves after them, and were refused. The priority of a customer replaced that of the route, so its long and short prompts had the same urgency.

Change: EngineQueue estimates the tokens before a first event by urgency. ReplicaTracker counts the deferrable part of the work, which heartbeats carry. The urgency sent to engines has the customer's priority as the major order and the route's relative priority as the minor one. The measured speed of engines uses the same count of tokens as the estimate.

Inactive deployments: PlainScoreTest and RequestUrgencyTest compare time, loss and urgency of drawn requests with the earlier formulas.

Tests run: EngineQueueTest, EngineRankTest, PlainScoreTest, LoadAwarenessTest, ReplicaChooserTest, RequestUrgencyTest, RequestRunTest, UnansweredRequestTest, SlotOwnerRelayTest.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/LoadAwareness.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/LoadAwareness.java
@@ -7,6 +7,8 @@
 import io.vanillapoint.core.published.ServiceSpec;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * Decides whether placement takes the load of replicas and the urgency of requests into account.
@@ -86,4 +88,25 @@
         Integer urgent = mostUrgent.get(service);
         return urgent != null && route.priority() > urgent;
     }
+
+    /**
+     * Rank of a request among those of an engine.
+     *
+     * @param route route of the request
+     * @param service name of its service
+     * @param customerPriority priority of its customer, which comes before that of the route
+     * @param nowMillis monotonic time
+     * @return the rank, empty while placement is not load-aware, and for requests that are not
+     *     event streams of an engine
+     */
+    public Optional<EngineRank> rank(
+            RouteSpec route, String service, OptionalInt customerPriority, long nowMillis) {
+        Integer urgent = mostUrgent.get(service);
+        if (urgent == null || route.kind() != RouteKind.EVENT_STREAM || !active(nowMillis)) {
+            return Optional.empty();
+        }
+        int relativePriority = Math.max(0, route.priority() - urgent);
+        return Optional.of(
+                EngineRank.of(customerPriority.orElse(route.priority()), relativePriority));
+    }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/PlacementQuery.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/PlacementQuery.java
@@ -21,6 +21,7 @@
  * @param mayRelay true if it may be relayed to another VM
  * @param elapsedMillis time since the caller sent it
  * @param remainingMillis time left to answer it
+ * @param rank rank among the requests of an engine, empty unless load-aware placement is active
  */
 public record PlacementQuery(
         RouteSpec route,
@@ -31,4 +32,29 @@
         Set<String> tried,
         boolean mayRelay,
         long elapsedMillis,
-        long remainingMillis) {}
+        long remainingMillis,
+        Optional<EngineRank> rank) {
+    /** Creates a request that is placed without regard to the urgency of others. */
+    public PlacementQuery(
+            RouteSpec route,
+            ServiceSpec service,
+            Optional<PromptSummary> prompt,
+            long bodyBytes,
+            Predicate<RegionId> regions,
+            Set<String> tried,
+            boolean mayRelay,
+            long elapsedMillis,
+            long remainingMillis) {
+        this(
+                route,
+                service,
+                prompt,
+                bodyBytes,
+                regions,
+                tried,
+                mayRelay,
+                elapsedMillis,
+                remainingMillis,
+                Optional.empty());
+    }
+}
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -81,6 +81,16 @@
         return scorer.speed(service);
     }
 
+    /**
+     * Order in which the engines of a service process requests.
+     *
+     * @param service name of the service
+     * @return the estimate, to be updated with requests that are sent
+     */
+    public EngineQueue engineQueue(String service) {
+        return scorer.engineQueue(service);
+    }
+
     /**
      * Updates the round-trip time to another region.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaScorer.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaScorer.java
@@ -26,7 +26,7 @@
     static final double PLAIN_REQUEST_MILLIS = 45;
 
     /** Wait per queued request of a full engine, about a tenth of a long response's duration. */
-    private static final double SLOT_WAIT_MILLIS = 150;
+    static final double SLOT_WAIT_MILLIS = 150;
 
     /**
      * Ratios of expected time to target from which responses may be late and are certainly late.
@@ -62,6 +62,7 @@
     private final FleetView fleet;
     private final PlacementWeights weights;
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
+    private final Map<String, EngineQueue> engineQueues = new HashMap<>();
     private final Map<RegionId, Double> roundTrips = new HashMap<>();
 
     ReplicaScorer(FleetView fleet, PlacementWeights weights) {
@@ -73,6 +74,10 @@
         return speeds.computeIfAbsent(service, unused -> new EngineSpeed());
     }
 
+    EngineQueue engineQueue(String service) {
+        return engineQueues.computeIfAbsent(service, unused -> new EngineQueue());
+    }
+
     void recordRoundTrip(RegionId region, long millis) {
         double previous = roundTrips.getOrDefault(region, weights.initialRoundTripMillis());
         roundTrips.put(region, previous + NEWEST_ROUND_TRIP_WEIGHT * (millis - previous));
@@ -139,16 +144,38 @@
             cachedTokens = Math.max(cachedTokens, (long) (sharedTokens * hitProbability));
         }
         candidate.uncachedTokens = Math.max(0, prompt.promptTokens() - cachedTokens);
+        int slots = query.service().engine().map(EngineSpec::slots).orElse(1);
+        query.rank()
+                .ifPresentOrElse(
+                        rank -> scoreByRank(candidate, query, use, rank, slots),
+                        () -> scoreByArrival(candidate, query, use, slots));
+        double recomputedTokens = Math.max(0, sharedTokens - cachedTokens);
+        candidate.loss += weights.recomputedPerKiloToken() * recomputedTokens / 1_000.0;
+        candidate.loss += FULL_BATCH_LOSS * use.requests() / Math.max(1, slots);
+    }
+
+    private void scoreByArrival(
+            Candidate candidate, PlacementQuery query, UpstreamUse use, int slots) {
         long tokensAhead = use.promptTokens() + candidate.uncachedTokens;
         candidate.expectedMillis = speed(query.service().name()).firstEventMillis(tokensAhead);
-        int slots = query.service().engine().map(EngineSpec::slots).orElse(1);
         int waiting = use.requests() + 1 - slots;
         if (waiting > 0) {
             candidate.expectedMillis += SLOT_WAIT_MILLIS * waiting;
         }
-        double recomputedTokens = Math.max(0, sharedTokens - cachedTokens);
-        candidate.loss += weights.recomputedPerKiloToken() * recomputedTokens / 1_000.0;
-        candidate.loss += FULL_BATCH_LOSS * use.requests() / Math.max(1, slots);
+    }
+
+    private void scoreByRank(
+            Candidate candidate,
+            PlacementQuery query,
+            UpstreamUse use,
+            EngineRank rank,
+            int slots) {
+        String service = query.service().name();
+        EngineQueue queue = engineQueue(service);
+        long tokens = queue.tokensToFirstEvent(use, rank, candidate.uncachedTokens);
+        candidate.expectedMillis =
+                speed(service).firstEventMillis(tokens) + queue.slotWaitMillis(use, rank, slots);
+        candidate.loss += queue.preemptionLoss(use, rank, slots);
     }
 
     private static double lateness(double targetRatio) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -35,6 +35,7 @@
     private boolean mayReturn;
     private int requests;
     private long promptTokens;
+    private final DeferrableWork deferrableWork = new DeferrableWork();
     private double failureRate;
     private long lastReceivedMillis = Long.MIN_VALUE / 2;
     private long lastReachedMillis = Long.MIN_VALUE / 2;
@@ -103,7 +104,17 @@
      * @return requests and prompt tokens
      */
     public UpstreamUse outstanding() {
-        return new UpstreamUse(requests, promptTokens);
+        return new UpstreamUse(
+                requests, promptTokens, deferrableWork.requests(), deferrableWork.promptTokens());
+    }
+
+    /**
+     * Deferrable part of this VM's outstanding load on the replica.
+     *
+     * @return the part, to be updated with each deferrable request
+     */
+    public DeferrableWork deferrableWork() {
+        return deferrableWork;
     }
 
     /**
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/LoadAwarenessTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/LoadAwarenessTest.java
@@ -12,6 +12,7 @@
 import io.vanillapoint.core.published.TrafficLimits;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -35,6 +36,30 @@
         assertThat(awareness.deferrable(stream("short", 0), "model"), is(false));
     }
 
+    @Test
+    void requestsHaveARankOnlyWhileActive() {
+        awareness.configure(publication(stream("long", 1), stream("short", 0)));
+        RouteSpec route = stream("long", 1);
+
+        assertThat(awareness.rank(route, "model", OptionalInt.of(1), 0), is(Optional.empty()));
+        awareness.slowdownReported(0);
+        assertThat(
+                awareness.rank(route, "model", OptionalInt.of(1), 0),
+                is(Optional.of(new EngineRank(5, true))));
+        assertThat(
+                awareness.rank(stream("short", 0), "model", OptionalInt.of(1), 0),
+                is(Optional.of(new EngineRank(4, false))));
+    }
+
+    @Test
+    void onlyEventStreamsOfEnginesHaveARank() {
+        RouteSpec booking = route("booking", RouteKind.AT_MOST_ONCE, 2, "bookings");
+        awareness.configure(publication(stream("long", 2), stream("short", 0), booking));
+
+        assertThat(
+                awareness.rank(booking, "bookings", OptionalInt.empty(), 0), is(Optional.empty()));
+    }
+
     @Test
     void plainRoutesDoNotActivateIt() {
         awareness.configure(
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
@@ -85,7 +85,7 @@
                         replica.id(),
                         plan.customer().map(CustomerSpec::name),
                         remainingMillis(),
-                        plan.urgency(),
+                        plan.urgency(plan.rank(context.pool().loadAwareness(), placedAtMillis)),
                         resumeAfter,
                         placement.cacheSource().map(UpstreamReplica::endpoint));
         UpstreamAttempt attempt =
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
@@ -82,6 +82,7 @@
                 tried,
                 !plan.relayed(),
                 begun.getAsBoolean() ? 0 : nowMillis - plan.receivedAtMillis(),
-                plan.deadlineMillis() - nowMillis);
+                plan.deadlineMillis() - nowMillis,
+                plan.rank(context.pool().loadAwareness(), nowMillis));
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
@@ -3,10 +3,14 @@
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.prompt.PromptSummary;
+import io.vanillapoint.core.upstream.DeferrableWork;
+import io.vanillapoint.core.upstream.EngineQueue;
+import io.vanillapoint.core.upstream.EngineRank;
 import io.vanillapoint.core.upstream.ReplicaTracker;
 import io.vanillapoint.entry.port.ResponseEnvelope;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 
 /**
  * Load that one attempt adds to its replica, counted from sending until the attempt ends.
@@ -28,6 +32,7 @@
     private final long sentAtMillis;
     private final long queuedTokens;
     private final long expectedMillis;
+    private final Optional<EngineRank> rank;
     private Optional<ResponseWatch> watch = Optional.empty();
     private boolean promptReleased;
 
@@ -47,12 +52,19 @@
         this.sentAtMillis = nowMillis;
         String replica = tracker.info().id();
         UpstreamUse otherVmsUse = context.fleet().otherVmUse(replica);
-        queuedTokens = tracker.outstanding().plus(otherVmsUse).promptTokens() + uncachedTokens;
+        UpstreamUse use = tracker.outstanding().plus(otherVmsUse);
+        rank = plan.rank(context.pool().loadAwareness(), nowMillis);
+        EngineQueue queue = context.chooser().engineQueue(plan.service().name());
+        queuedTokens =
+                rank.map(present -> queue.tokensToFirstEvent(use, present, uncachedTokens))
+                        .orElse(use.promptTokens() + uncachedTokens);
         if (plan.service().coldPerSecond() > 0 && tracker.mayBeCold(nowMillis)) {
             logColdUse(nowMillis);
         }
         PromptSummary prompt = plan.envelope().prompt().orElse(null);
         tracker.dispatched(uncachedTokens, prompt, nowMillis);
+        rank.ifPresent(present -> queue.sent(present, nowMillis));
+        ifDeferrable(work -> work.dispatched(uncachedTokens));
         if (prompt != null) {
             context.sessions().recordSent(prompt, replica, nowMillis);
         }
@@ -186,10 +198,18 @@
             releasePrompt();
         }
         tracker.finished();
+        ifDeferrable(DeferrableWork::finished);
     }
 
     private void releasePrompt() {
         promptReleased = true;
         tracker.recordPromptProcessed(uncachedTokens);
+        ifDeferrable(work -> work.promptProcessed(uncachedTokens));
+    }
+
+    private void ifDeferrable(Consumer<DeferrableWork> action) {
+        if (rank.filter(EngineRank::deferrable).isPresent()) {
+            action.accept(tracker.deferrableWork());
+        }
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestPlan.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestPlan.java
@@ -7,6 +7,8 @@
 import io.vanillapoint.core.published.RouteKind;
 import io.vanillapoint.core.published.RouteSpec;
 import io.vanillapoint.core.published.ServiceSpec;
+import io.vanillapoint.core.upstream.EngineRank;
+import io.vanillapoint.core.upstream.LoadAwareness;
 import io.vanillapoint.entry.port.RequestEnvelope;
 import io.vertx.core.buffer.Buffer;
 import java.util.List;
@@ -38,12 +40,6 @@
         long receivedAtMillis,
         long deadlineMillis,
         boolean relayed) {
-    /** Urgency of the most urgent requests; lower values are reserved for operators. */
-    private static final int MOST_URGENT = 2;
-
-    private static final int URGENCY_STEP = 2;
-    private static final int LEAST_URGENT = 9;
-
     /**
      * Tells whether the request may be processed in a region.
      *
@@ -69,19 +65,32 @@
                 .toList();
     }
 
+    /**
+     * Rank among the requests of an engine.
+     *
+     * @param awareness tells whether placement is load-aware
+     * @param nowMillis monotonic time
+     * @return the rank, empty while placement is not load-aware
+     */
+    public Optional<EngineRank> rank(LoadAwareness awareness, long nowMillis) {
+        return awareness.rank(route, service.name(), customerPriority(), nowMillis);
+    }
+
     /**
      * Scheduling urgency at an engine; lower values run first.
      *
+     * @param rank result of {@link #rank}; without it, a customer's priority replaces the route's
      * @return urgency, empty if the route is not an event stream
      */
-    public OptionalInt urgency() {
+    public OptionalInt urgency(Optional<EngineRank> rank) {
         if (route.kind() != RouteKind.EVENT_STREAM) {
             return OptionalInt.empty();
         }
-        int priority = route.priority();
-        if (customer.isPresent()) {
-            priority = customer.get().priority().orElse(priority);
-        }
-        return OptionalInt.of(Math.min(LEAST_URGENT, MOST_URGENT + URGENCY_STEP * priority));
+        int byPriority = EngineRank.urgency(customerPriority().orElse(route.priority()));
+        return OptionalInt.of(rank.map(EngineRank::urgency).orElse(byPriority));
+    }
+
+    private OptionalInt customerPriority() {
+        return customer.map(CustomerSpec::priority).orElse(OptionalInt.empty());
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseWatch.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ResponseWatch.java
@@ -4,6 +4,7 @@
 import io.vanillapoint.core.upstream.AwaitedResponse;
 import io.vanillapoint.core.upstream.ReplicaTracker;
 import io.vanillapoint.entry.port.ResponseEnvelope;
+import java.util.OptionalInt;
 
 /**
  * Watches one attempt for the first byte of its response and tells the replica's tracker if none
@@ -31,7 +32,8 @@
         this.plan = plan;
         this.replica = replica;
         sentAtMillis = context.clock().getAsLong();
-        response = replica.awaitResponse(expectedMillis, plan.urgency(), sentAtMillis);
+        OptionalInt urgency = plan.urgency(plan.rank(context.pool().loadAwareness(), sentAtMillis));
+        response = replica.awaitResponse(expectedMillis, urgency, sentAtMillis);
         timer = new RestartableTimer(context.vertx(), this::check);
         timer.start(FIRST_CHECK_MILLIS);
     }
