Limit unprocessed prompt tokens of long prompts at each engine

Cause: each step with a chunk of a prompt takes several times as long as one without. Under many long prompts the short ones keep their places in the batch for so long that others queue, although engines serve them first. Long prompts were also placed by an estimate that ignored the work that overtakes them, and were late.

Change: LongPromptLimit allows each engine the tokens that it processes in half of the shortest target of the more urgent routes, less as urgent requests fill the batch. A request above the limit is placed if it begins in its own target and urgent requests do not need the engine; else it is refused with long_prompt_limit, but never for more than two seconds. DeferralFactor corrects the expected time of deferrable requests by measured times.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetView.java
@@ -381,6 +381,27 @@
         return (double) heardVms / Math.max(heardVms, knownVms());
     }
 
+    /**
+     * Number of VMs that carried the requests of this region when they were last heard of, if this
+     * VM hears none of them any more.
+     *
+     * @param nowMillis monotonic time
+     * @return the number with this VM; 1 while it hears another VM of its region, or knows none
+     */
+    public int trafficVmsWhileAlone(long nowMillis) {
+        List<VmLoad> silent = new ArrayList<>(List.of(new VmLoad(self, selfLoad())));
+        for (Member member : members.values()) {
+            boolean inRegion = member.info().region().equals(self.region());
+            if (inRegion && member.info().state() != MemberState.GONE) {
+                if (alive(member, nowMillis)) {
+                    return 1;
+                }
+                silent.add(new VmLoad(member.info(), member.load()));
+            }
+        }
+        return TrafficVmSelector.select(silent).size();
+    }
+
     /**
      * Requests that all other VMs have outstanding at an upstream. Silent VMs are not counted.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Candidate.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Candidate.java
@@ -13,6 +13,7 @@
     double loss;
     double expectedMillis;
     long uncachedTokens;
+    LongPromptLimit.Room room = LongPromptLimit.Room.FREE;
     private double silenceLoss;
 
     Candidate(ReplicaTracker tracker, PlacementPath path) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/EngineQueue.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/EngineQueue.java
@@ -23,6 +23,7 @@
     private static final double PREEMPTION_LOSS = 0.05;
 
     private final UrgencyMix mix = new UrgencyMix();
+    private final DeferralFactor deferral = new DeferralFactor();
 
     EngineQueue() {}
 
@@ -45,15 +46,52 @@
      * @return tokens, those of the request included
      */
     public long tokensToFirstEvent(UpstreamUse use, EngineRank rank, long uncachedTokens) {
-        double deferrableTokens = Math.min(use.promptTokens(), use.deferrablePromptTokens());
-        double otherTokens = use.promptTokens() - deferrableTokens;
-        double tokensAhead =
-                mix.fractionAhead(true, rank) * deferrableTokens
-                        + mix.fractionAhead(false, rank) * otherTokens;
+        double tokensAhead = tokensAhead(use, rank);
         double chunkTokens = Math.min(CHUNK_TOKENS, use.promptTokens() - tokensAhead);
         return (long) (tokensAhead + chunkTokens) + uncachedTokens;
     }
 
+    /**
+     * Prompt tokens by which the speed of an engine is measured when the request has its first
+     * event. The chunk in progress is left out: its rest takes between nothing and its full time,
+     * and would outweigh a short prompt.
+     *
+     * @param use work of all VMs at the engine, without the request
+     * @param rank rank of the request
+     * @param uncachedTokens prompt tokens of the request itself
+     * @return tokens, those of the request included
+     */
+    public long measuredTokens(UpstreamUse use, EngineRank rank, long uncachedTokens) {
+        return (long) tokensAhead(use, rank) + uncachedTokens;
+    }
+
+    private double tokensAhead(UpstreamUse use, EngineRank rank) {
+        double deferrableTokens = Math.min(use.promptTokens(), use.deferrablePromptTokens());
+        double otherTokens = use.promptTokens() - deferrableTokens;
+        return mix.fractionAhead(true, rank) * deferrableTokens
+                + mix.fractionAhead(false, rank) * otherTokens;
+    }
+
+    /**
+     * Updates the estimate with the first event of a response.
+     *
+     * @param rank rank of the request
+     * @param expectedMillis time that was expected when it was placed
+     * @param millis measured time
+     * @param nowMillis monotonic time
+     */
+    public void recordFirstEvent(
+            EngineRank rank, long expectedMillis, long millis, long nowMillis) {
+        if (rank.deferrable()) {
+            deferral.record(expectedMillis, millis, nowMillis);
+        }
+    }
+
+    /** Factor on the expected time of a request for the work that will overtake it. */
+    double overtakingFactor(EngineRank rank) {
+        return rank.deferrable() ? deferral.factor() : 1;
+    }
+
     /**
      * Time for which a new request waits for a place in the batch.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/LoadAwareness.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/LoadAwareness.java
@@ -7,8 +7,10 @@
 import io.vanillapoint.core.published.ServiceSpec;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.TreeMap;
 
 /**
  * Decides whether placement takes the load of replicas and the urgency of requests into account.
@@ -26,7 +28,10 @@
     private static final long SLOWDOWN_VALID_MILLIS = 10_000;
 
     private boolean deferrableRoutes;
-    private Map<String, Integer> mostUrgent = Map.of();
+
+    /** By engine service, the shortest target of its event stream routes of each priority. */
+    private Map<String, NavigableMap<Integer, Integer>> targetMillis = Map.of();
+
     private long slowdownReportedMillis = Long.MIN_VALUE / 2;
 
     /**
@@ -35,8 +40,7 @@
      * @param publication the version in force
      */
     public void configure(GatewayPublication publication) {
-        Map<String, Integer> highest = new HashMap<>();
-        Map<String, Integer> lowest = new HashMap<>();
+        Map<String, NavigableMap<Integer, Integer>> targets = new HashMap<>();
         for (RouteSpec route : publication.routes()) {
             if (route.kind() != RouteKind.EVENT_STREAM) {
                 continue;
@@ -44,17 +48,17 @@
             for (ServiceShare share : route.services()) {
                 String service = share.service();
                 if (publication.service(service).flatMap(ServiceSpec::engine).isPresent()) {
-                    highest.merge(service, route.priority(), Math::min);
-                    lowest.merge(service, route.priority(), Math::max);
+                    targets.computeIfAbsent(service, unused -> new TreeMap<>())
+                            .merge(route.priority(), route.targetMillis(), Math::min);
                 }
             }
         }
-        mostUrgent = Map.copyOf(highest);
+        targetMillis = Map.copyOf(targets);
         deferrableRoutes =
-                highest.entrySet().stream()
+                targets.values().stream()
                         .anyMatch(
                                 service ->
-                                        lowest.get(service.getKey()) - service.getValue()
+                                        service.lastKey() - service.firstKey()
                                                 >= DEFERRABLE_DISTANCE);
     }
 
@@ -85,8 +89,24 @@
      * @return true if another event stream route of the service has a smaller priority
      */
     public boolean deferrable(RouteSpec route, String service) {
-        Integer urgent = mostUrgent.get(service);
-        return urgent != null && route.priority() > urgent;
+        NavigableMap<Integer, Integer> targets = targetMillis.get(service);
+        return targets != null && route.priority() > targets.firstKey();
+    }
+
+    /**
+     * Shortest target of the routes of a service that are more urgent than a route.
+     *
+     * @param route the route
+     * @param service name of the service
+     * @return milliseconds, empty if no route of the service is more urgent
+     */
+    OptionalInt urgentTargetMillis(RouteSpec route, String service) {
+        NavigableMap<Integer, Integer> targets = targetMillis.get(service);
+        return targets == null
+                ? OptionalInt.empty()
+                : targets.headMap(route.priority(), false).values().stream()
+                        .mapToInt(Integer::intValue)
+                        .min();
     }
 
     /**
@@ -101,11 +121,11 @@
      */
     public Optional<EngineRank> rank(
             RouteSpec route, String service, OptionalInt customerPriority, long nowMillis) {
-        Integer urgent = mostUrgent.get(service);
-        if (urgent == null || route.kind() != RouteKind.EVENT_STREAM || !active(nowMillis)) {
+        NavigableMap<Integer, Integer> targets = targetMillis.get(service);
+        if (targets == null || route.kind() != RouteKind.EVENT_STREAM || !active(nowMillis)) {
             return Optional.empty();
         }
-        int relativePriority = Math.max(0, route.priority() - urgent);
+        int relativePriority = Math.max(0, route.priority() - targets.firstKey());
         return Optional.of(
                 EngineRank.of(customerPriority.orElse(route.priority()), relativePriority));
     }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -42,6 +42,7 @@
     private final PlacementWeights weights;
     private final SessionLocations sessions;
     private final RelayBackoff relayBackoff;
+    private final LongPromptLimit longPromptLimit;
     private final ReplicaScorer scorer;
     private final SlotTenure slotTenure = new SlotTenure();
     private int nextOwner;
@@ -66,7 +67,8 @@
         this.fleet = fleet;
         this.roster = roster;
         this.weights = weights;
-        scorer = new ReplicaScorer(fleet, weights);
+        longPromptLimit = new LongPromptLimit(fleet, pool.loadAwareness());
+        scorer = new ReplicaScorer(fleet, weights, longPromptLimit);
         this.sessions = sessions;
         relayBackoff = new RelayBackoff(fleet);
     }
@@ -321,6 +323,7 @@
                             .orElse(Set.of());
             usualRate = usualUnansweredRate(serving);
             slotOwners = slotOwners(service, nowMillis);
+            longPromptLimit.refresh(nowMillis);
             regionRelay = new RegionRelay(fleet, relayBackoff, query, nowMillis);
             pathLost = pool.pathLost(service, fleet.self().region());
         }
@@ -427,11 +430,19 @@
         private Placement placement(Candidate candidate) {
             long expectedMillis = (long) candidate.expectedMillis;
             double maxMillis = query.route().targetMillis() * weights.maxTargetMultiple();
-            if (candidate.expectedMillis + query.elapsedMillis() > maxMillis
-                    || candidate.expectedMillis > query.remainingMillis()) {
+            LongPromptLimit.Verdict verdict = longPromptLimit.judge(query, candidate, nowMillis);
+            if (verdict == LongPromptLimit.Verdict.REFUSE) {
+                long retryAfterMillis = Math.max(DEFAULT_RETRY_AFTER_MILLIS, expectedMillis / 2);
+                return new Placement.Refuse(RefusalReason.LONG_PROMPT_LIMIT, retryAfterMillis);
+            }
+            boolean tooLate =
+                    verdict == LongPromptLimit.Verdict.PLACE
+                            && candidate.expectedMillis + query.elapsedMillis() > maxMillis;
+            if (tooLate || candidate.expectedMillis > query.remainingMillis()) {
                 long retryAfterMillis = Math.max(DEFAULT_RETRY_AFTER_MILLIS, expectedMillis / 2);
                 return new Placement.Refuse(RefusalReason.TOO_LATE, retryAfterMillis);
             }
+            longPromptLimit.placed(query, nowMillis);
             ReplicaTracker tracker = candidate.tracker;
             Set<String> replicas = reachedByOthers.getOrDefault(tracker.region(), Set.of());
             return switch (candidate.path) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaScorer.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaScorer.java
@@ -61,11 +61,13 @@
 
     private final FleetView fleet;
     private final PlacementWeights weights;
+    private final LongPromptLimit longPromptLimit;
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
     private final Map<String, EngineQueue> engineQueues = new HashMap<>();
     private final Map<RegionId, Double> roundTrips = new HashMap<>();
 
-    ReplicaScorer(FleetView fleet, PlacementWeights weights) {
+    ReplicaScorer(FleetView fleet, PlacementWeights weights, LongPromptLimit longPromptLimit) {
+        this.longPromptLimit = longPromptLimit;
         this.fleet = fleet;
         this.weights = weights;
     }
@@ -174,8 +176,20 @@
         EngineQueue queue = engineQueue(service);
         long tokens = queue.tokensToFirstEvent(use, rank, candidate.uncachedTokens);
         candidate.expectedMillis =
-                speed(service).firstEventMillis(tokens) + queue.slotWaitMillis(use, rank, slots);
+                queue.overtakingFactor(rank)
+                        * (speed(service).firstEventMillis(tokens)
+                                + queue.slotWaitMillis(use, rank, slots));
         candidate.loss += queue.preemptionLoss(use, rank, slots);
+        if (rank.deferrable()) {
+            candidate.room =
+                    longPromptLimit.room(
+                            query,
+                            candidate.tracker.info().id(),
+                            use,
+                            candidate.uncachedTokens,
+                            speed(service).tokensPerMilli());
+            candidate.loss += candidate.room.loss();
+        }
     }
 
     private static double lateness(double targetRatio) {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/PlainScoreTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/PlainScoreTest.java
@@ -100,7 +100,11 @@
                         true,
                         elapsed,
                         4_000);
-        ReplicaScorer scorer = new ReplicaScorer(fleet, PlacementWeights.DEFAULT);
+        ReplicaScorer scorer =
+                new ReplicaScorer(
+                        fleet,
+                        PlacementWeights.DEFAULT,
+                        new LongPromptLimit(fleet, pool.loadAwareness()));
         for (int i = random.nextInt(20); i > 0; i--) {
             scorer.engineQueue("engines").sent(EngineRank.of(i % 4, i % 3), NOW);
         }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
@@ -56,7 +56,7 @@
         rank = plan.rank(context.pool().loadAwareness(), nowMillis);
         EngineQueue queue = context.chooser().engineQueue(plan.service().name());
         queuedTokens =
-                rank.map(present -> queue.tokensToFirstEvent(use, present, uncachedTokens))
+                rank.map(present -> queue.measuredTokens(use, present, uncachedTokens))
                         .orElse(use.promptTokens() + uncachedTokens);
         if (plan.service().coldPerSecond() > 0 && tracker.mayBeCold(nowMillis)) {
             logColdUse(nowMillis);
@@ -182,7 +182,14 @@
         if (!promptReleased) {
             releasePrompt();
             long millis = context.clock().getAsLong() - sentAtMillis;
-            context.chooser().speed(plan.service().name()).recordFirstEvent(queuedTokens, millis);
+            String service = plan.service().name();
+            context.chooser().speed(service).recordFirstEvent(queuedTokens, millis);
+            long now = context.clock().getAsLong();
+            rank.ifPresent(
+                    present ->
+                            context.chooser()
+                                    .engineQueue(service)
+                                    .recordFirstEvent(present, expectedMillis, millis, now));
         }
     }
 
