--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -44,6 +44,7 @@
     private final PlacementWeights weights;
     private final SessionLocations sessions;
     private final RelayBackoff relayBackoff;
+    private final LongPromptLimit longPromptLimit;
     private final ReplicaScorer scorer;
     private final RoomForecast forecast = new RoomForecast();
     private final SlotTenure slotTenure = new SlotTenure();
@@ -70,7 +71,8 @@
         this.fleet = fleet;
         this.roster = roster;
         this.weights = weights;
-        scorer = new ReplicaScorer(fleet, weights);
+        longPromptLimit = new LongPromptLimit(fleet, pool.loadAwareness());
+        scorer = new ReplicaScorer(fleet, weights, longPromptLimit);
         this.sessions = sessions;
         relayBackoff = new RelayBackoff(fleet);
         String process = fleet.self().vm() + fleet.self().incarnation();
@@ -87,6 +89,16 @@
         return scorer.speed(service);
     }
 
+    /**
+     * Order in which the engines of a service process requests.
+     *
+     * @param service name of the service
+     * @return the estimate, to be updated with requests that are sent
+     */
+    public EngineQueue engineQueue(String service) {
+        return scorer.engineQueue(service);
+    }
+
     /**
      * Updates the round-trip time to another region.
      *
@@ -390,6 +402,7 @@
                             .orElse(Set.of());
             usualRate = usualUnansweredRate(serving);
             slotOwners = slotOwners(service, nowMillis);
+            longPromptLimit.refresh(nowMillis);
             regionRelay = new RegionRelay(fleet, relayBackoff, query, nowMillis);
             pathLost = pool.pathLost(service, fleet.self().region());
         }
@@ -514,11 +527,19 @@
         private Placement placement(Candidate candidate) {
             long expectedMillis = (long) candidate.expectedMillis;
             double maxMillis = longestMillis(query);
-            if (candidate.expectedMillis + query.elapsedMillis() > maxMillis
-                    || candidate.expectedMillis > query.remainingMillis()) {
+            LongPromptLimit.Verdict verdict = longPromptLimit.judge(query, candidate, nowMillis);
+            if (verdict == LongPromptLimit.Verdict.REFUSE) {
+                long retryAfterMillis = Math.max(DEFAULT_RETRY_AFTER_MILLIS, expectedMillis / 2);
+                return new Placement.Refuse(RefusalReason.LONG_PROMPT_LIMIT, retryAfterMillis);
+            }
+            boolean tooLate =
+                    verdict == LongPromptLimit.Verdict.PLACE
+                            && candidate.expectedMillis + query.elapsedMillis() > maxMillis;
+            if (tooLate || candidate.expectedMillis > query.remainingMillis()) {
                 long retryAfterMillis = Math.max(DEFAULT_RETRY_AFTER_MILLIS, expectedMillis / 2);
                 return new Placement.Refuse(RefusalReason.TOO_LATE, retryAfterMillis);
             }
+            longPromptLimit.placed(query, nowMillis);
             ReplicaTracker tracker = candidate.tracker;
             Set<String> replicas = reachedByOthers.getOrDefault(tracker.region(), Set.of());
             return switch (candidate.path) {
