--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -153,13 +153,7 @@
                         admission::admits,
                         durations,
                         bodies);
-        relays =
-                new RelayHandler(
-                        context,
-                        publishedState::publication,
-                        admission::ending,
-                        admission::admitsRelayed,
-                        bodies);
+        relays = createRelayHandler(context, bodies);
         ProbePlan probes = new ProbePlan(pool, settings.vm().hashCode() + incarnation, now());
         prober = new ReplicaProber(context, platform.replicaStatus(), probes);
         reachLog = new ReachLog(context);
@@ -204,6 +198,15 @@
                 this::recheckPrompts);
     }
 
+    private RelayHandler createRelayHandler(EntryContext context, RequestBodies bodies) {
+        return new RelayHandler(
+                context,
+                publishedState::publication,
+                admission::ending,
+                admission::admitsRelayed,
+                bodies);
+    }
+
     private EntryContext createContext(EntryPlatform platform) {
         return new EntryContext(
                 vertx,
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/CallerHandler.java
@@ -229,6 +229,7 @@
                         IncomingBody.declaredLength(request));
                 sink.refuse(bodies.refusal());
             }
+            default -> throw new IllegalArgumentException(rejection.name());
         }
     }
 
