--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/LongPromptLimitTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/LongPromptLimitTest.java
@@ -157,12 +157,7 @@
                         Set.of("m"));
         ReplicaTracker tracker =
                 new ReplicaTracker(
-                        info,
-                        ReplayVm.REGION,
-                        1,
-                        new ResponseTimes(),
-                        new ServiceFailures(),
-                        NOW);
+                        info, ReplayVm.REGION, 1, new ResponseTimes(), new ServiceFailures(), NOW);
         Candidate candidate = new Candidate(tracker, PlacementPath.DIRECT);
         candidate.room = room;
         candidate.expectedMillis = expectedMillis;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/AttemptStarter.java
@@ -127,7 +127,10 @@
                         millis -> context.chooser().recordRoundTrip(vm.region(), millis));
         running.connection(attempt);
         attempt.start(
-                context.vmClient(), vm.host(), context.peerPort(), () -> relayRequest(vm, resumeAfter));
+                context.vmClient(),
+                vm.host(),
+                context.peerPort(),
+                () -> relayRequest(vm, resumeAfter));
     }
 
     /** Copies the body, so it is called only when the request is sent. */
