Make no call for the orders while a listing without them is short

Cause: StoreCopyTest.storeWithoutHistoryIsNotAskedAllTheTime failed since the listings in pages (24 calls, fewer than 20 wanted): each failed watch was followed by two listings.

Change: the orders come first only after an answer that is too large.

Evidence: that test and StoreProgressTest, StoreReadPlanTest and StoreSyncTest pass.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/published/StoreReadPlan.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/published/StoreReadPlan.java
@@ -7,11 +7,11 @@
  *
  * <p>Invariants: a call that failed is repeated only after a pause; a watch whose answer can't be
  * used is followed by a listing, of which the orders (configuration and evacuations) are read
- * before the other values and again at least every {@link #ORDERS_INTERVAL_MILLIS} while pages are
- * answered. A failed page of one listing never delays the other one by more than one pause. Pauses
- * grow up to a limit and are drawn at random, so that VMs that lost the store together do not
- * return together. The load is at most one call at a time, and after a failure one listing with a
- * pause between listings.
+ * before the other values unless they are deferred, and again at least every {@link
+ * #ORDERS_INTERVAL_MILLIS} while pages are answered. A failed page of one listing never delays the
+ * other one by more than one pause. Pauses grow up to a limit and are drawn at random, so that VMs
+ * that lost the store together do not return together. The load is at most one call at a time, and
+ * after a failure one listing with a pause between listings.
  *
  * <p>Time is monotonic, in milliseconds. Confined to one thread.
  */
@@ -99,6 +99,16 @@
         ordersDueAtMillis = nowMillis + ORDERS_INTERVAL_MILLIS;
     }
 
+    /**
+     * Begins with all values, since their listing is probably short: a listing of one page needs no
+     * call for the orders.
+     *
+     * @param listingAtMillis time at which the listing begins
+     */
+    public void deferOrders(long listingAtMillis) {
+        ordersDueAtMillis = listingAtMillis + ORDERS_INTERVAL_MILLIS;
+    }
+
     /** All values are known, from a listing or from another VM. */
     public void allListed() {
         populated = true;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
@@ -371,7 +371,8 @@
         if (relist && callMade == Call.WATCH) {
             startListings();
         }
-        if (kind.filter(StoreException.Kind.TOO_LARGE::equals).isPresent()) {
+        boolean tooLarge = kind.filter(StoreException.Kind.TOO_LARGE::equals).isPresent();
+        if (tooLarge) {
             log.record(
                     EventCode.STORE_ANSWER_TOO_LARGE,
                     callMade,
@@ -380,6 +381,11 @@
         } else {
             availability.lost(cause);
         }
-        return plan.failed(callMade, relist, clock.getAsLong());
+        long now = clock.getAsLong();
+        long pauseMillis = plan.failed(callMade, relist, now);
+        if (callMade == Call.WATCH && relist && !tooLarge) {
+            plan.deferOrders(now + pauseMillis);
+        }
+        return pauseMillis;
     }
 }
