Decode load reports of replicas and exchange their slowdown

Cause: replicas report their load in Server-Load, which was dropped; the slowdown that activates load-aware placement never arrived. Expected times do not use it yet (docs/design/load-reports.md).

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -8,7 +8,6 @@
 import io.vanillapoint.core.prompt.PromptSummary;
 import io.vanillapoint.core.published.ReplicaState;
 import io.vanillapoint.core.published.UpstreamReplica;
-import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -46,6 +45,7 @@
     private final PrefixCacheModel prefixCache;
     private final SilenceEvidence silence;
     private final FailureEvidence failures;
+    private final ReplicaLoad load = new ReplicaLoad();
 
     ReplicaTracker(
             UpstreamReplica info,
@@ -178,14 +178,20 @@
         failures.record(failure, sentAtMillis, nowMillis);
     }
 
+    /** Load that the replica reports. */
+    ReplicaLoad load() {
+        return load;
+    }
+
     /** What this VM has observed of the replica, for the heartbeat. */
     UpstreamSignals signals(long nowMillis) {
-        return new UpstreamSignals(failures.counts(nowMillis), Optional.empty());
+        return new UpstreamSignals(failures.counts(nowMillis), load.slowdown(nowMillis));
     }
 
     /** Adds what another VM has observed of the replica, {@code NONE} if nothing. */
     void mergeSignals(FleetReport report, UpstreamSignals observed, long nowMillis) {
         observed.outcomes().ifPresent(counts -> failures.merge(counts, nowMillis));
+        observed.slowdown().ifPresent(slowdown -> load.merge(slowdown, nowMillis));
     }
 
     /**
@@ -499,6 +505,7 @@
             failureRate = 0;
             silence.reset();
             failures.reset();
+            load.reset();
         }
         info = newInfo;
         removedAtMillis = Long.MAX_VALUE;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -462,6 +462,20 @@
         }
     }
 
+    /**
+     * Records the load that a replica has reported to this VM.
+     *
+     * @param tracker the replica
+     * @param report its report
+     * @param nowMillis monotonic time
+     */
+    public void recordLoad(ReplicaTracker tracker, LoadReport report, long nowMillis) {
+        tracker.load().reported(report, nowMillis);
+        if (report.slowdownPercent().isPresent()) {
+            loadAwareness.slowdownReported(nowMillis);
+        }
+    }
+
     /**
      * Failure rate that the better replicas of a service have.
      *
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/ResponseEnvelope.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/port/ResponseEnvelope.java
@@ -1,6 +1,7 @@
 package io.vanillapoint.entry.port;
 
 import io.vanillapoint.core.message.HeaderField;
+import io.vanillapoint.core.upstream.LoadReport;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -19,6 +20,7 @@
  * @param leaving true if the upstream is shutting down and wants no new requests
  * @param retryAfterMillis time in milliseconds after which to retry, empty if absent
  * @param rejectionLimit rejections in a second that the upstream survives, empty if absent
+ * @param load load that the upstream reports, empty if absent or malformed
  * @param invalidHeaders descriptions of malformed headers, for the log
  * @param headers headers to forward to the caller
  */
@@ -31,6 +33,7 @@
         boolean leaving,
         OptionalLong retryAfterMillis,
         OptionalInt rejectionLimit,
+        Optional<LoadReport> load,
         List<String> invalidHeaders,
         List<HeaderField> headers) {
     private static final int FIRST_SUCCESS = 200;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
@@ -120,6 +120,7 @@
                             ageMillis);
             context.metrics().count("replicas_leaving");
         }
+        head.load().ifPresent(load -> context.pool().recordLoad(tracker, load, now));
         head.rejectionLimit().ifPresent(limit -> recordRejectionLimit(limit, now));
         if (head.status() != Refusal.UNAVAILABLE) {
             tracker.recordAccepted(now);
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/StubRequestFormat.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/StubRequestFormat.java
@@ -37,6 +37,7 @@
                 false,
                 OptionalLong.empty(),
                 OptionalInt.empty(),
+                Optional.empty(),
                 List.of(),
                 List.of());
     }
