Test which outcomes of attempts are evidence against a replica

Guards against a failure of a repeatable request that counts only after another replica has succeeded, against truncated responses that count as successes alone, and against evidence while placement is not load-aware.

--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UnansweredRequestTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/traffic/UnansweredRequestTest.java
@@ -122,6 +122,36 @@
         assertThat(replica.unansweredRate(), is(0.0));
     }
 
+    /** The plain rule waits for another replica to succeed with a repeatable request. */
+    @Test
+    void failureOfARepeatableRequestIsEvidenceAtOnceIfPlacementIsLoadAware() throws Exception {
+        pool.loadAwareness().slowdownReported(clock.getAsLong());
+        publish(request -> request.response().setStatusCode(500).end());
+        run(RouteKind.IDEMPOTENT, 2_000, NEVER);
+        assertThat(replica.observedFailureRate(), is(1.0));
+        assertThat("plain rule", replica.failureRate(), is(0.0));
+    }
+
+    @Test
+    void truncatedResponseIsEvidenceIfPlacementIsLoadAware() throws Exception {
+        pool.loadAwareness().slowdownReported(clock.getAsLong());
+        publish(
+                request -> {
+                    request.response().setChunked(true).write("id: 1\ndata: a\n\n");
+                    vertx.setTimer(100, ignored -> request.connection().close());
+                });
+        run(RouteKind.EVENT_STREAM, 2_000, NEVER);
+        assertThat(replica.observedFailureRate(), is(greaterThan(0.0)));
+    }
+
+    @Test
+    void failuresAreNoEvidenceWhilePlacementIsNotLoadAware() throws Exception {
+        publish(request -> request.response().setStatusCode(500).end());
+        run(RouteKind.AT_MOST_ONCE, 2_000, NEVER);
+        assertThat(replica.observedFailureRate(), is(0.0));
+        assertThat("plain rule", replica.failureRate(), is(greaterThan(0.0)));
+    }
+
     private void publish(Handler<HttpServerRequest> handler) throws Exception {
         int port =
                 vertx.createHttpServer()
