--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/LongPromptLimit.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/LongPromptLimit.java
@@ -6,6 +6,7 @@
 import io.vanillapoint.core.prompt.PromptSummary;
 import io.vanillapoint.core.published.EngineSpec;
 import java.util.HashMap;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.OptionalInt;
 
@@ -183,6 +184,21 @@
         }
     }
 
+    /**
+     * Unprocessed prompt tokens of deferrable requests of all VMs, at each replica of this region.
+     *
+     * @param pool replicas
+     * @param fleet other VMs and their outstanding load
+     * @return sum and maximum over the replicas, 0 while load-aware placement is inactive
+     */
+    public static LongSummaryStatistics tokensPerEngine(UpstreamPool pool, FleetView fleet) {
+        return pool.replicas().stream()
+                .filter(replica -> replica.region().equals(fleet.self().region()))
+                .map(replica -> replica.outstanding().plus(fleet.otherVmUse(replica.info().id())))
+                .mapToLong(UpstreamUse::deferrablePromptTokens)
+                .summaryStatistics();
+    }
+
     /** Requests of one route and of similar size. */
     private record Kind(String route, int size) {
         static Kind of(PlacementQuery query) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -19,6 +19,7 @@
 import io.vanillapoint.core.prompt.SessionLocations;
 import io.vanillapoint.core.published.GatewayPublication;
 import io.vanillapoint.core.retry.RetryAllowance;
+import io.vanillapoint.core.upstream.LongPromptLimit;
 import io.vanillapoint.core.upstream.PlacementWeights;
 import io.vanillapoint.core.upstream.ProbePlan;
 import io.vanillapoint.core.upstream.ReplicaChooser;
@@ -246,6 +247,12 @@
         metrics.gauge("publication.version", this::configurationVersion);
         metrics.gauge("store.lost_ms", control::storeUnavailableMillis);
         metrics.gauge("replicas.known", () -> pool.replicas().size());
+        metrics.gauge(
+                "engines.deferrable_tokens",
+                () -> LongPromptLimit.tokensPerEngine(pool, fleet).getSum());
+        metrics.gauge(
+                "engines.deferrable_tokens_max",
+                () -> Math.max(0, LongPromptLimit.tokensPerEngine(pool, fleet).getMax()));
         metrics.gauge("loop.delay_ms", () -> lag.delayMillis(now()));
         metrics.gauge("requests.load_millicores", () -> load.milliCores(now()));
         metrics.gauge("answers.held_bytes", memory::heldBytes);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestLog.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestLog.java
@@ -6,14 +6,17 @@
 import io.vanillapoint.core.fleet.MemberInfo;
 import io.vanillapoint.core.published.UpstreamReplica;
 import io.vanillapoint.core.upstream.Placement;
+import io.vanillapoint.entry.log.EntryMetrics;
 
 /** Logs the attempts of one request with what decided them. Confined to one event loop. */
 final class RequestLog {
     private final EventSink log;
+    private final EntryMetrics metrics;
     private final RequestPlan plan;
 
-    RequestLog(EventSink log, RequestPlan plan) {
-        this.log = log;
+    RequestLog(EntryContext context, RequestPlan plan) {
+        log = context.log();
+        metrics = context.metrics();
         this.plan = plan;
     }
 
@@ -87,6 +90,7 @@
     void refused(Refusal refusal, long nowMillis) {
         String id = plan.envelope().requestId();
         if (refusal.notRun()) {
+            metrics.count("refused." + refusal.reason());
             log.record(
                     EventCode.REFUSED,
                     id,
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -72,7 +72,7 @@
         progressCheck =
                 new RestartableTimer(
                         context.vertx(), () -> guarded("checking a replica", this::checkReplica));
-        log = new RequestLog(context.log(), plan);
+        log = new RequestLog(context, plan);
     }
 
     /** Starts the first attempt. */
