--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -71,7 +71,7 @@
         progressCheck =
                 new RestartableTimer(
                         context.vertx(), () -> guarded("checking a replica", this::checkReplica));
-        log = new RequestLog(context.log(), plan);
+        log = new RequestLog(context, plan);
         attempts =
                 new AttemptPair(context, log, () -> guarded("ending an overlap", this::endOverlap));
     }
