--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/PromptReplay.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/PromptReplay.java
@@ -7,9 +7,7 @@
 import io.vanillapoint.core.published.EngineSpec;
 import io.vanillapoint.core.published.GatewayPublication;
 import io.vanillapoint.core.published.ReplicaState;
-import io.vanillapoint.core.published.RouteKind;
 import io.vanillapoint.core.published.RouteSpec;
-import io.vanillapoint.core.published.ServiceShare;
 import io.vanillapoint.core.published.ServiceSpec;
 import io.vanillapoint.core.published.TrafficLimits;
 import io.vanillapoint.core.published.UpstreamReplica;
@@ -28,8 +26,8 @@
  * Callers return once after a refusal. Without load-aware placement, the plain rule is replayed.
  */
 final class PromptReplay {
-    static final RouteSpec SHORT = route("short", 507, 15_000, 0);
-    static final RouteSpec LONG = route("long", 2_015, 6_000, 2);
+    static final RouteSpec SHORT = ReplayRoutes.stream("short", 507, 15_000, 0);
+    static final RouteSpec LONG = ReplayRoutes.stream("long", 2_015, 6_000, 2);
     private static final int VMS = 6;
     private static final int SLOTS = 16;
 
@@ -38,8 +36,8 @@
                     "model", 100, 3_000, 2.9, Optional.of(new EngineSpec(SLOTS, 216_498, false)));
 
     final ReplayTime time = new ReplayTime();
-    final Totals shortTotals = new Totals();
-    final Totals longTotals = new Totals();
+    final ReplayTotals shortTotals = new ReplayTotals();
+    final ReplayTotals longTotals = new ReplayTotals();
     final Map<String, Integer> sentToCold = new HashMap<>();
     private final Random random;
     private final boolean loadAware;
@@ -50,36 +48,6 @@
     private OptionalInt customerPriority = OptionalInt.of(1);
     private int nextPrompt;
 
-    /** Outcomes of one kind of request. */
-    static final class Totals {
-        int offered;
-        int inTime;
-        int late;
-        int refused;
-        int failed;
-        double lastPlacedMillis = -1;
-        double longestGapMillis;
-
-        void placed(double atMillis) {
-            longestGapMillis = Math.max(longestGapMillis, atMillis - lastPlacedMillis);
-            lastPlacedMillis = atMillis;
-        }
-
-        void notPlaced(double atMillis) {
-            longestGapMillis = Math.max(longestGapMillis, atMillis - lastPlacedMillis);
-        }
-
-        double inTimeShare() {
-            return (double) inTime / Math.max(1, offered);
-        }
-
-        @Override
-        public String toString() {
-            return "%d offered, %.3f in time, %d late, %d refused, %d failed, gap %.0f ms"
-                    .formatted(offered, inTimeShare(), late, refused, failed, longestGapMillis);
-        }
-    }
-
     PromptReplay(int seed, int engineCount, int sessions, boolean loadAware) {
         random = new Random(seed);
         this.loadAware = loadAware;
@@ -91,7 +59,16 @@
         for (int i = 0; i < VMS; i++) {
             names.add("vm" + i);
         }
-        names.forEach(name -> vms.add(new ReplayVm(name, names, publication())));
+        Optional<GatewayPublication> publication =
+                Optional.of(
+                                new GatewayPublication(
+                                        1,
+                                        List.of(SHORT, LONG),
+                                        List.of(MODEL),
+                                        List.of(),
+                                        TrafficLimits.DEFAULT))
+                        .filter(unused -> loadAware);
+        names.forEach(name -> vms.add(new ReplayVm(name, names, publication)));
         engines.keySet().forEach(id -> publish(id, 0, 1));
         for (ReplayVm vm : vms) {
             time.schedule(random.nextInt(200), () -> heartbeat(vm));
@@ -134,13 +111,6 @@
         time.schedule(200, () -> heartbeat(sender));
     }
 
-    private Optional<GatewayPublication> publication() {
-        GatewayPublication publication =
-                new GatewayPublication(
-                        1, List.of(SHORT, LONG), List.of(MODEL), List.of(), TrafficLimits.DEFAULT);
-        return Optional.of(publication).filter(unused -> loadAware);
-    }
-
     /** Ends engines and removes their entries. */
     void lose(int count) {
         for (int i = 0; i < count; i++) {
@@ -176,29 +146,11 @@
         vms.forEach(vm -> vm.pool.publish(info, Optional.of(MODEL), time.now()));
     }
 
-    private static RouteSpec route(String name, int targetMillis, int timeoutMillis, int priority) {
-        return new RouteSpec(
-                name,
-                "h",
-                "/" + name + "/",
-                RouteKind.EVENT_STREAM,
-                timeoutMillis,
-                targetMillis,
-                300,
-                priority,
-                List.of(new ServiceShare("model", 1)),
-                1,
-                false,
-                true,
-                false,
-                Set.of());
-    }
-
     /** One request of a caller. */
     private final class Request {
         private final RouteSpec route;
         private final PromptSummary prompt;
-        private final Totals totals;
+        private final ReplayTotals totals;
         private final double startedMillis = time.millis();
         private final ReplayVm vm = vms.get(random.nextInt(VMS));
         private boolean returned;
