Spread upstreams over as many heartbeats as all entries need

Entries that did not fit into their page were left out of every report, since the order of entries is fixed, and receivers took those upstreams for idle: with deferrable work and signals, 64 of 65 upstreams were ever reported (ReportPacketTest). The number of pages now grows until the largest page fits. The existing cases run with the content that they had; a new one covers load-aware deployments.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPage.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPage.java
@@ -28,6 +28,11 @@
      * @return true if an upstream that the heartbeat does not name has nothing outstanding
      */
     public boolean covers(String upstream) {
-        return count == 1 || Math.floorMod(upstream.hashCode(), count) == number;
+        return pageOf(upstream, count) == number;
+    }
+
+    /** Returns the page of an upstream, from 0. */
+    static int pageOf(String upstream, int count) {
+        return Math.floorMod(upstream.hashCode(), count);
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPager.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/ReportPager.java
@@ -3,6 +3,7 @@
 import io.vanillapoint.core.quarantine.QuarantineReport;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -89,7 +90,7 @@
         remaining -= customers.entrySet().stream().mapToInt(ReportPager::customerSize).sum();
         Map<String, Integer> rejectionLimits = chooseRejectionLimits(content.rejectionLimits());
         remaining -= size(rejectionLimits);
-        int pageCount = pageCount(content);
+        int pageCount = pageCount(content, remaining);
         boolean customersLeftOut = customers.size() < content.customers().size();
         ReportPage page = new ReportPage(random.nextInt(pageCount), pageCount, customersLeftOut);
         UpstreamEntries entries = UpstreamEntries.choose(content, page, remaining);
@@ -186,22 +187,47 @@
         return lastReported.getOrDefault(use.getKey(), LastReported.NEVER);
     }
 
-    private static int pageCount(Content content) {
-        int bytes =
-                content.upstreams().entrySet().stream().mapToInt(ReportPager::size).sum()
-                        + content.unreachable().stream().mapToInt(ReportPager::textSize).sum()
-                        + content.silences().keySet().stream()
-                                .mapToInt(id -> silenceSize(id, content.upstreams().keySet()))
-                                .sum()
-                        + content.signals().entrySet().stream()
-                                .mapToInt(
-                                        signals ->
-                                                signalsSize(signals, content.upstreams().keySet()))
-                                .sum();
+    /**
+     * Returns the number of pages of which each fits. An entry that does not fit into its page
+     * would be left out of every report, and receivers would take its upstream for idle.
+     */
+    private static int pageCount(Content content, int maxBytes) {
+        Map<String, Integer> sizes = upstreamSizes(content);
+        int bytes = sizes.values().stream().mapToInt(Integer::intValue).sum();
         int pageBytes = UPSTREAM_BYTES;
         pageBytes -= content.quarantine().isEmpty() ? 0 : QUARANTINE_BYTES;
         pageBytes -= content.rejectionLimits().isEmpty() ? 0 : REJECTION_LIMIT_BYTES;
-        return Math.max(1, (bytes + pageBytes - 1) / pageBytes);
+        int count = Math.max(1, (bytes + pageBytes - 1) / pageBytes);
+        while (count < sizes.size() && largestPage(sizes, count) > maxBytes) {
+            count++;
+        }
+        return count;
+    }
+
+    /** Bytes that a report needs for all it tells of each upstream. */
+    private static Map<String, Integer> upstreamSizes(Content content) {
+        Map<String, Integer> sizes = new HashMap<>();
+        Set<String> upstreams = content.upstreams().keySet();
+        content.upstreams().entrySet().forEach(use -> sizes.put(use.getKey(), size(use)));
+        content.unreachable().forEach(id -> sizes.merge(id, textSize(id), Integer::sum));
+        content.silences()
+                .keySet()
+                .forEach(id -> sizes.merge(id, silenceSize(id, upstreams), Integer::sum));
+        content.signals()
+                .entrySet()
+                .forEach(
+                        signals ->
+                                sizes.merge(
+                                        signals.getKey(),
+                                        signalsSize(signals, upstreams),
+                                        Integer::sum));
+        return sizes;
+    }
+
+    private static int largestPage(Map<String, Integer> sizes, int count) {
+        int[] pages = new int[count];
+        sizes.forEach((id, size) -> pages[ReportPage.pageOf(id, count)] += size);
+        return Arrays.stream(pages).max().orElse(0);
     }
 
     private static int size(Map<String, Integer> limits) {
--- a/vanillapoint-wire/src/test/java/io/vanillapoint/wire/ReportPacketTest.java
+++ b/vanillapoint-wire/src/test/java/io/vanillapoint/wire/ReportPacketTest.java
@@ -134,6 +134,24 @@
         assertThat(receivedUpstreams, hasSize(27));
     }
 
+    /** Guards against entries that fit into no page while reports contain more of each upstream. */
+    @Test
+    void receiverGetsAllSignalsOfALoadAwareDeployment() {
+        ReportPager.Content knowledge = loadAware(knowledge(95, 13, 65));
+        ReportPager pager = new ReportPager(1);
+        Map<String, UpstreamUse> receivedUses = new HashMap<>();
+        Map<String, UpstreamSignals> receivedSignals = new HashMap<>();
+        int pages = 1;
+        for (int heartbeat = 1; heartbeat <= DRAWS_PER_VM * pages; heartbeat++) {
+            FleetReport decoded = encodeAndDecode(pager, knowledge, ReportKind.BEAT, heartbeat);
+            pages = Math.max(pages, decoded.page().count());
+            receivedUses.putAll(decoded.upstreams());
+            receivedSignals.putAll(decoded.signals());
+        }
+        assertThat(receivedUses, is(knowledge.upstreams()));
+        assertThat(receivedSignals, is(knowledge.signals()));
+    }
+
     private FleetReport encodeAndDecode(
             ReportPager pager, ReportPager.Content knowledge, ReportKind kind, long sequence) {
         MemberInfo self = vm(0);
@@ -157,7 +175,7 @@
         Map<String, UpstreamUse> upstreamUses = new HashMap<>();
         for (int i = 0; i < upstreams; i++) {
             String id = "i-" + Long.toHexString(random.nextLong(1L << 40));
-            upstreamUses.put(id, upstreamUse());
+            upstreamUses.put(id, new UpstreamUse(random.nextInt(64), random.nextInt(400_000)));
         }
         Map<String, SilenceCounts> silences = new HashMap<>();
         for (String id : upstreamUses.keySet()) {
@@ -181,31 +199,47 @@
                 Set.copyOf(upstreamUses.keySet()),
                 rejectionLimits(),
                 silences,
-                signals(upstreamUses.keySet()));
+                Map.of());
     }
 
-    private UpstreamUse upstreamUse() {
-        return new UpstreamUse(
-                random.nextInt(64),
-                random.nextInt(400_000),
-                random.nextInt(64),
-                random.nextInt(400_000));
+    /**
+     * Adds what is reported while load-aware placement is active: deferrable work at all upstreams,
+     * signals of a third of them.
+     */
+    private ReportPager.Content loadAware(ReportPager.Content knowledge) {
+        Map<String, UpstreamUse> uses = new HashMap<>();
+        Map<String, UpstreamSignals> signals = new HashMap<>();
+        knowledge
+                .upstreams()
+                .forEach(
+                        (id, use) -> {
+                            uses.put(
+                                    id,
+                                    new UpstreamUse(
+                                            use.requests(),
+                                            use.promptTokens(),
+                                            1 + random.nextInt(64),
+                                            random.nextInt(400_000)));
+                            if (random.nextInt(3) == 0) {
+                                signals.put(id, signals());
+                            }
+                        });
+        return new ReportPager.Content(
+                knowledge.customers(),
+                uses,
+                knowledge.reads(),
+                knowledge.members(),
+                knowledge.quarantine(),
+                knowledge.unreachable(),
+                knowledge.rejectionLimits(),
+                knowledge.silences(),
+                signals);
     }
 
-    /** A third of the replicas has evidence or a recent report at a time. */
-    private Map<String, UpstreamSignals> signals(Set<String> ids) {
-        Map<String, UpstreamSignals> signals = new HashMap<>();
-        for (String id : ids) {
-            if (random.nextInt(3) > 0) {
-                continue;
-            }
-            signals.put(
-                    id,
-                    new UpstreamSignals(
-                            Optional.of(new OutcomeCounts(Integer.MAX_VALUE, random.nextInt(900))),
-                            Optional.of(new Slowdown(Integer.MAX_VALUE, random.nextInt(900)))));
-        }
-        return signals;
+    private UpstreamSignals signals() {
+        return new UpstreamSignals(
+                Optional.of(new OutcomeCounts(Integer.MAX_VALUE, random.nextInt(900))),
+                Optional.of(new Slowdown(Integer.MAX_VALUE, random.nextInt(900))));
     }
 
     private static Map<String, Integer> rejectionLimits() {
