Use reported slowdowns and measured service times in placement

Plain requests were expected to take 45 ms at every replica of every service, although those of a new customer take 86 ms, and a replica whose machine is slowed down looked as fast as others. While load-aware placement is active, the scorer multiplies the expected time by the reported slowdown relative to the usual one, and plain requests have the median of the successful responses (ServiceTimesTest, ReplicaChooserTest). A first failure of a replica is confirmed by the next request only on routes whose requests may run again.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/OutlierFilter.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/OutlierFilter.java
@@ -76,7 +76,8 @@
         FailureEvidence failures = candidate.tracker.failures();
         boolean mayBeTrial = candidate.path == PlacementPath.DIRECT && query.tried().isEmpty();
         if (!failures.outlier()) {
-            if (mayBeTrial && failures.confirmationDue()) {
+            boolean mayFail = query.route().mayRunAgain();
+            if (mayBeTrial && mayFail && failures.confirmationDue()) {
                 considerTrial(candidate);
             }
             return false;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -72,7 +72,7 @@
         this.roster = roster;
         this.weights = weights;
         longPromptLimit = new LongPromptLimit(fleet, pool.loadAwareness());
-        scorer = new ReplicaScorer(fleet, weights, longPromptLimit);
+        scorer = new ReplicaScorer(fleet, weights, longPromptLimit, pool.loadAwareness());
         this.sessions = sessions;
         relayBackoff = new RelayBackoff(fleet);
         String process = fleet.self().vm() + fleet.self().incarnation();
@@ -260,11 +260,12 @@
                 continue;
             }
             PlacementPath path = local ? PlacementPath.DIRECT : PlacementPath.OTHER_REGION;
-            Candidate candidate = scorer.score(tracker, path, query, Set.of(), List.of());
+            Candidate candidate =
+                    scorer.score(tracker, path, query, Set.of(), List.of(), nowMillis);
             double availableMillis =
                     candidate.expectedMillis + tracker.backoffRemainingMillis(nowMillis);
             earliestMillis = Math.min(earliestMillis, availableMillis);
-            requestsPerMilli += 1 / scorer.occupancyMillis(candidate, query);
+            requestsPerMilli += 1 / scorer.occupancyMillis(candidate, query, nowMillis);
         }
         return requestsPerMilli == 0
                 ? new RoomEstimate(DEFAULT_RETRY_AFTER_MILLIS, 1)
@@ -301,10 +302,7 @@
     private Placement relayToOwner(List<MemberInfo> owners) {
         MemberInfo owner = owners.get(Math.floorMod(nextOwner++, owners.size()));
         return new Placement.Relay(
-                owner.region(),
-                (long) ReplicaScorer.PLAIN_REQUEST_MILLIS,
-                Set.of(),
-                Optional.of(owner));
+                owner.region(), (long) ServiceTimes.INITIAL_MILLIS, Set.of(), Optional.of(owner));
     }
 
     /**
@@ -428,7 +426,7 @@
                         .add(tracker.info().id());
             }
             Candidate candidate =
-                    scorer.score(tracker, path.get(), query, preferred, cachingEngines);
+                    scorer.score(tracker, path.get(), query, preferred, cachingEngines, nowMillis);
             candidate.addSilenceLoss(usualRate);
             if (outliers.rejects(candidate)) {
                 return;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaLoad.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaLoad.java
@@ -69,6 +69,11 @@
         return expected / AS_USUAL_PERCENT;
     }
 
+    /** The same relative to the replica's usual value, which measured times contain already. */
+    double relativeFactor(long nowMillis) {
+        return factor(nowMillis) * AS_USUAL_PERCENT / usualPercent;
+    }
+
     /** Forgets the reports of the previous process of the replica. */
     void reset() {
         usualPercent = AS_USUAL_PERCENT;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaScorer.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaScorer.java
@@ -22,9 +22,6 @@
     /** The same for another region, which receives fewer requests of the session. */
     private static final double REMOTE_PREFERRED_HIT_PROBABILITY = 0.1;
 
-    /** Assumed processing time of a plain request. */
-    static final double PLAIN_REQUEST_MILLIS = 45;
-
     /** Wait per queued request of a full engine, about a tenth of a long response's duration. */
     static final double SLOT_WAIT_MILLIS = 150;
 
@@ -47,9 +44,6 @@
     /** Loss for a full batch, in which each token takes longer than in an empty one. */
     private static final double FULL_BATCH_LOSS = 0.02;
 
-    /** Relative slowdown of a plain replica when all its slots are in use. */
-    private static final double FULL_LOAD_SLOWDOWN = 0.3;
-
     /** Weight of the newest measurement in the smoothed round-trip time. */
     private static final double NEWEST_ROUND_TRIP_WEIGHT = 0.125;
 
@@ -62,12 +56,18 @@
     private final FleetView fleet;
     private final PlacementWeights weights;
     private final LongPromptLimit longPromptLimit;
+    private final LoadAwareness awareness;
     private final Map<String, EngineSpeed> speeds = new HashMap<>();
     private final Map<String, EngineQueue> engineQueues = new HashMap<>();
     private final Map<RegionId, Double> roundTrips = new HashMap<>();
 
-    ReplicaScorer(FleetView fleet, PlacementWeights weights, LongPromptLimit longPromptLimit) {
+    ReplicaScorer(
+            FleetView fleet,
+            PlacementWeights weights,
+            LongPromptLimit longPromptLimit,
+            LoadAwareness awareness) {
         this.longPromptLimit = longPromptLimit;
+        this.awareness = awareness;
         this.fleet = fleet;
         this.weights = weights;
     }
@@ -103,19 +103,18 @@
             PlacementPath path,
             PlacementQuery query,
             Set<String> preferred,
-            List<String> cachingEngines) {
+            List<String> cachingEngines,
+            long nowMillis) {
         UpstreamUse use = tracker.outstanding().plus(fleet.otherVmUse(tracker.info().id()));
         Candidate candidate = new Candidate(tracker, path);
         if (query.prompt().isPresent()) {
             scoreEngine(candidate, query, use, preferred, cachingEngines);
         } else {
-            int queued = Math.max(0, use.requests() + 1 - Math.max(1, tracker.info().slots()));
-            double queuedPerSlot = (double) queued / Math.max(1, tracker.info().slots());
-            double utilization = (double) use.requests() / Math.max(1, tracker.info().slots());
             candidate.expectedMillis =
-                    PLAIN_REQUEST_MILLIS
-                            * (1 + queuedPerSlot + FULL_LOAD_SLOWDOWN * Math.min(1, utilization));
+                    serviceMillis(tracker, nowMillis)
+                            * ServiceTimes.loadFactor(use, tracker.info().slots());
         }
+        candidate.expectedMillis *= tracker.slowdownFactor(nowMillis);
         if (path == PlacementPath.REGION_VM) {
             candidate.expectedMillis += REGION_RELAY_MILLIS;
             candidate.loss += REGION_RELAY_LOSS;
@@ -204,15 +203,22 @@
     }
 
     /** Time for which a request takes up one place of a replica, in milliseconds. */
-    double occupancyMillis(Candidate candidate, PlacementQuery query) {
+    double occupancyMillis(Candidate candidate, PlacementQuery query, long nowMillis) {
         if (query.prompt().isEmpty()) {
-            return PLAIN_REQUEST_MILLIS / Math.max(1, candidate.tracker.info().slots());
+            return serviceMillis(candidate.tracker, nowMillis)
+                    / Math.max(1, candidate.tracker.info().slots());
         }
         EngineSpeed speed = speed(query.service().name());
         return Math.max(
                 1, speed.firstEventMillis(candidate.uncachedTokens) - speed.firstEventMillis(0));
     }
 
+    private double serviceMillis(ReplicaTracker tracker, long nowMillis) {
+        return awareness.active(nowMillis)
+                ? tracker.serviceTime().expectedMillis()
+                : ServiceTimes.INITIAL_MILLIS;
+    }
+
     private static double lateness(double targetRatio) {
         double probability =
                 (targetRatio - LATENESS_START_RATIO)
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -47,6 +47,7 @@
     private final SilenceEvidence silence;
     private final FailureEvidence failures;
     private final ReplicaLoad load = new ReplicaLoad();
+    private final ServiceTimes.Replica serviceTime;
 
     ReplicaTracker(
             UpstreamReplica info,
@@ -54,6 +55,7 @@
             long cacheTokens,
             ResponseTimes responseTimes,
             ServiceFailures serviceFailures,
+            ServiceTimes serviceTimes,
             long nowMillis) {
         this.info = info;
         this.region = region;
@@ -61,6 +63,7 @@
         this.prefixCache = new PrefixCacheModel(cacheTokens);
         this.silence = new SilenceEvidence(responseTimes);
         this.failures = new FailureEvidence(serviceFailures);
+        this.serviceTime = serviceTimes.new Replica();
         this.coldUntilMillis = nowMillis + info.coldMillis();
         this.coldSinceMillis = nowMillis;
         this.changedAtMillis = nowMillis;
@@ -189,6 +192,25 @@
         failures.record(failure, sentAtMillis, nowMillis);
     }
 
+    /**
+     * Service time of the replica's plain requests.
+     *
+     * @return the estimate, updated with successful responses while placement is load-aware
+     */
+    public ServiceTimes.Replica serviceTime() {
+        return serviceTime;
+    }
+
+    /**
+     * Expected duration of work relative to the replica's usual one, by its load reports.
+     *
+     * @param nowMillis monotonic time
+     * @return 1 if it reports no slowdown
+     */
+    public double slowdownFactor(long nowMillis) {
+        return load.relativeFactor(nowMillis);
+    }
+
     /** Load that the replica reports. */
     ReplicaLoad load() {
         return load;
@@ -517,6 +539,7 @@
             silence.reset();
             failures.reset();
             load.reset();
+            serviceTime.reset();
         }
         info = newInfo;
         removedAtMillis = Long.MAX_VALUE;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -49,6 +49,7 @@
     private final Map<String, ServiceFailures> failures = new HashMap<>();
     private final Set<ZoneId> evacuated = new HashSet<>();
     private final RejectionLimits rejectionLimits = new RejectionLimits();
+    private final Map<String, ServiceTimes> serviceTimes = new HashMap<>();
     private final LoadAwareness loadAwareness = new LoadAwareness();
 
     /**
@@ -89,6 +90,7 @@
                         responseTimes.computeIfAbsent(
                                 info.service(), unused -> new ResponseTimes()),
                         failures(info.service()),
+                        serviceTimes.computeIfAbsent(info.service(), unused -> new ServiceTimes()),
                         nowMillis);
         replicas.put(info.id(), tracker);
         rebuild();
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/LongPromptLimitTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/LongPromptLimitTest.java
@@ -157,7 +157,13 @@
                         Set.of("m"));
         ReplicaTracker tracker =
                 new ReplicaTracker(
-                        info, ReplayVm.REGION, 1, new ResponseTimes(), new ServiceFailures(), NOW);
+                        info,
+                        ReplayVm.REGION,
+                        1,
+                        new ResponseTimes(),
+                        new ServiceFailures(),
+                        new ServiceTimes(),
+                        NOW);
         Candidate candidate = new Candidate(tracker, PlacementPath.DIRECT);
         candidate.room = room;
         candidate.expectedMillis = expectedMillis;
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/PlainScoreTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/PlainScoreTest.java
@@ -104,12 +104,14 @@
                 new ReplicaScorer(
                         fleet,
                         PlacementWeights.DEFAULT,
-                        new LongPromptLimit(fleet, pool.loadAwareness()));
+                        new LongPromptLimit(fleet, pool.loadAwareness()),
+                        pool.loadAwareness());
         for (int i = random.nextInt(20); i > 0; i--) {
             scorer.engineQueue("engines").sent(EngineRank.of(i % 4, i % 3), NOW);
         }
 
-        Candidate scored = scorer.score(tracker, PlacementPath.DIRECT, query, Set.of(), List.of());
+        Candidate scored =
+                scorer.score(tracker, PlacementPath.DIRECT, query, Set.of(), List.of(), NOW);
 
         long tokensAhead = ownTokens + otherTokens + shared + ownPrompt;
         int requests = own + others;
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/ReplicaChooserTest.java
@@ -29,6 +29,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -115,6 +116,25 @@
         assertThat(second.cacheSource().isPresent(), is(false));
     }
 
+    /** Guards against placement at a replica whose machine is slowed down at the moment. */
+    @Test
+    void requestsAvoidAReplicaWhileItReportsASlowdown() {
+        publish("plain-w2", "plain", WEST_A, ReplicaState.READY, 0);
+        pool.recordLoad(
+                pool.replica("plain-w").orElseThrow(),
+                new LoadReport(1, 0, 6, OptionalInt.of(250)),
+                NOW);
+        for (int i = 0; i < 20; i++) {
+            Placement.Local placed = (Placement.Local) chooser.choose(plain(Set.of()), NOW + 100);
+            assertThat(placed.replica().info().id(), is("plain-w2"));
+        }
+        for (int i = 0; i < 6; i++) {
+            pool.replica("plain-w2").orElseThrow().dispatched(0, null, NOW + 2_000);
+        }
+        Placement.Local later = (Placement.Local) chooser.choose(plain(Set.of()), NOW + 2_000);
+        assertThat(later.replica().info().id(), is("plain-w"));
+    }
+
     @Test
     void lowFailureRateDoesNotMoveRequestsToAnotherRegion() {
         ReplicaTracker local = pool.replica("plain-w").orElseThrow();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/ReplicaUse.java
@@ -7,6 +7,7 @@
 import io.vanillapoint.core.upstream.EngineQueue;
 import io.vanillapoint.core.upstream.EngineRank;
 import io.vanillapoint.core.upstream.ReplicaTracker;
+import io.vanillapoint.core.upstream.ServiceTimes;
 import io.vanillapoint.entry.port.ResponseEnvelope;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
@@ -34,6 +35,7 @@
     private final long expectedMillis;
     private final Optional<EngineRank> rank;
     private Optional<ResponseWatch> watch = Optional.empty();
+    private final double timeFactor;
     private boolean promptReleased;
 
     /** Adds the request to its replica's load. */
@@ -58,6 +60,9 @@
         queuedTokens =
                 rank.map(present -> queue.measuredTokens(use, present, uncachedTokens))
                         .orElse(use.promptTokens() + uncachedTokens);
+        timeFactor =
+                ServiceTimes.loadFactor(use, tracker.info().slots())
+                        * tracker.slowdownFactor(nowMillis);
         if (plan.service().coldPerSecond() > 0 && tracker.mayBeCold(nowMillis)) {
             logColdUse(nowMillis);
         }
@@ -133,6 +138,7 @@
             context.metrics().count("replicas_leaving");
         }
         head.load().ifPresent(load -> context.pool().recordLoad(tracker, load, now));
+        recordServiceTime(head, now);
         head.rejectionLimit().ifPresent(limit -> recordRejectionLimit(limit, now));
         if (head.status() != Refusal.UNAVAILABLE) {
             tracker.recordAccepted(now);
@@ -154,6 +160,13 @@
         }
     }
 
+    private void recordServiceTime(ResponseEnvelope head, long now) {
+        boolean plain = plan.envelope().prompt().isEmpty();
+        if (plain && head.success() && context.pool().loadAwareness().active(now)) {
+            tracker.serviceTime().record(now - sentAtMillis, timeFactor);
+        }
+    }
+
     private void recordRejectionLimit(int perSecond, long now) {
         if (context.pool().recordRejectionLimit(tracker, perSecond, now)) {
             context.log()
