--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Candidate.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/Candidate.java
@@ -13,7 +13,7 @@
     double loss;
     double expectedMillis;
     long uncachedTokens;
-    LongPromptLimit.Room room = LongPromptLimit.Room.FREE;
+    LongPromptLimit.Headroom headroom = LongPromptLimit.Headroom.FREE;
     private double silenceLoss;
 
     Candidate(ReplicaTracker tracker, PlacementPath path) {
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/RoomEstimator.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/CapacityEstimator.java
@@ -1,14 +1,14 @@
 package io.vanillapoint.core.upstream;
 
-/** Estimates when outstanding work leaves room for a request. Confined to one thread. */
-public interface RoomEstimator {
+/** Estimates when outstanding work leaves capacity for a request. Confined to one thread. */
+public interface CapacityEstimator {
     /**
-     * Estimates when a replica has room.
+     * Estimates when a replica has capacity.
      *
      * @param query the request; the time that has elapsed since its caller sent it does not count,
      *     since the caller sends it anew
      * @param nowMillis monotonic time
      * @return the estimate
      */
-    RoomEstimate estimate(PlacementQuery query, long nowMillis);
+    CapacityEstimate estimate(PlacementQuery query, long nowMillis);
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/RoomForecast.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/CapacityForecast.java
@@ -19,7 +19,7 @@
  * each reservation is taken once or lapses; the reservations of a kind are in order of their times.
  * Confined to one thread.
  */
-public final class RoomForecast {
+public final class CapacityForecast {
     /** Callers wait for a third of the time that they have left. */
     private static final int LONGEST_WAIT_DIVISOR = 3;
 
@@ -36,25 +36,26 @@
      * capacity for it.
      *
      * @param kind service and route of the request
-     * @param room when outstanding work leaves room
+     * @param estimate when outstanding work leaves capacity
      * @param remainingMillis time that the caller has left
      * @param nowMillis monotonic time
      * @return milliseconds; a third of the time left, without a reservation, if there is no
      *     capacity before
      */
-    public long reserve(String kind, RoomEstimate room, long remainingMillis, long nowMillis) {
+    public long reserve(
+            String kind, CapacityEstimate estimate, long remainingMillis, long nowMillis) {
         long longestMillis = Math.max(0, remainingMillis / LONGEST_WAIT_DIVISOR);
         Deque<Reservation> reserved = current(kind, nowMillis);
-        double freeAt = nowMillis + room.roomMillis();
+        double freeAt = nowMillis + estimate.availableMillis();
         if (!reserved.isEmpty()) {
             freeAt = Math.max(freeAt, reserved.getLast().atMillis());
         }
-        double at = freeAt + room.occupancyMillis();
+        double at = freeAt + estimate.occupancyMillis();
         long waitMillis = (long) Math.ceil(at - nowMillis);
         if (waitMillis > longestMillis) {
             return longestMillis;
         }
-        reserved.addLast(new Reservation(at, waitMillis, room.occupancyMillis()));
+        reserved.addLast(new Reservation(at, waitMillis, estimate.occupancyMillis()));
         return waitMillis;
     }
 
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/EngineQueue.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/EngineQueue.java
@@ -17,8 +17,7 @@
 
     /**
      * Loss for the running request that is preempted: it is delayed, and the engine may have to
-     * process its prompt again. Chosen, not measured: more than a full batch costs, less than a
-     * late response.
+     * process its prompt again. More than a full batch costs, less than a late response.
      */
     private static final double PREEMPTION_LOSS = 0.05;
 
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/LongPromptLimit.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/LongPromptLimit.java
@@ -49,11 +49,11 @@
     private static final long REFRESH_MILLIS = 200;
 
     /**
-     * Whether an engine has room for a deferrable request. The losses are below that for processing
-     * the shared parts of a long prompt again: in replays with losses of 0.1 and 0.4, requests that
-     * left the engines which had their parts cached cost more than the limit saved. Immutable.
+     * Whether an engine has capacity for a deferrable request. The losses are below that for
+     * processing the shared parts of a long prompt again, so that a request does not leave the
+     * engine that has its parts cached. Immutable.
      */
-    enum Room {
+    enum Headroom {
         /** The request fits in the limit, or it is not deferrable. */
         FREE(0),
         /** The request does not fit, but urgent requests leave much of the batch free. */
@@ -63,7 +63,7 @@
 
         private final double loss;
 
-        Room(double loss) {
+        Headroom(double loss) {
             this.loss = loss;
         }
 
@@ -111,7 +111,7 @@
     }
 
     /**
-     * Tells whether an engine has room for a request.
+     * Tells whether an engine has capacity for a request.
      *
      * @param query the request
      * @param engine id of the engine
@@ -119,7 +119,7 @@
      * @param uncachedTokens prompt tokens that the engine has to process for the request
      * @param tokensPerMilli speed of the engine
      */
-    Room room(
+    Headroom headroom(
             PlacementQuery query,
             String engine,
             UpstreamUse use,
@@ -127,7 +127,7 @@
             double tokensPerMilli) {
         OptionalInt target = awareness.urgentTargetMillis(query.route(), query.service().name());
         if (target.isEmpty()) {
-            return Room.FREE;
+            return Headroom.FREE;
         }
         int slots = query.service().engine().map(EngineSpec::slots).orElse(1);
         int urgentRequests = Math.max(0, use.requests() - use.deferrableRequests());
@@ -136,9 +136,9 @@
         double limit = DELAY_PART * target.getAsInt() * tokensPerMilli * share / vms;
         boolean first = share > 0 && use.deferrablePromptTokens() <= 0 && mayBeFirst(engine);
         if (first || use.deferrablePromptTokens() + uncachedTokens <= limit) {
-            return Room.FREE;
+            return Headroom.FREE;
         }
-        return share < 1 ? Room.NEEDED_BY_URGENT : Room.OVER_LIMIT;
+        return share < 1 ? Headroom.NEEDED_BY_URGENT : Headroom.OVER_LIMIT;
     }
 
     /**
@@ -162,9 +162,9 @@
         boolean inTime =
                 best.expectedMillis + query.elapsedMillis() <= query.route().targetMillis();
         boolean passes =
-                best.room == Room.FREE
+                best.headroom == Headroom.FREE
                         || !query.mayRelay()
-                        || (best.room == Room.OVER_LIMIT && inTime);
+                        || (best.headroom == Headroom.OVER_LIMIT && inTime);
         if (passes) {
             return Verdict.PLACE;
         }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/RefusalReason.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/RefusalReason.java
@@ -10,7 +10,7 @@
     REPLICAS_UNREACHABLE("replicas_unreachable"),
     /** All replicas have requested a backoff. */
     REPLICAS_QUIET("replicas_quiet"),
-    /** Every engine has as much work of its kind as more urgent requests leave room for. */
+    /** Every engine has as much work of its kind as more urgent requests leave capacity for. */
     LONG_PROMPT_LIMIT("long_prompt_limit"),
     /** Every replica is expected to answer too late. */
     TOO_LATE("too_late");
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaChooser.java
@@ -31,7 +31,7 @@
  * VMs of a region agree without coordination, and moves only when the wait there costs more than
  * processing the prompt again elsewhere. Confined to one thread.
  */
-public final class ReplicaChooser implements RoomEstimator {
+public final class ReplicaChooser implements CapacityEstimator {
     /** One in this many replicas leaves fewer requests unanswered than is usual. */
     private static final int USUAL_PART = 3;
 
@@ -46,7 +46,7 @@
     private final RelayBackoff relayBackoff;
     private final LongPromptLimit longPromptLimit;
     private final ReplicaScorer scorer;
-    private final RoomForecast forecast = new RoomForecast();
+    private final CapacityForecast forecast = new CapacityForecast();
     private final SlotTenure slotTenure = new SlotTenure();
     private final RandomGenerator random;
     private int nextOwner;
@@ -235,7 +235,7 @@
      *
      * @return the forecast of this VM
      */
-    public RoomForecast forecast() {
+    public CapacityForecast forecast() {
         return forecast;
     }
 
@@ -250,7 +250,7 @@
     }
 
     @Override
-    public RoomEstimate estimate(PlacementQuery query, long nowMillis) {
+    public CapacityEstimate estimate(PlacementQuery query, long nowMillis) {
         double earliestMillis = Double.MAX_VALUE;
         double requestsPerMilli = 0;
         for (ReplicaTracker tracker : pool.serving(query.service().name(), nowMillis)) {
@@ -268,8 +268,8 @@
             requestsPerMilli += 1 / scorer.occupancyMillis(candidate, query, nowMillis);
         }
         return requestsPerMilli == 0
-                ? new RoomEstimate(DEFAULT_RETRY_AFTER_MILLIS, 1)
-                : new RoomEstimate(
+                ? new CapacityEstimate(DEFAULT_RETRY_AFTER_MILLIS, 1)
+                : new CapacityEstimate(
                         Math.max(0, earliestMillis - longestMillis(query)), 1 / requestsPerMilli);
     }
 
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaScorer.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaScorer.java
@@ -191,14 +191,14 @@
                                 + queue.slotWaitMillis(use, rank, slots));
         candidate.loss += queue.preemptionLoss(use, rank, slots);
         if (rank.deferrable()) {
-            candidate.room =
-                    longPromptLimit.room(
+            candidate.headroom =
+                    longPromptLimit.headroom(
                             query,
                             candidate.tracker.info().id(),
                             use,
                             candidate.uncachedTokens,
                             speed(service).tokensPerMilli());
-            candidate.loss += candidate.room.loss();
+            candidate.loss += candidate.headroom.loss();
         }
     }
 
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/RoomForecastTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/CapacityForecastTest.java
@@ -15,16 +15,16 @@
  * Times that refused callers are told to return at. Guards against callers that return together
  * into the queue that refused them, and are refused again.
  */
-class RoomForecastTest {
+class CapacityForecastTest {
     private static final String KIND = "service/route";
-    private static final RoomEstimate FULL = new RoomEstimate(0, 10);
+    private static final CapacityEstimate FULL = new CapacityEstimate(0, 10);
 
-    private final RoomForecast forecast = new RoomForecast();
+    private final CapacityForecast forecast = new CapacityForecast();
 
     @Test
     void refusedCallersReturnOneAfterTheOther() {
-        assertThat(forecast.reserve(KIND, new RoomEstimate(50, 10), 6_000, 1_000), is(60L));
-        assertThat(forecast.reserve(KIND, new RoomEstimate(50, 10), 6_000, 1_000), is(70L));
+        assertThat(forecast.reserve(KIND, new CapacityEstimate(50, 10), 6_000, 1_000), is(60L));
+        assertThat(forecast.reserve(KIND, new CapacityEstimate(50, 10), 6_000, 1_000), is(70L));
         assertThat(forecast.reservedMillis(KIND, 60, 1_000), is(10.0));
         assertThat(forecast.reservedMillis(KIND, 100, 1_000), is(20.0));
         assertThat(forecast.reserve("service/other", FULL, 6_000, 1_000), is(10L));
@@ -32,14 +32,14 @@
 
     @Test
     void longestUsefulTimeIsToldWithoutAReservationIfNoneIsFreeBefore() {
-        assertThat(forecast.reserve(KIND, new RoomEstimate(3_000, 10), 6_000, 0), is(2_000L));
+        assertThat(forecast.reserve(KIND, new CapacityEstimate(3_000, 10), 6_000, 0), is(2_000L));
         assertThat(forecast.reservedMillis(KIND, 10_000, 0), is(0.0));
         assertThat(forecast.reserve(KIND, FULL, 0, 0), is(0L));
     }
 
     @Test
     void reservationIsTakenOnceByARequestThatHasLostTheTime() {
-        forecast.reserve(KIND, new RoomEstimate(490, 10), 6_000, 0);
+        forecast.reserve(KIND, new CapacityEstimate(490, 10), 6_000, 0);
         assertThat("new", forecast.redeem(KIND, 0, 500), is(false));
         assertThat("too early", forecast.redeem(KIND, 600, 100), is(false));
         assertThat("returned", forecast.redeem(KIND, 505, 505), is(true));
@@ -48,7 +48,7 @@
 
     @Test
     void reservationLapsesIfNobodyReturns() {
-        forecast.reserve(KIND, new RoomEstimate(490, 10), 6_000, 0);
+        forecast.reserve(KIND, new CapacityEstimate(490, 10), 6_000, 0);
         assertThat(forecast.reservedMillis(KIND, 0, 800), is(10.0));
         assertThat(forecast.reservedMillis(KIND, 0, 801), is(0.0));
     }
@@ -94,7 +94,7 @@
         private final long burstMillis;
         private final long deadlineMillis;
         private final Random random;
-        private final RoomForecast forecast = new RoomForecast();
+        private final CapacityForecast forecast = new CapacityForecast();
         private final PriorityQueue<Arrival> arrivals = new PriorityQueue<>();
         private double idleAt;
         private int served;
@@ -136,7 +136,7 @@
             long wait = CONSTANT_MILLIS;
             if (forecasting) {
                 double room = Math.max(0, queueMillis + OCCUPANCY_MILLIS - LONGEST_QUEUE_MILLIS);
-                RoomEstimate estimate = new RoomEstimate(room, OCCUPANCY_MILLIS);
+                CapacityEstimate estimate = new CapacityEstimate(room, OCCUPANCY_MILLIS);
                 wait = forecast.reserve(KIND, estimate, remaining, now);
                 aboveBound += wait > remaining / 3 ? 1 : 0;
             }
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/LongPromptLimitTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/LongPromptLimitTest.java
@@ -20,7 +20,7 @@
 import io.vanillapoint.core.published.ServiceSpec;
 import io.vanillapoint.core.published.TrafficLimits;
 import io.vanillapoint.core.published.UpstreamReplica;
-import io.vanillapoint.core.upstream.LongPromptLimit.Room;
+import io.vanillapoint.core.upstream.LongPromptLimit.Headroom;
 import io.vanillapoint.core.upstream.LongPromptLimit.Verdict;
 import java.util.List;
 import java.util.Optional;
@@ -55,21 +55,25 @@
     void limitIsHalfTheShortestTargetOfUrgentRoutes() {
         UpstreamUse use = new UpstreamUse(2, 6_000, 2, 6_000);
 
-        assertThat(room(use, LIMIT_TOKENS - 6_000), is(Room.FREE));
-        assertThat(room(use, LIMIT_TOKENS - 6_000 + 1), is(Room.OVER_LIMIT));
+        assertThat(headroom(use, LIMIT_TOKENS - 6_000), is(Headroom.FREE));
+        assertThat(headroom(use, LIMIT_TOKENS - 6_000 + 1), is(Headroom.OVER_LIMIT));
     }
 
     /** Guards against prompts longer than the limit that are never served. */
     @Test
     void firstPromptOfAnEngineFitsWhateverItsLength() {
-        assertThat(room(UpstreamUse.NONE, 500_000), is(Room.FREE));
+        assertThat(headroom(UpstreamUse.NONE, 500_000), is(Headroom.FREE));
     }
 
     @Test
     void urgentRequestsThatFillTheBatchLowerTheLimit() {
-        assertThat(room(new UpstreamUse(9, 2_000, 2, 2_000), 4_000), is(Room.FREE));
-        assertThat(room(new UpstreamUse(14, 2_000, 2, 2_000), 4_000), is(Room.NEEDED_BY_URGENT));
-        assertThat(room(new UpstreamUse(SLOTS - 1, 0, 0, 0), 4_000), is(Room.NEEDED_BY_URGENT));
+        assertThat(headroom(new UpstreamUse(9, 2_000, 2, 2_000), 4_000), is(Headroom.FREE));
+        assertThat(
+                headroom(new UpstreamUse(14, 2_000, 2, 2_000), 4_000),
+                is(Headroom.NEEDED_BY_URGENT));
+        assertThat(
+                headroom(new UpstreamUse(SLOTS - 1, 0, 0, 0), 4_000),
+                is(Headroom.NEEDED_BY_URGENT));
     }
 
     @Test
@@ -77,16 +81,18 @@
         UpstreamUse use = new UpstreamUse(20, 200_000, 10, 100_000);
 
         assertThat(
-                limit.room(query(PromptReplay.SHORT, true), "e0", use, 9_000, 40), is(Room.FREE));
+                limit.headroom(query(PromptReplay.SHORT, true), "e0", use, 9_000, 40),
+                is(Headroom.FREE));
     }
 
     @Test
     void requestAboveTheLimitIsPlacedIfItBeginsInItsOwnTarget() {
         PlacementQuery query = query(PromptReplay.LONG, true);
 
-        assertThat(limit.judge(query, best(Room.OVER_LIMIT, 2_015), NOW), is(Verdict.PLACE));
-        assertThat(limit.judge(query, best(Room.OVER_LIMIT, 2_016), NOW), is(Verdict.REFUSE));
-        assertThat(limit.judge(query, best(Room.NEEDED_BY_URGENT, 100), NOW), is(Verdict.REFUSE));
+        assertThat(limit.judge(query, best(Headroom.OVER_LIMIT, 2_015), NOW), is(Verdict.PLACE));
+        assertThat(limit.judge(query, best(Headroom.OVER_LIMIT, 2_016), NOW), is(Verdict.REFUSE));
+        assertThat(
+                limit.judge(query, best(Headroom.NEEDED_BY_URGENT, 100), NOW), is(Verdict.REFUSE));
     }
 
     /** Guards against long prompts that starve while urgent requests need all engines. */
@@ -96,7 +102,7 @@
         long lastMillis = NOW;
         int placed = 0;
         for (long now = NOW; now < NOW + 60_000; now += 100) {
-            Verdict verdict = limit.judge(query, best(Room.NEEDED_BY_URGENT, 100), now);
+            Verdict verdict = limit.judge(query, best(Headroom.NEEDED_BY_URGENT, 100), now);
             if (verdict == Verdict.PLACE_BY_FLOOR) {
                 limit.placed(query, now);
                 assertThat(now - lastMillis, lessThanOrEqualTo(2_000L));
@@ -111,7 +117,8 @@
     @Test
     void relayedRequestsPass() {
         assertThat(
-                limit.judge(query(PromptReplay.LONG, false), best(Room.NEEDED_BY_URGENT, 100), NOW),
+                limit.judge(
+                        query(PromptReplay.LONG, false), best(Headroom.NEEDED_BY_URGENT, 100), NOW),
                 is(Verdict.PLACE));
     }
 
@@ -123,27 +130,27 @@
         }
         UpstreamUse use = new UpstreamUse(1, 100, 1, 100);
         limit.refresh(NOW + 1_000);
-        assertThat(room(use, LIMIT_TOKENS - 100), is(Room.FREE));
+        assertThat(headroom(use, LIMIT_TOKENS - 100), is(Headroom.FREE));
 
         limit.refresh(NOW + 10_000);
 
         assertThat(fleet.trafficVmsWhileAlone(NOW + 10_000), is(4));
-        assertThat(room(use, LIMIT_TOKENS / 4 - 100), is(Room.FREE));
-        assertThat(room(use, LIMIT_TOKENS / 4 - 99), is(Room.OVER_LIMIT));
+        assertThat(headroom(use, LIMIT_TOKENS / 4 - 100), is(Headroom.FREE));
+        assertThat(headroom(use, LIMIT_TOKENS / 4 - 99), is(Headroom.OVER_LIMIT));
         int mine = 0;
         for (int engine = 0; engine < 400; engine++) {
             PlacementQuery query = query(PromptReplay.LONG, true);
-            Room room = limit.room(query, "e" + engine, UpstreamUse.NONE, 9_000, 40);
-            mine += room == Room.FREE ? 1 : 0;
+            Headroom headroom = limit.headroom(query, "e" + engine, UpstreamUse.NONE, 9_000, 40);
+            mine += headroom == Headroom.FREE ? 1 : 0;
         }
         assertThat("engines on which this VM may begin a long prompt", mine / 50, is(2));
     }
 
-    private Room room(UpstreamUse use, long tokens) {
-        return limit.room(query(PromptReplay.LONG, true), "e0", use, tokens, 40);
+    private Headroom headroom(UpstreamUse use, long tokens) {
+        return limit.headroom(query(PromptReplay.LONG, true), "e0", use, tokens, 40);
     }
 
-    private static Candidate best(Room room, double expectedMillis) {
+    private static Candidate best(Headroom headroom, double expectedMillis) {
         UpstreamReplica info =
                 new UpstreamReplica(
                         "e0",
@@ -165,7 +172,7 @@
                         new ServiceTimes(),
                         NOW);
         Candidate candidate = new Candidate(tracker, PlacementPath.DIRECT);
-        candidate.room = room;
+        candidate.headroom = headroom;
         candidate.expectedMillis = expectedMillis;
         return candidate;
     }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
@@ -2,11 +2,11 @@
 
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.core.attempt.AttemptOutcome;
+import io.vanillapoint.core.upstream.CapacityEstimate;
+import io.vanillapoint.core.upstream.CapacityForecast;
 import io.vanillapoint.core.upstream.Placement;
 import io.vanillapoint.core.upstream.PlacementQuery;
 import io.vanillapoint.core.upstream.RefusalReason;
-import io.vanillapoint.core.upstream.RoomEstimate;
-import io.vanillapoint.core.upstream.RoomForecast;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -75,7 +75,7 @@
      */
     private boolean hasRoomBesideReserved(
             Placement placement, PlacementQuery query, long nowMillis) {
-        RoomForecast forecast = context.chooser().forecast();
+        CapacityForecast forecast = context.chooser().forecast();
         if (!judged) {
             judged = true;
             long timeGiven = plan.deadlineMillis() - plan.receivedAtMillis();
@@ -114,13 +114,13 @@
      */
     long retryAfterMillis(long nowMillis) {
         if (forecasts(nowMillis)) {
-            RoomEstimate room = context.chooser().estimate(query(nowMillis), nowMillis);
+            CapacityEstimate room = context.chooser().estimate(query(nowMillis), nowMillis);
             double occupancyMillis = room.occupancyMillis() * context.retries().vmCount();
             return context.chooser()
                     .forecast()
                     .reserve(
                             kind(),
-                            new RoomEstimate(room.roomMillis(), occupancyMillis),
+                            new CapacityEstimate(room.availableMillis(), occupancyMillis),
                             plan.deadlineMillis() - nowMillis,
                             nowMillis);
         }
