--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
@@ -49,7 +49,7 @@
             boolean quiet = refuse.reason() == RefusalReason.REPLICAS_QUIET;
             return quiet ? refuse : new Placement.Refuse(refuse.reason(), 0);
         }
-        return hasRoomBesideReserved(placement, query, nowMillis)
+        return fitsBesideReservations(placement, query, nowMillis)
                 ? placement
                 : new Placement.Refuse(RefusalReason.TOO_LATE, 0);
     }
@@ -73,7 +73,7 @@
      * Tells whether a new request leaves the capacity that is reserved for requests that are to
      * return within its target.
      */
-    private boolean hasRoomBesideReserved(
+    private boolean fitsBesideReservations(
             Placement placement, PlacementQuery query, long nowMillis) {
         CapacityForecast forecast = context.chooser().forecast();
         if (!judged) {
@@ -114,13 +114,13 @@
      */
     long retryAfterMillis(long nowMillis) {
         if (forecasts(nowMillis)) {
-            CapacityEstimate room = context.chooser().estimate(query(nowMillis), nowMillis);
-            double occupancyMillis = room.occupancyMillis() * context.retries().vmCount();
+            CapacityEstimate estimate = context.chooser().estimate(query(nowMillis), nowMillis);
+            double occupancyMillis = estimate.occupancyMillis() * context.retries().vmCount();
             return context.chooser()
                     .forecast()
                     .reserve(
                             kind(),
-                            new CapacityEstimate(room.availableMillis(), occupancyMillis),
+                            new CapacityEstimate(estimate.availableMillis(), occupancyMillis),
                             plan.deadlineMillis() - nowMillis,
                             nowMillis);
         }
