Refuse at once what has waited unread for too long; compare replicas at intervals

While the event loop was behind, a request on arrival cost one search of a place more than before, and every search sorted the failure evidence of all replicas. A request is now refused on arrival by the time for which it has waited alone, and replicas are compared at most every 50 ms.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ServiceFailures.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ServiceFailures.java
@@ -11,6 +11,9 @@
  * bounds, so that a single outcome is never conclusive. Confined to one thread.
  */
 final class ServiceFailures {
+    /** Comparing all replicas for each request takes processor time; evidence grows slower. */
+    private static final long COMPARISON_INTERVAL_MILLIS = 50;
+
     /** One in this many replicas is taken as usual. */
     private static final int USUAL_PART = 3;
 
@@ -28,6 +31,7 @@
     /** Difference to the usual probability of failing from which a replica is an outlier. */
     static final double OUTLIER_MARGIN = 0.2;
 
+    private long comparedMillis = Long.MIN_VALUE / 2;
     private double usualRate = PRIOR_FAILURES / PRIOR_OUTCOMES;
 
     /** Evidence of one failure: logarithm of its likelihood ratio, above 0. */
@@ -56,6 +60,10 @@
      * @param nowMillis monotonic time
      */
     void compare(List<FailureEvidence> replicas, long nowMillis) {
+        if (nowMillis - comparedMillis < COMPARISON_INTERVAL_MILLIS) {
+            return;
+        }
+        comparedMillis = nowMillis;
         int usual = (replicas.size() + USUAL_PART - 1) / USUAL_PART;
         List<FailureEvidence> byRate =
                 replicas.stream()
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/PlacementSearch.java
@@ -55,13 +55,16 @@
     }
 
     /**
-     * Tells whether a request that has just arrived has to be refused, so that it need not wait
-     * until the event loop has caught up.
+     * Tells whether a request that has just arrived has to be refused, so that the event loop,
+     * which is behind, takes no more time for it. It has waited unread for about as long as the
+     * loop is behind.
      */
     boolean refusedOnArrival(long nowMillis, long shortestMillis) {
-        return forecasts(nowMillis)
-                && context.gate().receiveDelayMillis() > 0
-                && (plan.deadlineMillis() - nowMillis < shortestMillis || !finds(nowMillis));
+        long delayMillis = context.gate().receiveDelayMillis();
+        return delayMillis > 0
+                && forecasts(nowMillis)
+                && (plan.deadlineMillis() - nowMillis < shortestMillis
+                        || delayMillis > context.chooser().longestMillis(query(nowMillis)));
     }
 
     /** A VM that runs a relayed request leaves its return time to the relaying VM. */
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/RequestRun.java
@@ -9,6 +9,7 @@
 import io.vanillapoint.core.published.RouteKind;
 import io.vanillapoint.core.quarantine.AttemptStage;
 import io.vanillapoint.core.upstream.Placement;
+import io.vanillapoint.core.upstream.RefusalReason;
 import io.vanillapoint.entry.port.ResponseEnvelope;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
@@ -83,7 +84,7 @@
             context.retries().recordRequest(plan.service().name(), now());
         }
         if (search.refusedOnArrival(now(), MIN_ATTEMPT_MILLIS)) {
-            guarded("placing", this::startNext);
+            guarded("refusing", () -> giveUp(RefusalReason.TOO_LATE.text(), 0));
             return;
         }
         scheduleNextAttempt();
