--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/LongPromptReplayTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/LongPromptReplayTest.java
@@ -11,9 +11,9 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Long and short prompts of customer A at the same engines, in virtual time, by the plain rule and
- * load-aware. Guards against short prompts that are refused or late behind long ones although they
- * fit, and against long prompts that starve.
+ * Long and short prompts at the same engines, in virtual time, by the plain rule and load-aware.
+ * Guards against short prompts that are refused or late behind long ones although they fit, and
+ * against long prompts that starve.
  */
 class LongPromptReplayTest {
     private static final int ENGINES = 12;
@@ -159,7 +159,7 @@
         assertThat(report, replay.longTotals.longestGapMillis, lessThan(STARVATION_MILLIS));
     }
 
-    /** Compares the value of all responses, by the values of customer A. */
+    /** Compares the value of all responses, by the values in docs/design/hard-load.md. */
     private static void assertNotWorse(PromptReplay aware, PromptReplay plain) {
         String report = "plain: " + report(plain) + "; load-aware: " + report(aware);
         assertThat(report, value(aware), greaterThanOrEqualTo(value(plain)));
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/PromptReplay.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/PromptReplay.java
@@ -22,7 +22,7 @@
 import java.util.Set;
 
 /**
- * Several VMs of one region with the real decisions, and engines of customer A in virtual time.
+ * Several VMs of one region with the real decisions, and engines of one model in virtual time.
  * Callers return once after a refusal. Without load-aware placement, the plain rule is replayed.
  */
 final class PromptReplay {
