--- a/review/standin-2/HttpMessage.java
+++ b/review/standin-2/HttpMessage.java
@@ -32,25 +32,43 @@
 
     /** Reads a message to its end; null if the connection ends before it begins. */
     static HttpMessage read(InputStream in, boolean response) throws IOException {
+        HttpMessage message = readHead(in);
+        if (message == null) {
+            return null;
+        }
+        message.readBody(in, response);
+        return message;
+    }
+
+    /** Reads a request without its body; null if the connection ends before it begins. */
+    static HttpMessage readHead(InputStream in) throws IOException {
         String line = line(in);
         if (line == null) {
             return null;
         }
         HttpMessage message = new HttpMessage(line);
+        message.readHeaders(in);
+        return message;
+    }
+
+    private void readHeaders(InputStream in) throws IOException {
         for (String header = line(in); header == null || !header.isEmpty(); header = line(in)) {
             if (header == null) {
                 throw new EOFException("inside a head");
             }
             int colon = header.indexOf(':');
-            message.headers.add(
+            headers.add(
                     new String[] {
                         header.substring(0, colon).toLowerCase(Locale.ROOT),
                         header.substring(colon + 1).strip()
                     });
         }
+    }
+
+    void readBody(InputStream in, boolean response) throws IOException {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
-        String length = message.header("content-length");
-        if ("chunked".equalsIgnoreCase(message.header("transfer-encoding"))) {
+        String length = header("content-length");
+        if ("chunked".equalsIgnoreCase(header("transfer-encoding"))) {
             while (true) {
                 String size = line(in);
                 if (size == null) {
@@ -71,8 +89,7 @@
                 body.write(b);
             }
         }
-        message.body = body.toString(StandardCharsets.ISO_8859_1);
-        return message;
+        this.body = body.toString(StandardCharsets.ISO_8859_1);
     }
 
     private static void copy(InputStream in, ByteArrayOutputStream body, int count)
--- a/review/standin-2/ReplicaServer.java
+++ b/review/standin-2/ReplicaServer.java
@@ -18,6 +18,14 @@
         void answer(ReplicaServer replica, HttpMessage request, Socket socket) throws Exception;
     }
 
+    /** Answers a request before its body has been read. */
+    interface Early {
+        void answer(ReplicaServer replica, RawRequest request, Socket socket) throws Exception;
+    }
+
+    /** Receive buffer of each connection, 0 for the default of the kernel. */
+    private static final int RECEIVE_BUFFER_BYTES = Integer.getInteger("receiveBuffer", 0);
+
     final Site site;
     final String id;
     final String service;
@@ -25,6 +33,7 @@
     final long born = System.currentTimeMillis();
     final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     volatile Behaviour behaviour;
+    volatile Early early;
     volatile boolean registered = true;
     volatile String state = "ready";
     volatile int events = 10;
@@ -42,6 +51,9 @@
         this.zone = zone;
         behaviour = service.equals("model") ? ReplicaServer::stream : ReplicaServer::plain;
         server = new ServerSocket();
+        if (RECEIVE_BUFFER_BYTES > 0) {
+            server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        }
         server.bind(new InetSocketAddress(InetAddress.getByName(ip), 0), 200);
         Thread thread = new Thread(this::accept, "replica-" + id);
         thread.setDaemon(true);
@@ -79,10 +91,16 @@
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
             while (true) {
-                HttpMessage request = HttpMessage.read(in, false);
+                HttpMessage request = HttpMessage.readHead(in);
                 if (request == null) {
                     return;
                 }
+                if (early != null && request.header("request-id") != null) {
+                    recordRun(request);
+                    early.answer(this, new RawRequest(request, in), socket);
+                    return;
+                }
+                request.readBody(in, false);
                 if (!handle(request, socket)) {
                     return;
                 }
@@ -115,8 +133,7 @@
             write(socket, "HTTP/1.1 421 Misdirected\r\n" + idLine + "Content-Length: 0\r\n\r\n");
             return true;
         }
-        runs.computeIfAbsent(requestId, unused -> new AtomicInteger()).incrementAndGet();
-        site.note("%s runs %s %s", id, requestId, target);
+        recordRun(request);
         running.incrementAndGet();
         try {
             behaviour.answer(this, request, socket);
@@ -126,6 +143,12 @@
         return true;
     }
 
+    private void recordRun(HttpMessage request) {
+        String requestId = request.header("request-id");
+        runs.computeIfAbsent(requestId, unused -> new AtomicInteger()).incrementAndGet();
+        site.note("%s runs %s %s", id, requestId, request.startLine.split(" ")[1]);
+    }
+
     static void write(Socket socket, String text) throws IOException {
         OutputStream out = socket.getOutputStream();
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
