--- a/review/standin-2/HttpMessage.java
+++ b/review/standin-2/HttpMessage.java
@@ -12,6 +12,12 @@
     final String startLine;
     final List<String[]> headers = new ArrayList<>();
     String body = "";
+    private static final java.nio.charset.Charset ISO = StandardCharsets.ISO_8859_1;
+
+    /** Longest gap without an event for which callers wait, 0 for their deadline. */
+    static volatile long patienceMillis;
+
+    private long lastEventMillis;
 
     private HttpMessage(String startLine) {
         this.startLine = startLine;
@@ -81,6 +87,7 @@
                 }
                 copy(in, body, bytes);
                 line(in);
+                leaveIfNoEvent(body, bytes);
             }
         } else if (length != null) {
             copy(in, body, Integer.parseInt(length));
@@ -92,6 +99,24 @@
         this.body = body.toString(StandardCharsets.ISO_8859_1);
     }
 
+    /** A caller abandons a stream after a gap without an event; comments are no events. */
+    private void leaveIfNoEvent(ByteArrayOutputStream body, int lastChunk) throws IOException {
+        if (patienceMillis == 0) {
+            return;
+        }
+        long now = System.nanoTime() / 1_000_000;
+        byte[] bytes = body.toByteArray();
+        String chunk = new String(bytes, bytes.length - lastChunk, lastChunk, ISO);
+        if (lastEventMillis == 0 || chunk.contains("data:")) {
+            lastEventMillis = now;
+        } else {
+            body.reset();
+        }
+        if (now - lastEventMillis > patienceMillis) {
+            throw new EOFException("left by the caller: no event for " + patienceMillis + " ms");
+        }
+    }
+
     private static void copy(InputStream in, ByteArrayOutputStream body, int count)
             throws IOException {
         byte[] bytes = in.readNBytes(count);
