--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/testing/Await.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/testing/Await.java
@@ -45,7 +45,12 @@
 
     /** Waits until a condition holds. */
     public static void until(String what, BooleanSupplier condition) {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        until(what, TIMEOUT_SECONDS, condition);
+    }
+
+    /** Waits until a condition holds, for a number of seconds. */
+    public static void until(String what, long seconds, BooleanSupplier condition) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() > end) {
                 throw new AssertionError("condition did not hold in time: " + what);
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/testing/Gateway.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/testing/Gateway.java
@@ -274,6 +274,13 @@
     }
 
     private DaemonSettings settings(String name) {
+        SettingsReader reader = new SettingsReader();
+        return reader.read(flags(name), Map.of())
+                .orElseThrow(() -> new AssertionError(reader.findings().toString()));
+    }
+
+    /** Flags of the daemon of a VM, for one that runs as a process. */
+    List<String> flags(String name) {
         VmPorts vm = ports.get(name);
         List<String> flags =
                 new ArrayList<>(
@@ -290,9 +297,7 @@
                                 "--heartbeat-ms=100",
                                 "--list-lag-ms=50"));
         flags.addAll(extraFlags);
-        SettingsReader reader = new SettingsReader();
-        return reader.read(flags, Map.of())
-                .orElseThrow(() -> new AssertionError(reader.findings().toString()));
+        return flags;
     }
 
     private String vmList() {
