--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/ResponseHead.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/ResponseHead.java
@@ -42,8 +42,6 @@
                     "server",
                     TRANSFER_ENCODING);
 
-    private static final String NAME_SYMBOLS = "!#$%&'*+-.^_`|~";
-
     private final boolean firstVersion;
     private final int status;
     private final Set<String> singleFields = new HashSet<>();
@@ -58,10 +56,8 @@
             throw new MalformedResponseException("status line: expected HTTP/1.0 or HTTP/1.1");
         }
         status = status(text);
-        for (int i = VERSION_1_1.length() + STATUS_DIGITS; i < bytes; i++) {
-            if (!isText(line[i])) {
-                throw new MalformedResponseException("status line: control byte in the reason");
-            }
+        if (!HeadSyntax.isText(line, VERSION_1_1.length() + STATUS_DIGITS, bytes)) {
+            throw new MalformedResponseException("status line: control byte in the reason");
         }
     }
 
@@ -111,17 +107,12 @@
      * @return the name in lower case
      */
     static String fieldName(byte[] line, int bytes) throws MalformedResponseException {
-        int colon = 0;
-        while (colon < bytes && isNameSymbol(line[colon])) {
-            colon++;
-        }
+        int colon = HeadSyntax.endOfName(line, 0, bytes);
         if (colon == 0 || colon == bytes || line[colon] != ':') {
             throw new MalformedResponseException("field line: expected a name and a colon");
         }
-        for (int i = colon + 1; i < bytes; i++) {
-            if (!isText(line[i])) {
-                throw new MalformedResponseException("field line: control byte in the value");
-            }
+        if (!HeadSyntax.isText(line, colon + 1, bytes)) {
+            throw new MalformedResponseException("field line: control byte in the value");
         }
         return text(line, 0, colon).toLowerCase(Locale.ROOT);
     }
@@ -170,18 +161,6 @@
         return length;
     }
 
-    private static boolean isNameSymbol(byte symbol) {
-        return (symbol >= 'a' && symbol <= 'z')
-                || (symbol >= 'A' && symbol <= 'Z')
-                || (symbol >= '0' && symbol <= '9')
-                || NAME_SYMBOLS.indexOf(symbol) >= 0;
-    }
-
-    /** Visible characters, spaces, tabs and bytes beyond ASCII. */
-    static boolean isText(byte symbol) {
-        return symbol < 0 || (symbol >= ' ' && symbol < 0x7f) || symbol == '\t';
-    }
-
     private static String text(byte[] line, int from, int to) {
         return new String(line, from, to - from, StandardCharsets.ISO_8859_1);
     }
--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/ResponseParser.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/ResponseParser.java
@@ -220,10 +220,8 @@
         if (digits == 0 || digits > MAX_SIZE_DIGITS || !(digits == length || extended)) {
             throw new MalformedResponseException("chunk: expected a size in hexadecimal digits");
         }
-        for (int i = digits; i < length; i++) {
-            if (!ResponseHead.isText(line[i])) {
-                throw new MalformedResponseException("chunk: control byte in an extension");
-            }
+        if (!HeadSyntax.isText(line, digits, length)) {
+            throw new MalformedResponseException("chunk: control byte in an extension");
         }
         return size;
     }
