Bound requests before they are read, on all ports of an entry VM

What callers saw: clients with heads of many short lines ended the process, and nobody was answered. Cause: the HTTP library keeps objects for each line, and nothing bounded the heads of all connections. Now one parser in front of the library passes a head on when it is complete, within headerBytes and fits into an eighth of the heap; one request of a connection is in the library at a time; trailers and chunk extensions are left out.

--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -273,6 +273,8 @@
             "bytes",
             "held_bytes",
             "limit_bytes"),
+    /** A request was refused before it was read. */
+    UNREAD_REFUSED(2319, EventLevel.INFO, "unread refused", "port", "status", "reason"),
     /** A replica could not be reached. */
     REPLICA_UNREACHABLE(2401, EventLevel.WARN, "replica unreachable", "replica", "cause"),
     /** A replica announced in a response that it is leaving. */
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
@@ -5,6 +5,8 @@
 import io.vanillapoint.api.model.RegionId;
 import io.vanillapoint.core.fleet.LoadMeter;
 import io.vanillapoint.core.fleet.TrafficVmSelector;
+import io.vanillapoint.core.published.GatewayPublication;
+import io.vanillapoint.core.published.TrafficLimits;
 import io.vanillapoint.core.upstream.CallerVms;
 import io.vanillapoint.entry.control.EntryControl;
 import io.vanillapoint.entry.control.EntryTuning;
@@ -16,6 +18,9 @@
 import io.vanillapoint.entry.settings.EntrySettings;
 import io.vanillapoint.entry.traffic.CallerHandler;
 import io.vanillapoint.entry.traffic.EntryContext;
+import io.vanillapoint.http.InboundConnections;
+import io.vanillapoint.http.InboundLimits;
+import io.vanillapoint.http.InboundPort;
 import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
@@ -40,8 +45,16 @@
     private static final int NOT_FOUND = 404;
     private static final int UNAVAILABLE = 503;
 
-    /** Larger than the default limit for request heads, so that the configured limit applies. */
-    private static final int MAX_HEADER_BYTES = 32 * 1_024;
+    /** Largest limit for the fields of a head that a configuration may set, in bytes. */
+    private static final int MAX_FIELD_BYTES = 64 * 1_024;
+
+    /** Beyond what connections admit, so that only their limits apply. */
+    private static final int LIBRARY_FIELD_BYTES = 2 * MAX_FIELD_BYTES;
+
+    private static final int LIBRARY_LINE_BYTES = 8 * 1_024;
+
+    /** Part of the heap for the heads of requests. */
+    private static final int HEAD_MEMORY_DIVISOR = 8;
 
     private final EntryContext context;
     private final EntrySettings settings;
@@ -55,6 +68,7 @@
     private final CallerVms callerVms;
     private final ConnectionFailureCounter failureCounter;
     private final boolean readinessIsAskedAmongCallers;
+    private final InboundConnections inbound;
     private final List<HttpServer> servers = new ArrayList<>();
     private long startedAtMillis;
 
@@ -81,61 +95,91 @@
                 settings.readiness().filter(settings.callers()::equals).isPresent();
         callerVms = new CallerVms(context.fleet(), context.pool());
         failureCounter = new ConnectionFailureCounter(context.metrics());
+        inbound =
+                new InboundConnections(
+                        Runtime.getRuntime().maxMemory() / HEAD_MEMORY_DIVISOR,
+                        this::inboundLimits,
+                        new InboundLog(context));
+        context.metrics().gauge("connections.inbound", inbound::count);
+        context.metrics().gauge("heads.held_bytes", inbound::heldBytes);
+        context.metrics().gauge("heads.limit_bytes", inbound::limitBytes);
+    }
+
+    /** Limits of the configuration in force. */
+    private InboundLimits inboundLimits() {
+        TrafficLimits limits =
+                publishedState
+                        .publication()
+                        .map(GatewayPublication::limits)
+                        .orElse(TrafficLimits.DEFAULT);
+        return new InboundLimits(
+                Math.min(limits.headerBytes(), MAX_FIELD_BYTES),
+                limits.headerTimeoutMillis(),
+                limits.idleTimeoutMillis());
     }
 
     /** Opens all ports. */
     Future<Void> start() {
         startedAtMillis = context.clock().getAsLong();
+        InboundPort callerPort = inbound.port("caller", InboundPort.Idle.CLOSED);
+        InboundPort questionPort = inbound.port("question", InboundPort.Idle.CLOSED);
+        InboundPort vmPort = inbound.port("vm", InboundPort.Idle.KEPT);
+        InboundPort metricsPort = inbound.port("metrics", InboundPort.Idle.CLOSED);
         List<Future<?>> listening = new ArrayList<>();
-        listening.add(serve(settings.callers(), "caller", this::handleCaller));
+        listening.add(serve(settings.callers(), callerPort, this::handleCaller));
         settings.readiness()
                 .filter(endpoint -> !endpoint.equals(settings.callers()))
                 .ifPresent(
                         endpoint ->
                                 listening.add(
-                                        serve(endpoint, "question", this::handleEntryRequest)));
+                                        serve(endpoint, questionPort, this::handleEntryRequest)));
         settings.directory()
                 .filter(endpoint -> !endpoint.equals(settings.readiness().orElse(null)))
                 .ifPresent(
                         endpoint ->
                                 listening.add(
-                                        serve(endpoint, "question", this::handleEntryRequest)));
+                                        serve(endpoint, questionPort, this::handleEntryRequest)));
         Endpoint peers = new Endpoint(settings.host(), settings.peerPort());
-        listening.add(serve(peers, "vm", this::handlePeer));
+        listening.add(serve(peers, vmPort, this::handlePeer));
         listening.add(
                 serve(
                         new Endpoint(settings.host(), settings.metricsPort()),
-                        "metrics",
+                        metricsPort,
                         request -> respond(request, OK, Buffer.buffer(context.metrics().text()))));
         return Future.all(listening).mapEmpty();
     }
 
     /**
      * Options of all ports. HTTP/2 upgrades and WebSocket compression, which no caller uses, are
-     * disabled, because they cost time on every connection and message. No connection is closed for
-     * being idle, since a request may cross the close; keep-alive probes end those whose other side
+     * disabled, because they cost time on every connection and message. The limits of size and time
+     * are those of {@link InboundConnections}; keep-alive probes end connections whose other side
      * is gone.
      */
     static HttpServerOptions serverOptions() {
         return new HttpServerOptions()
                 .setTcpNoDelay(true)
                 .setTcpKeepAlive(true)
-                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setMaxHeaderSize(LIBRARY_FIELD_BYTES)
+                .setMaxInitialLineLength(LIBRARY_LINE_BYTES)
                 .setHandle100ContinueAutomatically(true)
                 .setHttp2ClearTextEnabled(false)
                 .setPerFrameWebSocketCompressionSupported(false)
                 .setPerMessageWebSocketCompressionSupported(false);
     }
 
-    private Future<?> serve(Endpoint endpoint, String peer, Handler<HttpServerRequest> handler) {
+    private Future<?> serve(
+            Endpoint endpoint, InboundPort port, Handler<HttpServerRequest> handler) {
         HttpServerOptions options =
                 serverOptions().setHost(endpoint.host()).setPort(endpoint.port());
         HttpServer server =
                 context.vertx()
                         .createHttpServer(options)
                         .connectionHandler(
-                                connection -> failureCounter.countFailures(connection, peer))
-                        .requestHandler(request -> handle(request, peer, handler));
+                                connection -> {
+                                    failureCounter.countFailures(connection, port.name());
+                                    port.guard(connection);
+                                })
+                        .requestHandler(request -> handle(request, port.name(), handler));
         servers.add(server);
         return server.listen();
     }
