Pass on the chunks of a request that arrive in one read as one

What callers saw: no answer beside 100 clients that send legal bodies in chunks of one byte. Cause: each chunk became objects and a call of every handler, and one connection was read for up to 1 MB a turn.

--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestGuard.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestGuard.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.ChannelDuplexHandler;
@@ -28,10 +29,17 @@
  * complete and fits, content as it arrives, and the next request when the response to the one
  * before has been written.
  *
- * <p>What a client sends ahead of its turn is kept up to a bound, then left unread. Confined to one
- * event loop.
+ * <p>What a client sends ahead of its turn is kept up to a bound, then left unread. The chunks that
+ * arrive in one read are passed on as one. Confined to one event loop.
  */
 final class RequestGuard extends ChannelDuplexHandler {
+    private static final int MIN_READ_BYTES = 512;
+    private static final int INITIAL_READ_BYTES = 2_048;
+    private static final int MAX_READ_BYTES = 32 * 1_024;
+
+    /** Reads of one connection in one turn of the event loop. */
+    private static final int READS_PER_TURN = 4;
+
     /** Bytes of following requests beyond which a connection is not read. */
     private static final int MAX_AHEAD_BYTES = 16 * 1_024;
 
@@ -80,6 +88,11 @@
 
     /** Takes its place in front of the HTTP library. */
     void install(Channel channel) {
+        channel.config()
+                .setRecvByteBufAllocator(
+                        new AdaptiveRecvByteBufAllocator(
+                                        MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                                .maxMessagesPerRead(READS_PER_TURN));
         ChannelPipeline pipeline = channel.pipeline();
         String decoder = pipeline.context(HttpRequestDecoder.class).name();
         String encoder = pipeline.context(HttpResponseEncoder.class).name();
@@ -159,6 +172,7 @@
     /** Reads up to the end of the input or of the request. */
     private void readRequest(ByteBuf bytes, int start, byte[] input)
             throws RefusedRequestException {
+        Chunk chunk = null;
         boolean chunked = headPassedOn && parser.head().chunked();
         boolean ended = false;
         while (!ended && !closed) {
@@ -171,9 +185,8 @@
                 case CONTENT -> {
                     int count = parser.contentEnd() - parser.contentStart();
                     if (chunked) {
-                        Chunk chunk = new Chunk(count);
+                        chunk = chunk == null ? new Chunk(bytes.readableBytes()) : chunk;
                         chunk.append(input, parser.contentStart(), count);
-                        passOn(chunk.bytes(false));
                     } else {
                         passOn(bytes.retainedSlice(start + parser.contentStart(), count));
                         ended = parser.endsWithoutFurtherByte();
@@ -181,15 +194,24 @@
                 }
                 case END -> ended = true;
                 default -> {
+                    passOnChunk(chunk, false);
                     return;
                 }
             }
         }
         if (ended && !closed) {
-            if (chunked) {
-                passOn(Unpooled.wrappedBuffer(LAST_CHUNK));
-            }
+            passOnChunk(chunk, chunked);
             endRequest();
+        } else if (chunk != null) {
+            chunk.release();
+        }
+    }
+
+    private void passOnChunk(Chunk chunk, boolean last) {
+        if (chunk != null) {
+            passOn(chunk.bytes(last));
+        } else if (last) {
+            passOn(Unpooled.wrappedBuffer(LAST_CHUNK));
         }
     }
 
@@ -505,5 +527,9 @@
             bytes.writeBytes(LINE_END);
             return last ? bytes.writeBytes(LAST_CHUNK) : bytes;
         }
+
+        void release() {
+            bytes.release();
+        }
     }
 }
--- a/vanillapoint-http/src/test/java/io/vanillapoint/http/InboundConnectionsTest.java
+++ b/vanillapoint-http/src/test/java/io/vanillapoint/http/InboundConnectionsTest.java
@@ -65,6 +65,15 @@
         assertThat(requests, is(List.of("/hold", "/b", "/c")));
     }
 
+    @Test
+    void chunksOfOneReadArriveAsOne() throws Exception {
+        listen(1_000_000);
+        Socket client = connect();
+        String chunks = "1\r\nx\r\n".repeat(100) + "0\r\nT: u\r\n\r\n";
+        send(client, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+        assertThat(receive(client), endsWith("answer to /a" + "x".repeat(100)));
+    }
+
     /** Guards against a reservation that is never released. */
     @Test
     void memoryOfHeadsIsReleased() throws Exception {
