Read the next request of a pipeline after other connections

What callers saw: no answer beside clients that send small requests in pipelines without reading the answers. Cause: the next request was read in the turn of the event loop that had answered the one before.

--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestGuard.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestGuard.java
@@ -23,6 +23,7 @@
 import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Passes on the requests of a connection to the HTTP library, one at a time: a head when it is
@@ -46,6 +47,9 @@
     /** Receive buffer of a connection that is not read; its memory counts as the process's. */
     private static final int UNREAD_BUFFER_BYTES = 8 * 1_024;
 
+    /** A timer, unlike a queued task, lets the event loop read other connections first. */
+    private static final long NEXT_REQUEST_MILLIS = 1;
+
     /** Bytes that are discarded behind a refusal, so that its client can read it. */
     private static final int MAX_DISCARDED_BYTES = 1_024 * 1_024;
 
@@ -287,7 +291,8 @@
         }
         enter(InboundPort.Phase.IDLE);
         if (ahead != null) {
-            context.executor().execute(this::readAhead);
+            context.executor()
+                    .schedule(this::readAhead, NEXT_REQUEST_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
