Limit the connections of each port of an entry VM

What callers saw: no answer beside clients that open connections and say nothing, or leave the body due. Cause: nothing bounded the connections of a port, so they took all descriptors, also those for replicas. Now each port has a share of the descriptors, and a new connection replaces one that waits for its client.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
@@ -53,6 +53,9 @@
 
     private static final int LIBRARY_LINE_BYTES = 8 * 1_024;
 
+    /** Descriptors of a process that the platform keeps for files. */
+    private static final int FILE_DESCRIPTORS = 200;
+
     /** Part of the heap for the heads of requests. */
     private static final int HEAD_MEMORY_DIVISOR = 8;
 
@@ -121,10 +124,11 @@
     /** Opens all ports. */
     Future<Void> start() {
         startedAtMillis = context.clock().getAsLong();
-        InboundPort callerPort = inbound.port("caller", InboundPort.Idle.CLOSED);
-        InboundPort questionPort = inbound.port("question", InboundPort.Idle.CLOSED);
-        InboundPort vmPort = inbound.port("vm", InboundPort.Idle.KEPT);
-        InboundPort metricsPort = inbound.port("metrics", InboundPort.Idle.CLOSED);
+        int sockets = settings.descriptors() - FILE_DESCRIPTORS;
+        InboundPort callerPort = inboundPort("caller", sockets, PortShare.CALLERS);
+        InboundPort questionPort = inboundPort("question", sockets, PortShare.QUESTIONS);
+        InboundPort vmPort = inboundPort("vm", sockets, PortShare.VMS);
+        InboundPort metricsPort = inboundPort("metrics", sockets, PortShare.METRICS);
         List<Future<?>> listening = new ArrayList<>();
         listening.add(serve(settings.callers(), callerPort, this::handleCaller));
         settings.readiness()
@@ -167,6 +171,10 @@
                 .setPerMessageWebSocketCompressionSupported(false);
     }
 
+    private InboundPort inboundPort(String name, int sockets, PortShare share) {
+        return inbound.port(name, Math.max(1, sockets / share.divisor), share.idle);
+    }
+
     private Future<?> serve(
             Endpoint endpoint, InboundPort port, Handler<HttpServerRequest> handler) {
         HttpServerOptions options =
@@ -300,4 +308,20 @@
     private boolean ready() {
         return context.fleet().self().state().acceptsRequests();
     }
+
+    /** Part of the sockets that the connections of a port may use. */
+    private enum PortShare {
+        CALLERS(3, InboundPort.Idle.CLOSED),
+        QUESTIONS(16, InboundPort.Idle.CLOSED),
+        VMS(4, InboundPort.Idle.KEPT),
+        METRICS(64, InboundPort.Idle.CLOSED);
+
+        private final int divisor;
+        private final InboundPort.Idle idle;
+
+        PortShare(int divisor, InboundPort.Idle idle) {
+            this.divisor = divisor;
+            this.idle = idle;
+        }
+    }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/settings/EntrySettings.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/settings/EntrySettings.java
@@ -19,6 +19,9 @@
 public final class EntrySettings {
     private static final int VMS_PER_ZONE = 2;
 
+    /** Smallest number that platforms usually allow a server. */
+    private static final int DEFAULT_DESCRIPTORS = 4_096;
+
     private final String vm;
     private final String host;
     private final ZoneId zone;
@@ -34,6 +37,7 @@
     private final RetryBounds retries;
     private final double quotaSlackTokens;
     private final int capacity;
+    private final int descriptors;
 
     private EntrySettings(Builder builder) {
         vm = Objects.requireNonNull(builder.vm, "vm");
@@ -51,6 +55,7 @@
         retries = Objects.requireNonNull(builder.retries, "retries");
         quotaSlackTokens = builder.quotaSlackTokens;
         capacity = builder.capacity;
+        descriptors = builder.descriptors;
         if (!zones.containsKey(zone)) {
             throw new IllegalArgumentException(
                     "expected zone " + zone + " among " + zones.keySet());
@@ -230,6 +235,15 @@
         return capacity;
     }
 
+    /**
+     * Files and sockets that the process can open.
+     *
+     * @return number of descriptors
+     */
+    public int descriptors() {
+        return descriptors;
+    }
+
     /** Builder of settings. Not safe for use by several threads. */
     public static final class Builder {
         private String vm;
@@ -247,6 +261,7 @@
         private RetryBounds retries;
         private double quotaSlackTokens;
         private int capacity = MemberInfo.ONE_CORE;
+        private int descriptors = DEFAULT_DESCRIPTORS;
 
         private Builder() {}
 
@@ -266,6 +281,7 @@
             retries = settings.retries;
             quotaSlackTokens = settings.quotaSlackTokens;
             capacity = settings.capacity;
+            descriptors = settings.descriptors;
         }
 
         /**
@@ -397,6 +413,17 @@
             return this;
         }
 
+        /**
+         * Sets the files and sockets that the process can open.
+         *
+         * @param number number of descriptors
+         * @return this
+         */
+        public Builder descriptors(int number) {
+            descriptors = number;
+            return this;
+        }
+
         /**
          * Builds the settings.
          *
--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundConnections.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundConnections.java
@@ -44,11 +44,12 @@
      * Adds a port.
      *
      * @param name name for logs and metrics
+     * @param maxConnections largest number of connections
      * @param idle whether connections without a request are closed after the idle time
      * @return the port
      */
-    public InboundPort port(String name, InboundPort.Idle idle) {
-        InboundPort port = new InboundPort(this, name, idle);
+    public InboundPort port(String name, int maxConnections, InboundPort.Idle idle) {
+        InboundPort port = new InboundPort(this, name, maxConnections, idle);
         ports.add(port);
         return port;
     }
--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundPort.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundPort.java
@@ -1,27 +1,38 @@
 package io.vanillapoint.http;
 
+import io.netty.channel.Channel;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
 import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
 
 /**
- * The connections of one port.
+ * The connections of one port. Beyond their number, a new one replaces one that waits for its
+ * client: first one that has been sending a request for long, then the one that has been without a
+ * request longest. Connections whose requests are in progress are not replaced.
  *
  * <p>Confined to one event loop.
  */
 public final class InboundPort {
+    /** Time in which the first request of a client usually arrives. */
+    private static final long FIRST_REQUEST_MILLIS = 1_000;
+
     private final InboundConnections connections;
     private final String name;
+    private final int maxConnections;
     private final Idle idlePolicy;
+    private final Set<Channel> servers = new HashSet<>();
     private final Set<RequestGuard> unfinished = new LinkedHashSet<>();
     private final Set<RequestGuard> idle = new LinkedHashSet<>();
     private final Set<RequestGuard> busy = new LinkedHashSet<>();
 
-    InboundPort(InboundConnections connections, String name, Idle idlePolicy) {
+    InboundPort(InboundConnections connections, String name, int maxConnections, Idle idlePolicy) {
         this.connections = connections;
         this.name = name;
+        this.maxConnections = maxConnections;
         this.idlePolicy = idlePolicy;
     }
 
@@ -31,9 +42,33 @@
      * @param connection HTTP/1.1 connection without encryption, on its event loop
      */
     public void guard(HttpConnection connection) {
+        Channel channel = ((ConnectionBase) connection).channel();
+        if (servers.add(channel.parent())) {
+            AcceptLimit.install(channel.parent(), maxConnections);
+        }
         RequestGuard guard = new RequestGuard(connections, this);
-        guard.install(((ConnectionBase) connection).channel());
-        move(guard, Phase.UNFINISHED);
+        guard.install(channel);
+        if (count() >= maxConnections && !replaceOne()) {
+            guard.close("too_many_connections");
+        } else {
+            move(guard, Phase.UNFINISHED);
+        }
+    }
+
+    private boolean replaceOne() {
+        RequestGuard slowest = first(unfinished);
+        boolean slow =
+                slowest != null && connections.passed(slowest.sinceMillis(), FIRST_REQUEST_MILLIS);
+        RequestGuard replaced = slow || idle.isEmpty() ? slowest : first(idle);
+        if (replaced != null) {
+            replaced.close("replaced");
+        }
+        return replaced != null;
+    }
+
+    private static RequestGuard first(Set<RequestGuard> guards) {
+        Iterator<RequestGuard> iterator = guards.iterator();
+        return iterator.hasNext() ? iterator.next() : null;
     }
 
     void sweep() {
--- a/vanillapoint-http/src/test/java/io/vanillapoint/http/InboundConnectionsTest.java
+++ b/vanillapoint-http/src/test/java/io/vanillapoint/http/InboundConnectionsTest.java
@@ -33,6 +33,7 @@
     private static final String HOST = "127.0.0.1";
     private static final String GET = "GET /%s HTTP/1.1\r\nHost: a\r\n\r\n";
     private static final int SILENCE_MILLIS = 300;
+    private static final int MAX_CONNECTIONS = 4;
     private static final long WAIT_SECONDS = 10;
 
     private final Vertx vertx = Vertx.vertx();
@@ -132,6 +133,34 @@
         }
     }
 
+    @Test
+    void silentConnectionIsReplacedByANewOne() throws Exception {
+        listen(1_000_000);
+        List<Socket> silent = new ArrayList<>();
+        for (int i = 0; i < MAX_CONNECTIONS; i++) {
+            silent.add(connect());
+        }
+        await(() -> onLoop(() -> connections.count()) == MAX_CONNECTIONS);
+        Socket client = connect();
+        send(client, GET.formatted("a"));
+        assertThat(receive(client), endsWith("answer to /a"));
+        assertThat(silent.get(0).getInputStream().read(), is(-1));
+        assertThat(listener.events, is(List.of("closed test replaced")));
+    }
+
+    @Test
+    void connectionWhoseRequestIsInProgressIsNotReplaced() throws Exception {
+        listen(1_000_000);
+        for (int i = 0; i < MAX_CONNECTIONS; i++) {
+            send(connect(), GET.formatted("hold"));
+        }
+        await(() -> held.size() == MAX_CONNECTIONS);
+        Socket client = connect();
+        assertThat(client.getInputStream().read(), is(-1));
+        assertThat(listener.events, is(List.of("closed test too_many_connections")));
+        assertThat(onLoop(() -> connections.count()), is(MAX_CONNECTIONS));
+    }
+
     @Test
     void headThatDoesNotEndIsRefusedInTime() throws Exception {
         listen(1_000_000);
@@ -210,7 +239,8 @@
                                     headMemoryBytes,
                                     () -> new InboundLimits(16_384, 3_000, 10_000),
                                     listener);
-                    InboundPort inbound = connections.port("test", InboundPort.Idle.CLOSED);
+                    InboundPort inbound =
+                            connections.port("test", MAX_CONNECTIONS, InboundPort.Idle.CLOSED);
                     vertx.createHttpServer(
                                     new HttpServerOptions()
                                             .setHttp2ClearTextEnabled(false)
