Apply the configuration's limits of time

What callers saw: nothing; connections that no longer served anybody stayed open for ever. Cause: headerTimeoutMs and idleTimeoutMs were parsed and used nowhere. Evidence: SlowClientTest failed in 3 of 3 cases on the commit before and holds; LargestRequestTest (250 connections that are idle for 11.8 of 15 s) holds.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
@@ -121,6 +121,11 @@
                 limits.idleTimeoutMillis());
     }
 
+    /** Closes connections whose time is over. Called several times a second. */
+    void sweepConnections() {
+        inbound.sweep(context.clock().getAsLong());
+    }
+
     /** Opens all ports. */
     Future<Void> start() {
         startedAtMillis = context.clock().getAsLong();
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -353,6 +353,7 @@
         errors.contain("logging ejected replicas", outlierLog::check);
         errors.contain("releasing prompts", prompts::prune);
         errors.contain("updating the list of VMs", this::updateRoster);
+        errors.contain("closing connections", listeners::sweepConnections);
         errors.contain("flushing the log", log::flush);
     }
 
