Bound requests before they are read in vanillapointd

What callers saw: no answer beside clients with heads of many lines, trailers, chunks of one byte or pipelines. Cause: heads became objects as they arrived, and nothing bounded those of all connections. The callers' and the operators' listener use the guard of entry VMs; HTTP/2 without TLS, which would pass it, is no longer offered. Evidence: nine cases of ClientCrowdTest failed on and hold; silent connections and large bodies still fail.

--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/Daemon.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/Daemon.java
@@ -87,8 +87,7 @@
                         settings.timeouts().connectMillis(),
                         control);
         OperatorListener operators =
-                new OperatorListener(
-                        control, recorder, metrics.registry(), settings.operatorKey(), this::drain);
+                new OperatorListener(control, recorder, metrics, settings, this::drain);
         List<Future<?>> startups = new ArrayList<>();
         for (int i = 0; i < settings.limits().trafficThreads(); i++) {
             String prefix = settings.vm() + "-" + Long.toString(hello.incarnation(), 36) + "-" + i;
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/metric/GatewayMetrics.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/metric/GatewayMetrics.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.Timer;
 import com.codahale.metrics.jvm.MemoryUsageGaugeSet;
 import com.sun.management.OperatingSystemMXBean;
+import com.sun.management.UnixOperatingSystemMXBean;
 import io.vanillapoint.api.error.ErrorCode;
 import java.lang.management.ManagementFactory;
 import java.util.concurrent.TimeUnit;
@@ -84,6 +85,26 @@
         registry.counter("requests.refused." + code.code()).inc();
     }
 
+    /**
+     * Counts a request that was refused before it was read.
+     *
+     * @param port name of the port
+     * @param reason short name of the reason
+     */
+    public void unreadRefused(String port, String reason) {
+        registry.counter("requests.unread-refused." + port + "." + reason).inc();
+    }
+
+    /**
+     * Counts a connection that was closed without a response.
+     *
+     * @param port name of the port
+     * @param reason short name of the reason
+     */
+    public void connectionClosed(String port, String reason) {
+        registry.counter("connections.closed." + port + "." + reason).inc();
+    }
+
     /** Counts a retry. */
     public void retried() {
         retried.inc();
@@ -104,6 +125,19 @@
         bytesSent.inc(bytes);
     }
 
+    /**
+     * Files and sockets that the process can open.
+     *
+     * @return number of descriptors, {@link Integer#MAX_VALUE} if the system does not tell
+     */
+    public static long maxDescriptors() {
+        if (ManagementFactory.getOperatingSystemMXBean()
+                instanceof UnixOperatingSystemMXBean system) {
+            return system.getMaxFileDescriptorCount();
+        }
+        return Integer.MAX_VALUE;
+    }
+
     private static long cpuMillis() {
         if (ManagementFactory.getOperatingSystemMXBean() instanceof OperatingSystemMXBean system) {
             return TimeUnit.NANOSECONDS.toMillis(system.getProcessCpuTime());
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/operator/OperatorListener.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/operator/OperatorListener.java
@@ -1,18 +1,23 @@
 package io.vanillapoint.server.operator;
 
-import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vanillapoint.api.event.Event;
 import io.vanillapoint.api.model.Endpoint;
 import io.vanillapoint.api.model.KeyDigest;
+import io.vanillapoint.http.InboundPort;
 import io.vanillapoint.runtime.MetricsText;
 import io.vanillapoint.server.control.ControlPlane;
 import io.vanillapoint.server.control.ControlStatus;
 import io.vanillapoint.server.event.EventRecorder;
+import io.vanillapoint.server.metric.GatewayMetrics;
+import io.vanillapoint.server.settings.DaemonSettings;
+import io.vanillapoint.server.traffic.InboundRefusals;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 
 /**
@@ -24,10 +29,13 @@
     private static final String JSON = "application/json";
     private static final String BEARER = "Bearer ";
 
+    /** Part of the callers' limit of connections. */
+    private static final int PORT_PART = 8;
+
     private final ControlPlane control;
     private final EventRecorder recorder;
-    private final MetricRegistry metrics;
-    private final KeyDigest operatorKey;
+    private final GatewayMetrics metrics;
+    private final DaemonSettings settings;
     private final Runnable drain;
 
     /**
@@ -36,19 +44,19 @@
      * @param control the control plane
      * @param recorder source of the events in the time line
      * @param metrics metrics to expose
-     * @param operatorKey digest of the operator key
+     * @param settings settings of the daemon, with the digest of the operator key
      * @param drain starts the graceful shutdown
      */
     public OperatorListener(
             ControlPlane control,
             EventRecorder recorder,
-            MetricRegistry metrics,
-            KeyDigest operatorKey,
+            GatewayMetrics metrics,
+            DaemonSettings settings,
             Runnable drain) {
         this.control = control;
         this.recorder = recorder;
         this.metrics = metrics;
-        this.operatorKey = operatorKey;
+        this.settings = settings;
         this.drain = drain;
     }
 
@@ -60,9 +68,20 @@
      * @return completed when the server accepts connections
      */
     public Future<?> listen(Vertx vertx, Endpoint address) {
-        return vertx.createHttpServer()
-                .requestHandler(this::handle)
-                .listen(address.port(), address.host());
+        Promise<HttpServer> listening = Promise.promise();
+        vertx.getOrCreateContext()
+                .runOnContext(
+                        ignored -> {
+                            InboundPort port =
+                                    InboundRefusals.port(
+                                            vertx, settings, metrics, "operators", PORT_PART);
+                            vertx.createHttpServer(InboundRefusals.options(settings))
+                                    .connectionHandler(port::guard)
+                                    .requestHandler(this::handle)
+                                    .listen(address.port(), address.host())
+                                    .onComplete(listening);
+                        });
+        return listening.future();
     }
 
     private void handle(HttpServerRequest request) {
@@ -80,11 +99,11 @@
             case "GET /status" ->
                     control.status().onSuccess(status -> sendJson(request, statusJson(status)));
             case "GET /timeline" -> sendJson(request, timelineJson());
-            case "GET /metrics" -> sendJson(request, MetricsText.json(metrics));
+            case "GET /metrics" -> sendJson(request, MetricsText.json(metrics.registry()));
             case "GET /metrics/prometheus" ->
                     request.response()
                             .putHeader("content-type", "text/plain; version=0.0.4")
-                            .end(MetricsText.prometheus(metrics));
+                            .end(MetricsText.prometheus(metrics.registry()));
             case "POST /drain" -> {
                 drain.run();
                 request.response().setStatusCode(202).end();
@@ -99,7 +118,7 @@
             return false;
         }
         String key = authorization.substring(BEARER.length());
-        return KeyDigest.of(key).equals(operatorKey);
+        return KeyDigest.of(key).equals(settings.operatorKey());
     }
 
     private static void sendJson(HttpServerRequest request, ObjectNode body) {
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/settings/DaemonOptions.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/settings/DaemonOptions.java
@@ -84,6 +84,26 @@
     @Option(name = "--max-header-bytes", metaVar = "N", usage = "largest request head in bytes")
     String maxHeaderBytes = "16384";
 
+    @Option(
+            name = "--head-timeout-ms",
+            metaVar = "N",
+            usage =
+                    "longest time from the first byte of a request head to its last, in milliseconds")
+    String headTimeoutMs = "10000";
+
+    @Option(
+            name = "--caller-idle-ms",
+            metaVar = "N",
+            usage =
+                    "time in milliseconds after which a caller's connection without a request is closed")
+    String callerIdleMs = "60000";
+
+    @Option(
+            name = "--max-connections",
+            metaVar = "N",
+            usage = "limit of open connections of callers; operators and peers have an eighth each")
+    String maxConnections = "2048";
+
     @Option(name = "--max-body-bytes", metaVar = "N", usage = "largest request body in bytes")
     String maxBodyBytes = "4194304";
 
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/settings/DaemonSettings.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/settings/DaemonSettings.java
@@ -55,6 +55,7 @@
      *
      * @param trafficThreads number of event loops for traffic
      * @param maxHeaderBytes largest request head in bytes
+     * @param maxConnections limit of open connections of callers
      * @param maxBodyBytes largest request body in bytes
      * @param maxFrameBytes largest frame from a peer in bytes
      * @param maxRunning limit of concurrently running requests
@@ -65,6 +66,7 @@
     public record Limits(
             int trafficThreads,
             int maxHeaderBytes,
+            int maxConnections,
             int maxBodyBytes,
             int maxFrameBytes,
             int maxRunning,
@@ -78,6 +80,8 @@
      * @param queueMillis longest time that a request may be queued
      * @param connectMillis longest wait for a connection
      * @param firstByteMillis longest wait for the head of a response
+     * @param headMillis longest time for a request head
+     * @param callerIdleMillis time after which a caller's idle connection is closed
      * @param idleMillis longest pause between two parts of a response
      * @param peerMillis longest wait for a peer's reply
      * @param rateWaitMillis longest wait for a refill of tokens before a request is refused
@@ -88,6 +92,8 @@
             long queueMillis,
             long connectMillis,
             long firstByteMillis,
+            long headMillis,
+            long callerIdleMillis,
             long idleMillis,
             long peerMillis,
             long rateWaitMillis,
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/settings/SettingsReader.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/settings/SettingsReader.java
@@ -168,6 +168,7 @@
         return new DaemonSettings.Limits(
                 parseWholeNumber("--traffic-threads", options.trafficThreads, 1, MAX_THREADS),
                 parseWholeNumber("--max-header-bytes", options.maxHeaderBytes, 1, MAX_BYTES),
+                parseWholeNumber("--max-connections", options.maxConnections, 8, MAX_COUNT),
                 parseWholeNumber("--max-body-bytes", options.maxBodyBytes, 1, MAX_BYTES),
                 parseWholeNumber("--max-frame-bytes", options.maxFrameBytes, 1, MAX_BYTES),
                 parseWholeNumber("--max-running", options.maxRunning, 1, MAX_COUNT),
@@ -202,6 +203,8 @@
                 parseWholeNumber("--connect-timeout-ms", options.connectTimeoutMs, 1, MAX_MILLIS),
                 parseWholeNumber(
                         "--first-byte-timeout-ms", options.firstByteTimeoutMs, 1, MAX_MILLIS),
+                parseWholeNumber("--head-timeout-ms", options.headTimeoutMs, 1, MAX_MILLIS),
+                parseWholeNumber("--caller-idle-ms", options.callerIdleMs, 1, MAX_MILLIS),
                 parseWholeNumber("--idle-timeout-ms", options.idleTimeoutMs, 1, MAX_MILLIS),
                 parseWholeNumber("--peer-timeout-ms", options.peerTimeoutMs, 1, MAX_MILLIS),
                 parseWholeNumber("--rate-wait-ms", options.rateWaitMs, 0, MAX_MILLIS),
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerHandler.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerHandler.java
@@ -23,7 +23,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.HttpVersion;
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
@@ -316,10 +315,9 @@
         context.events()
                 .record(EventCode.REQUEST_REFUSED, idPrefix + nextId++, error.code().code());
         ObjectNode responseBody = error instanceof RefusalWithBody refusal ? refusal.body : body;
-        boolean bodyFollows =
+        boolean close =
                 request.getHeader("content-length") != null
                         || request.getHeader("transfer-encoding") != null;
-        boolean close = bodyFollows && request.version() != HttpVersion.HTTP_2;
         if (close) {
             request.response().putHeader("connection", "close");
         }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerSink.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/CallerSink.java
@@ -6,7 +6,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
-import io.vertx.core.http.HttpVersion;
 import java.util.List;
 
 /** Sends a response to a caller over HTTP. Confined to the connection's event loop. */
@@ -95,12 +94,8 @@
         drainHandler.run();
     }
 
-    /** Resets the stream or closes the connection to mark the response as incomplete. */
+    /** Closes the connection to mark the response as incomplete. */
     private void abort() {
-        if (request.version() == HttpVersion.HTTP_2) {
-            response.reset();
-        } else {
-            request.connection().close();
-        }
+        request.connection().close();
     }
 }
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
@@ -3,6 +3,7 @@
 import io.vanillapoint.api.event.EventSink;
 import io.vanillapoint.core.message.PeerHello;
 import io.vanillapoint.core.retry.RetryBudget;
+import io.vanillapoint.http.InboundPort;
 import io.vanillapoint.server.MonotonicTime;
 import io.vanillapoint.server.control.ControlPlane;
 import io.vanillapoint.server.event.HybridClock;
@@ -13,7 +14,6 @@
 import io.vanillapoint.wire.PeerCodec;
 import io.vertx.core.Future;
 import io.vertx.core.VerticleBase;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.net.NetServerOptions;
 import java.util.AbstractSet;
 import java.util.ArrayList;
@@ -92,11 +92,12 @@
                                 MonotonicTime.millis()),
                         new RunningRequests());
         CallerHandler callers = new CallerHandler(vertx, trafficContext, idPrefix);
+        InboundPort callerPort =
+                InboundRefusals.port(
+                        vertx, settings, metrics, "callers", settings.limits().trafficThreads());
         Future<?> http =
-                vertx.createHttpServer(
-                                new HttpServerOptions()
-                                        .setMaxHeaderSize(settings.limits().maxHeaderBytes())
-                                        .setTcpNoDelay(true))
+                vertx.createHttpServer(InboundRefusals.options(settings))
+                        .connectionHandler(callerPort::guard)
                         .requestHandler(callers::handle)
                         .invalidRequestHandler(callers::refuseMalformed)
                         .listen(settings.callers().port(), settings.callers().host());
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/ClientCrowdTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/ClientCrowdTest.java
@@ -75,7 +75,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void headsOfShortLinesWhoseBodyIsDue() throws Exception {
         startDaemon(DESCRIPTORS);
         callers().sendOnce(200, filled(BODY_DUE));
@@ -83,7 +82,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void headsOfShortLinesThatWaitForAnUpstream() throws Exception {
         startDaemon(DESCRIPTORS);
         String body = Gateway.chatBody("hello", 1, false);
@@ -93,7 +91,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void headsOfShortLinesInPipelines() throws Exception {
         startDaemon(DESCRIPTORS);
         String body = Gateway.chatBody("hello", 1, false);
@@ -103,7 +100,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void headsOfShortLinesThatStopShortOfTheirEnd() throws Exception {
         startDaemon(DESCRIPTORS);
         String head = filled(GET);
@@ -114,7 +110,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void headsWithoutEndInShortLines() throws Exception {
         startDaemon(DESCRIPTORS);
         callers().sendWithoutEnd(200, GET, SHORT_LINE);
@@ -139,7 +134,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void trailersHeldOpen() throws Exception {
         startDaemon(DESCRIPTORS);
         callers().sendOnce(200, CHUNKED + "1\r\nx\r\n0\r\n" + SHORT_LINE.repeat(4_000));
@@ -147,7 +141,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void bodiesInChunksOfOneByte() throws Exception {
         startDaemon(DESCRIPTORS);
         callers().sendWithoutEnd(100, CHUNKED, "1\r\nx\r\n");
@@ -164,7 +157,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void pipelinesOfDeniedRequests() throws Exception {
         startDaemon(DESCRIPTORS);
         callers().sendWithoutEnd(50, "", "GET /none HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -172,7 +164,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void pipelinesWhoseAnswersAreNotRead() throws Exception {
         startDaemon(DESCRIPTORS);
         callers().withoutReading().sendWithoutEnd(50, "", "GET /none HTTP/1.1\r\nHost: a\r\n\r\n");
--- a/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/ForwardClientTest.java
+++ b/vanillapoint-server/src/test/java/io/vanillapoint/server/traffic/ForwardClientTest.java
@@ -87,7 +87,8 @@
 
     private ForwardClient client() {
         PeerHello hello = new PeerHello(new VmId("here"), 1, PeerHello.PROTOCOL);
-        Timeouts timeouts = new Timeouts(1_000, 1_000, 5_000, 5_000, 1_000, 1_000, 0, 1_000);
+        Timeouts timeouts =
+                new Timeouts(1_000, 1_000, 5_000, 1_000, 1_000, 5_000, 1_000, 1_000, 0, 1_000);
         return new ForwardClient(vertx, codec, hello, timeouts, (code, values) -> {}, clock);
     }
 
