Keep charging what a client has sent ahead until it is read

Between the end of a response and the read of the next request, 1 ms later, the bytes sent ahead were not part of the memory for heads. The chunk that joins those of one read is a class of its own; its behaviour is unchanged. RequestParserTest and InboundConnectionsTest hold (55 cases).

--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestGuard.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestGuard.java
@@ -22,7 +22,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.channels.ClosedChannelException;
 import java.nio.charset.StandardCharsets;
-import java.util.HexFormat;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -59,12 +58,6 @@
     /** Longest time from the first part of a request to the end of its body. */
     private static final long BODY_MILLIS = 30_000;
 
-    /** Digits of a chunk's size and the line end. */
-    private static final int CHUNK_HEAD_BYTES = 10;
-
-    private static final byte[] LINE_END = {'\r', '\n'};
-    private static final byte[] LAST_CHUNK = {'0', '\r', '\n', '\r', '\n'};
-
     private final InboundConnections connections;
     private final InboundPort port;
     private final RequestParser parser = new RequestParser();
@@ -176,20 +169,21 @@
     /** Reads up to the end of the input or of the request. */
     private void readRequest(ByteBuf bytes, int start, byte[] input)
             throws RefusedRequestException {
-        Chunk chunk = null;
+        MergedChunk chunk = null;
         boolean chunked = headPassedOn && parser.head().chunked();
         boolean ended = false;
         while (!ended && !closed) {
             switch (parser.next(input, cursor)) {
                 case HEAD -> {
-                    passOnHead();
-                    chunked = parser.head().chunked();
+                    RequestHead head = parser.head();
+                    passOnHead(head);
+                    chunked = head.chunked();
                     ended = parser.endsWithoutFurtherByte();
                 }
                 case CONTENT -> {
                     int count = parser.contentEnd() - parser.contentStart();
                     if (chunked) {
-                        chunk = chunk == null ? new Chunk(bytes.readableBytes()) : chunk;
+                        chunk = chunk == null ? new MergedChunk(bytes.readableBytes()) : chunk;
                         chunk.append(input, parser.contentStart(), count);
                     } else {
                         passOn(bytes.retainedSlice(start + parser.contentStart(), count));
@@ -206,16 +200,14 @@
         if (ended && !closed) {
             passOnChunk(chunk, chunked);
             endRequest();
-        } else if (chunk != null) {
-            chunk.release();
         }
     }
 
-    private void passOnChunk(Chunk chunk, boolean last) {
+    private void passOnChunk(MergedChunk chunk, boolean last) {
         if (chunk != null) {
             passOn(chunk.bytes(last));
         } else if (last) {
-            passOn(Unpooled.wrappedBuffer(LAST_CHUNK));
+            passOn(MergedChunk.last());
         }
     }
 
@@ -223,13 +215,8 @@
         context.fireChannelRead(bytes);
     }
 
-    private void passOnHead() throws RefusedRequestException {
-        RequestHead head = parser.head();
-        long cost = HeadMemoryBudget.cost(head.bytes().length, head.lines());
-        if (!connections.tryResize(this, cost)) {
-            throw new RefusedRequestException(RequestRefusal.NO_MEMORY);
-        }
-        heldBytes = cost;
+    private void passOnHead(RequestHead head) throws RefusedRequestException {
+        hold(HeadMemoryBudget.cost(head.bytes().length, head.lines()));
         headPassedOn = true;
         requestDecoded = false;
         responseBegun = false;
@@ -251,15 +238,21 @@
     }
 
     private void hold(long bytes) throws RefusedRequestException {
-        if (!connections.tryResize(this, bytes)) {
+        if (!resize(bytes)) {
             throw new RefusedRequestException(RequestRefusal.NO_MEMORY);
         }
-        heldBytes = bytes;
+    }
+
+    private boolean resize(long bytes) {
+        boolean fits = connections.tryResize(this, bytes);
+        if (fits) {
+            heldBytes = bytes;
+        }
+        return fits;
     }
 
     private void release() {
-        connections.tryResize(this, 0);
-        heldBytes = 0;
+        resize(0);
     }
 
     private void enter(InboundPort.Phase newPhase) {
@@ -284,7 +277,7 @@
     /** The response has been written and the request been read to its end. */
     private void endExchange() {
         headPassedOn = false;
-        release();
+        resize(ahead == null ? 0 : ahead.readableBytes());
         if (closesAfterResponse) {
             close("too_far_ahead");
             return;
@@ -305,13 +298,12 @@
         if (count == 0 || closesAfterResponse) {
             return;
         }
-        if (!connections.tryResize(this, heldBytes + count)) {
+        if (!resize(heldBytes + count)) {
             closesAfterResponse = true;
             dropAhead();
             stopReading();
             return;
         }
-        heldBytes += count;
         ahead = ahead == null ? Unpooled.buffer(count) : ahead;
         ahead.writeBytes(bytes);
         if (ahead.readableBytes() >= MAX_AHEAD_BYTES) {
@@ -511,30 +503,4 @@
             }
         }
     }
-
-    /** Content of the chunks of one read. Confined to one event loop. */
-    private static final class Chunk {
-        private final ByteBuf bytes;
-
-        Chunk(int maxBytes) {
-            bytes = Unpooled.buffer(CHUNK_HEAD_BYTES + maxBytes + LAST_CHUNK.length);
-            bytes.writeZero(CHUNK_HEAD_BYTES);
-        }
-
-        void append(byte[] input, int start, int count) {
-            bytes.writeBytes(input, start, count);
-        }
-
-        ByteBuf bytes(boolean last) {
-            int size = bytes.writerIndex() - CHUNK_HEAD_BYTES;
-            String head = HexFormat.of().toHexDigits(size) + "\r\n";
-            bytes.setBytes(0, head.getBytes(StandardCharsets.US_ASCII));
-            bytes.writeBytes(LINE_END);
-            return last ? bytes.writeBytes(LAST_CHUNK) : bytes;
-        }
-
-        void release() {
-            bytes.release();
-        }
-    }
 }
