Find the set of a connection by its phase, and copy a head once

Each request moved its connection through three sets and its head through two arrays. No change of behaviour; RequestParserTest and InboundConnectionsTest hold (55 cases).

--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundPort.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundPort.java
@@ -51,7 +51,7 @@
         if (count() >= maxConnections && !replaceOne()) {
             guard.close("too_many_connections");
         } else {
-            move(guard, Phase.UNFINISHED);
+            add(guard, Phase.UNFINISHED);
         }
     }
 
@@ -80,20 +80,20 @@
     }
 
     /** Puts a connection behind the others in the same phase. */
-    void move(RequestGuard guard, Phase phase) {
-        remove(guard);
-        switch (phase) {
-            case UNFINISHED -> unfinished.add(guard);
-            case BUSY -> busy.add(guard);
-            case IDLE -> idle.add(guard);
-            default -> throw new IllegalArgumentException(phase.name());
-        }
+    void add(RequestGuard guard, Phase phase) {
+        members(phase).add(guard);
     }
 
-    void remove(RequestGuard guard) {
-        if (!idle.remove(guard) && !busy.remove(guard)) {
-            unfinished.remove(guard);
-        }
+    void remove(RequestGuard guard, Phase phase) {
+        members(phase).remove(guard);
+    }
+
+    private Set<RequestGuard> members(Phase phase) {
+        return switch (phase) {
+            case UNFINISHED -> unfinished;
+            case BUSY -> busy;
+            case IDLE -> idle;
+        };
     }
 
     Set<RequestGuard> unfinished() {
--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestGuard.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestGuard.java
@@ -256,10 +256,11 @@
     }
 
     private void enter(InboundPort.Phase newPhase) {
+        port.remove(this, phase);
         phase = newPhase;
         sinceMillis = connections.millis();
         pendingBytes = 0;
-        port.move(this, newPhase);
+        port.add(this, newPhase);
     }
 
     private void endRequest() {
@@ -454,7 +455,7 @@
         if (!headPassedOn) {
             release();
         }
-        port.remove(this);
+        port.remove(this, phase);
     }
 
     @Override
--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestParser.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestParser.java
@@ -118,9 +118,8 @@
             int line = i + offset - lineStart;
             if (line == 0 || line == 1 && byteAt(input, start, i - 1) == '\r') {
                 checkSize(i + offset);
-                append(input, start, i + 1);
                 reader.at = i + 1;
-                return endHead();
+                return endHead(input, start, i + 1);
             }
             lineStart = i + offset + 1;
             fieldsStart = fieldsStart < 0 ? lineStart : fieldsStart;
@@ -156,9 +155,14 @@
         headBytes = total;
     }
 
-    private Event endHead() throws RefusedRequestException {
-        complete = new RequestHead(Arrays.copyOf(head, headBytes));
-        head = null;
+    private Event endHead(byte[] input, int from, int to) throws RefusedRequestException {
+        if (head == null) {
+            complete = new RequestHead(Arrays.copyOfRange(input, from, to));
+        } else {
+            append(input, from, to);
+            complete = new RequestHead(Arrays.copyOf(head, headBytes));
+            head = null;
+        }
         if (complete.chunked()) {
             beginChunk();
         } else {
