Count the connections of all event loops of a port against its limit

What callers would have seen: vanillapointd with several traffic threads accepts the connections of one of them, and eight more. Cause: the threads share a listening socket, whose limit was that of the thread that saw the first connection.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryListeners.java
@@ -177,7 +177,7 @@
     }
 
     private InboundPort inboundPort(String name, int sockets, PortShare share) {
-        return inbound.port(name, Math.max(1, sockets / share.divisor), share.idle);
+        return inbound.port(name, Math.max(1, sockets / share.divisor), 1, share.idle);
     }
 
     private Future<?> serve(
--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundConnections.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundConnections.java
@@ -44,12 +44,13 @@
      * Adds a port.
      *
      * @param name name for logs and metrics
-     * @param maxConnections largest number of connections
+     * @param maxConnections largest number of connections of this event loop
+     * @param loops number of event loops that serve the port, each with as many connections
      * @param idle whether connections without a request are closed after the idle time
      * @return the port
      */
-    public InboundPort port(String name, int maxConnections, InboundPort.Idle idle) {
-        InboundPort port = new InboundPort(this, name, maxConnections, idle);
+    public InboundPort port(String name, int maxConnections, int loops, InboundPort.Idle idle) {
+        InboundPort port = new InboundPort(this, name, maxConnections, loops, idle);
         ports.add(port);
         return port;
     }
--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundPort.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundPort.java
@@ -23,16 +23,23 @@
     private final InboundConnections connections;
     private final String name;
     private final int maxConnections;
+    private final int loops;
     private final Idle idlePolicy;
     private final Set<Channel> servers = new HashSet<>();
     private final Set<RequestGuard> unfinished = new LinkedHashSet<>();
     private final Set<RequestGuard> idle = new LinkedHashSet<>();
     private final Set<RequestGuard> busy = new LinkedHashSet<>();
 
-    InboundPort(InboundConnections connections, String name, int maxConnections, Idle idlePolicy) {
+    InboundPort(
+            InboundConnections connections,
+            String name,
+            int maxConnections,
+            int loops,
+            Idle idlePolicy) {
         this.connections = connections;
         this.name = name;
         this.maxConnections = maxConnections;
+        this.loops = loops;
         this.idlePolicy = idlePolicy;
     }
 
@@ -44,7 +51,7 @@
     public void guard(HttpConnection connection) {
         Channel channel = ((ConnectionBase) connection).channel();
         if (servers.add(channel.parent())) {
-            AcceptLimit.install(channel.parent(), maxConnections);
+            AcceptLimit.install(channel.parent(), loops * maxConnections);
         }
         RequestGuard guard = new RequestGuard(connections, this);
         guard.install(channel);
--- a/vanillapoint-http/src/test/java/io/vanillapoint/http/InboundConnectionsTest.java
+++ b/vanillapoint-http/src/test/java/io/vanillapoint/http/InboundConnectionsTest.java
@@ -240,7 +240,7 @@
                                     () -> new InboundLimits(16_384, 3_000, 10_000),
                                     listener);
                     InboundPort inbound =
-                            connections.port("test", MAX_CONNECTIONS, InboundPort.Idle.CLOSED);
+                            connections.port("test", MAX_CONNECTIONS, 1, InboundPort.Idle.CLOSED);
                     vertx.createHttpServer(
                                     new HttpServerOptions()
                                             .setHttp2ClearTextEnabled(false)
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/operator/OperatorListener.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/operator/OperatorListener.java
@@ -74,7 +74,7 @@
                         ignored -> {
                             InboundPort port =
                                     InboundRefusals.port(
-                                            vertx, settings, metrics, "operators", PORT_PART);
+                                            vertx, settings, metrics, "operators", PORT_PART, 1);
                             vertx.createHttpServer(InboundRefusals.options(settings))
                                     .connectionHandler(port::guard)
                                     .requestHandler(this::handle)
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/InboundRefusals.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/InboundRefusals.java
@@ -46,11 +46,17 @@
      * @param settings settings of the daemon
      * @param metrics counts refusals
      * @param name name of the port for metrics
-     * @param part part of the callers' limit of connections, as a divisor
+     * @param part part of the callers' limit of connections that the port has, as a divisor
+     * @param loops number of event loops that share this part
      * @return the port
      */
     public static InboundPort port(
-            Vertx vertx, DaemonSettings settings, GatewayMetrics metrics, String name, int part) {
+            Vertx vertx,
+            DaemonSettings settings,
+            GatewayMetrics metrics,
+            String name,
+            int part,
+            int loops) {
         // Each traffic thread and the operators' listener have a part of their own.
         int parts = HEAD_MEMORY_DIVISOR * (settings.limits().trafficThreads() + 1);
         InboundLimits limits =
@@ -64,8 +70,8 @@
                         () -> limits,
                         new InboundRefusals(settings, metrics));
         vertx.setPeriodic(SWEEP_MILLIS, ignored -> inbound.sweep(MonotonicTime.millis()));
-        int connections = Math.max(1, maxConnections(settings) / part);
-        return inbound.port(name, connections, InboundPort.Idle.CLOSED);
+        int connections = Math.max(1, maxConnections(settings) / part / loops);
+        return inbound.port(name, connections, loops, InboundPort.Idle.CLOSED);
     }
 
     /**
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/traffic/TrafficVerticle.java
@@ -102,7 +102,7 @@
         CallerHandler callers = new CallerHandler(vertx, trafficContext, idPrefix);
         InboundPort callerPort =
                 InboundRefusals.port(
-                        vertx, settings, metrics, "callers", settings.limits().trafficThreads());
+                        vertx, settings, metrics, "callers", 1, settings.limits().trafficThreads());
         int maxPeers = Math.max(1, InboundRefusals.maxConnections(settings) / PEER_PART);
         Future<?> http =
                 vertx.createHttpServer(InboundRefusals.options(settings))
