--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/memory/BodyMemoryBudget.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/memory/BodyMemoryBudget.java
@@ -23,9 +23,9 @@
     public static final long SMALL_BODY_BYTES = 64L * 1_024;
 
     /**
-     * The limit is 3/8 of the heap. Buffered responses take 1/5, heads of requests 1/8, and the rest
-     * (48 MB of 160 MB) is for the VM's state and for the copies of one body while it is relayed:
-     * five, each of at most the limit for a body.
+     * The limit is 3/8 of the heap. Buffered responses take 1/5, heads of requests 1/8, and the
+     * rest (48 MB of 160 MB) is for the VM's state and for the copies of one body while it is
+     * relayed: five, each of at most the limit for a body.
      */
     private static final long HEAP_NUMERATOR = 3;
 
