Allow for the longest step between two checks in limits of time

What callers would have seen: on a busy VM a head within its time refused with 408, or a connection closed up to a second early. Cause: a connection notes the time of the check before, which may be two seconds ago; the limits allowed for one. Two other cases of that class let a second more pass, since limits of time end a second later.

--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundConnections.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundConnections.java
@@ -16,6 +16,9 @@
     /** Interval in which limits of time are checked. */
     private static final long SWEEP_MILLIS = 1_000;
 
+    /** Longest time that one sweep counts for. */
+    private static final long MAX_STEP_MILLIS = 2 * SWEEP_MILLIS;
+
     private static final int SCRATCH_BYTES = 32 * 1_024;
 
     private final Supplier<InboundLimits> limits;
@@ -64,7 +67,7 @@
         long elapsed = nowMillis - sweptAtMillis;
         if (elapsed >= SWEEP_MILLIS) {
             sweptAtMillis = nowMillis;
-            millis += Math.min(elapsed, 2 * SWEEP_MILLIS);
+            millis += Math.min(elapsed, MAX_STEP_MILLIS);
             ports.forEach(InboundPort::sweep);
         }
     }
@@ -109,9 +112,11 @@
         return millis;
     }
 
-    /** Tells whether a time limit has passed; the start may be one sweep late. */
+    /**
+     * Tells whether a time limit has passed; the start is that of the sweep before, a step early.
+     */
     boolean passed(long sinceMillis, long limitMillis) {
-        return millis - sinceMillis > limitMillis + SWEEP_MILLIS;
+        return millis - sinceMillis > limitMillis + MAX_STEP_MILLIS;
     }
 
     /** Bytes for one turn of one connection. */
