Send the refusal of a further request on a kept connection

What callers saw: a connection that had been answered before was closed without the refusal, 431 or 503 with Retry-After. Cause: the mark that a response has begun was cleared by the next head only, and a refused head is not passed on. Evidence: InboundConnectionsTest.refusalOfAFurtherRequestOfAConnectionIsSent fails without the change and holds. A comment on limits of time is worded anew.

--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundConnections.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundConnections.java
@@ -113,7 +113,8 @@
     }
 
     /**
-     * Tells whether a time limit has passed; the start is that of the sweep before, a step early.
+     * Tells whether a time limit has passed. A start is read from the clock of the last sweep, so
+     * it may be one step too early.
      */
     boolean passed(long sinceMillis, long limitMillis) {
         return millis - sinceMillis > limitMillis + MAX_STEP_MILLIS;
--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestGuard.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestGuard.java
@@ -278,6 +278,7 @@
     /** The response has been written and the request been read to its end. */
     private void endExchange() {
         headPassedOn = false;
+        responseBegun = false;
         resize(ahead == null ? 0 : ahead.readableBytes());
         if (closesAfterResponse) {
             close("too_far_ahead");
--- a/vanillapoint-http/src/test/java/io/vanillapoint/http/InboundConnectionsTest.java
+++ b/vanillapoint-http/src/test/java/io/vanillapoint/http/InboundConnectionsTest.java
@@ -246,6 +246,17 @@
         assertThat(response, endsWith("\r\n\r\nhead_too_large"));
     }
 
+    /** Guards against a refusal that is left out because an earlier request was answered. */
+    @Test
+    void refusalOfAFurtherRequestOfAConnectionIsSent() throws Exception {
+        listen(1_000_000);
+        Socket client = connect();
+        send(client, GET.formatted("a"));
+        assertThat(receive(client), endsWith("answer to /a"));
+        send(client, "GET /b HTTP/1.1\r\na: " + "x".repeat(20_000));
+        assertThat(receive(client), startsWith("HTTP/1.1 431 "));
+    }
+
     private void listen(long headMemoryBytes) throws Exception {
         CompletableFuture<HttpServer> listening = new CompletableFuture<>();
         context.runOnContext(
