Read bodies as fast as the HTTP library does by default

Cause: one turn of the event loop read at most 128 KB of a connection, so connections that refused callers had closed stayed open until their bytes had been read, in 12 turns, and reached the limit on connections.

Change: a turn is bounded to 128 KB only where bytes may begin a line or a chunk; while only content follows, 16 reads of 64 KB, the library's default.

--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundConnections.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/InboundConnections.java
@@ -19,7 +19,7 @@
     /** Longest time that one sweep counts for. */
     private static final long MAX_STEP_MILLIS = 2 * SWEEP_MILLIS;
 
-    private static final int SCRATCH_BYTES = 32 * 1_024;
+    private static final int SCRATCH_BYTES = BoundedReads.MAX_READ_BYTES;
 
     private final Supplier<InboundLimits> limits;
     private final InboundListener listener;
--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestGuard.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestGuard.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.ChannelDuplexHandler;
@@ -33,13 +32,6 @@
  * arrive in one read are passed on as one. Confined to one event loop.
  */
 final class RequestGuard extends ChannelDuplexHandler {
-    private static final int MIN_READ_BYTES = 512;
-    private static final int INITIAL_READ_BYTES = 2_048;
-    private static final int MAX_READ_BYTES = 32 * 1_024;
-
-    /** Reads of one connection in one turn of the event loop. */
-    private static final int READS_PER_TURN = 4;
-
     /** Bytes of following requests beyond which a connection is not read. */
     private static final int MAX_AHEAD_BYTES = 16 * 1_024;
 
@@ -85,11 +77,7 @@
 
     /** Takes its place in front of the HTTP library. */
     void install(Channel channel) {
-        channel.config()
-                .setRecvByteBufAllocator(
-                        new AdaptiveRecvByteBufAllocator(
-                                        MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
-                                .maxMessagesPerRead(READS_PER_TURN));
+        channel.config().setRecvByteBufAllocator(new BoundedReads(parser::onlyContentFollows));
         ChannelPipeline pipeline = channel.pipeline();
         String decoder = pipeline.context(HttpRequestDecoder.class).name();
         String encoder = pipeline.context(HttpResponseEncoder.class).name();
--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestParser.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestParser.java
@@ -52,6 +52,14 @@
         return part != Part.BEFORE_HEAD;
     }
 
+    /**
+     * Tells whether none of the next bytes belongs to the framing of this request. Bytes behind a
+     * body of a declared length do not count, since they are kept unread.
+     */
+    boolean onlyContentFollows(int bytes) {
+        return part == Part.LENGTH || part == Part.CHUNK_DATA && remaining >= bytes;
+    }
+
     /** The head that {@link Event#HEAD} has announced. */
     RequestHead head() {
         return complete;
