--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/InboundLog.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/InboundLog.java
@@ -14,7 +14,7 @@
 final class InboundLog implements InboundListener {
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    /** Heads are held for as long as their requests, most of which take less. */
+    /** Shortest time after which a refused request may be sent again. */
     private static final long RETRY_AFTER_MILLIS = 500;
 
     /** Spreads callers that were refused together. */
--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/HeadSyntax.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/HeadSyntax.java
@@ -7,7 +7,7 @@
     private static final byte NAME = 1;
     private static final byte TEXT = 2;
 
-    /** Classes of each byte; a lookup costs less than comparisons while the code is interpreted. */
+    /** Classes of each byte value. */
     private static final byte[] CLASSES = classes();
 
     private HeadSyntax() {}
