--- a/review/standins-3/Caller.java
+++ b/review/standins-3/Caller.java
@@ -11,11 +11,11 @@
 
     private Caller() {}
 
-    static Answer get(String ip, int port, String target, int timeoutMillis) throws IOException {
+    static Answer get(String ip, int port, String target, int timeoutMillis) {
         return send(ip, port, "GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n", timeoutMillis);
     }
 
-    static Answer send(String ip, int port, String request, int timeoutMillis) throws IOException {
+    static Answer send(String ip, int port, String request, int timeoutMillis) {
         long end = System.nanoTime() + timeoutMillis * 1_000_000L;
         try (Socket socket = new Socket()) {
             socket.setTcpNoDelay(true);
--- a/review/standins-3/Deployment.java
+++ b/review/standins-3/Deployment.java
@@ -5,10 +5,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
 /** A small deployment: settings, configuration and processes, like those of the users' small sites. */
@@ -145,41 +147,54 @@
         long end = System.nanoTime() + millis * 1_000_000;
         while (System.nanoTime() < end) {
             if (vms.stream().allMatch(EntryVm::ready)) {
-                return true;
+                askDirectories();
+                while (resolved.size() < REGIONS.size() && System.nanoTime() < end) {
+                    Threads.sleep(100);
+                }
+                return resolved.size() == REGIONS.size();
             }
             Threads.sleep(100);
         }
         return false;
     }
 
-    private final Map<String, List<String>> resolved = new LinkedHashMap<>();
-    private final Map<String, Long> resolvedAt = new LinkedHashMap<>();
-
-    /** Address of a VM for a caller of a region, from the directory; asked again every 2 s. */
-    String front(String region) throws IOException {
-        synchronized (resolved) {
-            long now = record.millis();
-            if (now - resolvedAt.getOrDefault(region, -10_000L) > 2_000) {
-                for (EntryVm vm : nearestFirst(region)) {
-                    String target = "/-/resolve?name=" + HOST + "&region=" + region + "&zone=" + region + "-a";
-                    Caller.Answer answer = Caller.get(vm.ip, ports.directory(), target, 1_000);
-                    if (answer.status() == 200) {
-                        List<String> found = new ArrayList<>();
-                        var matcher =
-                                java.util.regex.Pattern.compile("\"([0-9.]+):" + ports.front() + "\"")
-                                        .matcher(answer.body());
-                        while (matcher.find()) {
-                            found.add(matcher.group(1));
-                        }
-                        if (!found.isEmpty()) {
-                            resolved.put(region, found);
-                            resolvedAt.put(region, now);
-                            break;
+    private final Map<String, List<String>> resolved = new ConcurrentHashMap<>();
+
+    /** Asks the directory for the callers of all regions, again every 2 s. */
+    private void askDirectories() {
+        for (String region : REGIONS) {
+            Threads.start(
+                    "directory of " + region,
+                    () -> {
+                        while (true) {
+                            resolve(region);
+                            Threads.sleep(2_000);
                         }
-                    }
-                }
+                    });
+        }
+    }
+
+    private void resolve(String region) {
+        String target = "/-/resolve?name=" + HOST + "&region=" + region + "&zone=" + region + "-a";
+        for (EntryVm vm : nearestFirst(region)) {
+            Caller.Answer answer = Caller.get(vm.ip, ports.directory(), target, 1_000);
+            List<String> found = new ArrayList<>();
+            Matcher address =
+                    Pattern.compile("\"([0-9.]+):" + ports.front() + "\"").matcher(answer.body());
+            while (address.find()) {
+                found.add(address.group(1));
+            }
+            if (answer.status() == 200 && !found.isEmpty()) {
+                resolved.put(region, found);
+                return;
             }
-            List<String> addresses = resolved.getOrDefault(region, List.of(vms.get(0).ip));
+        }
+    }
+
+    /** Address of a VM for a caller of a region. */
+    String front(String region) {
+        List<String> addresses = resolved.get(region);
+        synchronized (random) {
             return addresses.get(random.nextInt(addresses.size()));
         }
     }
--- a/review/standins-3/EntryVm.java
+++ b/review/standins-3/EntryVm.java
@@ -65,6 +65,11 @@
         new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
     }
 
+    /** Waits for the end of the process and returns its exit code. */
+    int awaitExit() throws InterruptedException {
+        return process.waitFor();
+    }
+
     boolean isRunning() {
         return process != null && process.isAlive();
     }
@@ -82,10 +87,6 @@
     }
 
     boolean ready() {
-        try {
-            return Caller.get(ip, ports.ready(), "/-/readiness", 1_000).status() == 200;
-        } catch (IOException e) {
-            return false;
-        }
+        return Caller.get(ip, ports.ready(), "/-/readiness", 1_000).status() == 200;
     }
 }
--- a/review/standins-3/Replica.java
+++ b/review/standins-3/Replica.java
@@ -129,7 +129,8 @@
                 if (expected != null && !expected.equals(id)) {
                     write(out, 421, "Not-Executed: 1\r\nInstance-Id: " + id + "\r\n", "");
                 } else if (target.equals("/health")) {
-                    write(out, 200, "Instance-Id: " + id + "\r\n", "");
+                    String cold = "Cold-Remaining: " + coldRemainingMillis() + "\r\n";
+                    write(out, 200, "Instance-Id: " + id + "\r\n" + cold, "");
                 } else if (target.equals("/-/report")) {
                     write(out, 200, "Content-Type: application/json\r\n", report());
                 } else {
@@ -146,6 +147,11 @@
         }
     }
 
+    /** What the answers to health checks say. */
+    long coldRemainingMillis() {
+        return 0;
+    }
+
     private String report() {
         return "{\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"busy\":false,"
                 + "\"sequence\":1,\"queuedRequests\":0,\"runningRequests\":"
--- a/review/standins-3/Store.java
+++ b/review/standins-3/Store.java
@@ -67,6 +67,11 @@
         notifyAll();
     }
 
+    /** Returns with all that it has acknowledged. */
+    synchronized void back() {
+        away = false;
+    }
+
     /** Returns with what had been written up to a revision. */
     synchronized void returnFromCopy(long copyRevision) {
         history.removeIf(item -> item.revision > copyRevision);
