--- a/review/15/StatusLines.java
+++ b/review/11/StatusLines.java
@@ -7,8 +7,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One of 18 model replicas hands out wrong bytes: in the body of a stream it repeats its status line
- * without a line end, with a blank line now and then, until the caller closes.
+ * Half of the model replicas spoil one in twenty of their answers: in the body of a stream they
+ * repeat their status line without a line end, with a blank line now and then, until the caller
+ * closes.
  */
 final class StatusLines {
     private static final int TIMEOUT_MILLIS = 1_500;
@@ -17,6 +18,9 @@
     private static final int BLOCK_BYTES = 200 * 1_024;
     private static final long TROUBLE_MILLIS = 5_000;
 
+    /** One in so many answers of the replicas in trouble is spoiled. */
+    private static final int ONE_IN = 20;
+
     /** Fewest requests without a final answer that break the rule. */
     private static final int FEWEST = 8;
 
@@ -28,6 +32,7 @@
     private final AtomicInteger unanswered = new AtomicInteger();
     private final AtomicInteger answeredInTime = new AtomicInteger();
     private final AtomicInteger ends = new AtomicInteger();
+    private final AtomicInteger answers = new AtomicInteger();
     private volatile boolean garbling;
     private volatile boolean ended;
 
@@ -57,7 +62,7 @@
 
         @Override
         void run(Http.Head head, byte[] body, Socket socket, OutputStream out) throws Exception {
-            if (!garbling) {
+            if (!garbling || answers.incrementAndGet() % ONE_IN != 0) {
                 super.run(head, body, socket, out);
                 return;
             }
@@ -83,7 +88,7 @@
             String region = Deployment.REGIONS.get(i);
             for (int j = 0; j < engines[i]; j++) {
                 String ip = deployment.ip(i + 1, 100 + j);
-                boolean faulty = i == 0 && j == 0;
+                boolean faulty = j % 2 == i % 2;
                 replicas.add(
                         faulty ? new Faulty(region, ip) : new Replica(deployment, "model", region, ip));
             }
@@ -113,10 +118,10 @@
         }
         Threads.sleep(8_000);
         garbling = trouble;
-        deployment.record.add(trouble ? "replica i-0001 begins to hand out wrong bytes" : "no trouble");
+        deployment.record.add(trouble ? "half of the replicas begin to hand out wrong bytes" : "no trouble");
         Threads.sleep(TROUBLE_MILLIS);
         garbling = false;
-        deployment.record.add("the replica is sound again");
+        deployment.record.add("the replicas are sound again");
         Threads.sleep(20_000);
         ended = true;
         Threads.sleep(4_000);
--- a/review/standins-3/Store.java
+++ b/review/standins-3/Store.java
@@ -18,9 +18,11 @@
 /** The platform's store: ranges in pages, watches, and the return from an older copy. */
 final class Store {
     private static final int PAGE_ITEMS = 400;
+    private static final int PAGE_BYTES = 1_000_000;
     private static final String GONE = "gone";
 
-    private record Item(String key, long revision, String value) {}
+    /** A value as it was written, or a removal; with its JSON text. */
+    private record Item(String key, long revision, boolean removed, String json) {}
 
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final List<Item> history = new ArrayList<>();
@@ -40,14 +42,14 @@
         if (away) {
             return false;
         }
-        change(new Item(key, ++revision, value));
+        change(item(key, ++revision, value));
         items.put(key, history.get(history.size() - 1));
         return true;
     }
 
     synchronized void remove(String key) {
         if (!away && items.remove(key) != null) {
-            change(new Item(key, ++revision, null));
+            change(item(key, ++revision, null));
         }
     }
 
@@ -77,7 +79,7 @@
         history.removeIf(item -> item.revision > copyRevision);
         items.clear();
         for (Item item : history) {
-            if (item.value == null) {
+            if (item.removed) {
                 items.remove(item.key);
             } else {
                 items.put(item.key, item);
@@ -164,11 +166,11 @@
         boolean more = false;
         for (Item item : items.tailMap(after, after.isEmpty()).values()) {
             if (item.key.startsWith(prefix)) {
-                if (count == PAGE_ITEMS) {
+                if (count == PAGE_ITEMS || count > 0 && list.length() + item.json.length() > PAGE_BYTES) {
                     more = true;
                     break;
                 }
-                list.append(count++ == 0 ? "" : ",").append(json(item));
+                list.append(count++ == 0 ? "" : ",").append(item.json);
             }
         }
         return "{\"items\":[" + list + "],\"hasMore\":" + more + ",\"asOf\":" + revision + "}";
@@ -182,33 +184,33 @@
                 return GONE;
             }
             StringBuilder list = new StringBuilder();
+            long asOf = revision;
             for (Item item : history) {
                 if (item.revision > after && item.key.startsWith(prefix)) {
-                    list.append(list.isEmpty() ? "" : ",").append(json(item));
+                    if (list.length() + item.json.length() > PAGE_BYTES && !list.isEmpty()) {
+                        break;
+                    }
+                    asOf = item.revision;
+                    list.append(list.isEmpty() ? "" : ",").append(item.json);
                 }
             }
             long left = (end - System.nanoTime()) / 1_000_000;
             if (away || !list.isEmpty() || left <= 0) {
-                return "{\"events\":[" + list + "],\"asOf\":" + revision + "}";
+                return "{\"events\":[" + list + "],\"asOf\":" + asOf + "}";
             }
             wait(left);
         }
     }
 
-    private static String json(Item item) {
-        if (item.value == null) {
-            return "{\"key\":\"" + item.key + "\",\"revision\":" + item.revision + ",\"removed\":true}";
+    private static Item item(String key, long revision, String value) {
+        String start = "{\"key\":\"" + key + "\",\"revision\":" + revision + ",";
+        if (value == null) {
+            return new Item(key, revision, true, start + "\"removed\":true}");
         }
-        String value =
-                Base64.getEncoder().encodeToString(item.value.getBytes(StandardCharsets.UTF_8));
-        return "{\"key\":\""
-                + item.key
-                + "\",\"value\":\""
-                + value
-                + "\",\"revision\":"
-                + item.revision
-                + ",\"createRevision\":"
-                + item.revision
-                + ",\"lease\":0}";
+        String text =
+                Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
+        String json =
+                start + "\"value\":\"" + text + "\",\"createRevision\":" + revision + ",\"lease\":0}";
+        return new Item(key, revision, false, json);
     }
 }
