--- a/review/12/LargeEntries.java
+++ b/review/12/LargeEntries.java
@@ -17,9 +17,12 @@
  */
 final class LargeEntries {
     private static final int VALUE_BYTES = 1_048_576;
-    private static final int ENTRIES = 140;
+    private static final int ENTRIES = 180;
     private static final int ALLOWED = 3;
 
+    /** Pause of a client between two requests. */
+    private static final long PAUSE_BETWEEN_MILLIS = 40;
+
     /** Clients of each region. */
     private static final int CLIENTS = 30;
 
@@ -155,6 +158,7 @@
                         break;
                     }
                     kept = true;
+                    Threads.sleep(PAUSE_BETWEEN_MILLIS);
                 }
             } catch (IOException e) {
                 deployment.record.add("no connection to " + front + ": " + e.getMessage());
