Search an event for another response's head in one pass

Cause: the regular expression for a head was tried at each status line of an event and ran over the rest of the line each time, so its time grew with the square of the line. The search now goes on at the end of a line that it has examined.

The pattern's other cases passed before and after.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/StreamEvent.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/traffic/StreamEvent.java
@@ -1,8 +1,5 @@
 package io.vanillapoint.entry.traffic;
 
-import java.nio.charset.StandardCharsets;
-import java.util.regex.Pattern;
-
 /**
  * What the lines of one event of a stream say. Immutable.
  *
@@ -21,10 +18,10 @@
     private static final int MAX_ID_DIGITS = 18;
     private static final String HTTP_VERSION = "HTTP/1.";
 
-    /** Status line and header of another response, which a faulty replica may write anywhere. */
-    private static final Pattern RESPONSE_HEAD =
-            Pattern.compile(
-                    "HTTP/1\\.[01] \\d{3}[^\\r\\n]*\\r?\\n(?!data:|event:|retry:|id:|:|\\r?\\n)");
+    private static final int STATUS_DIGITS = 3;
+
+    /** Starts of the lines that belong to a stream. */
+    private static final String[] STREAM_LINES = {"data:", "event:", "retry:", "id:", ":"};
 
     /** Reads an event without creating text, since a stream may have many small ones. */
     static StreamEvent read(byte[] bytes, int from, int to) {
@@ -51,11 +48,58 @@
                 to - from, id, comment, content, data, containsResponseHead(bytes, from, to));
     }
 
+    /**
+     * Tells whether a status line stands anywhere, even inside a line, and the next line is a
+     * header.
+     */
     private static boolean containsResponseHead(byte[] bytes, int from, int to) {
-        for (int i = from; i < to; i++) {
-            if (bytes[i] == 'H' && startsWith(bytes, i, to, HTTP_VERSION)) {
-                String text = new String(bytes, from, to - from, StandardCharsets.ISO_8859_1);
-                return RESPONSE_HEAD.matcher(text).find();
+        int position = from;
+        while (position < to) {
+            if (!isStatusLine(bytes, position, to)) {
+                position++;
+                continue;
+            }
+            int end = endOfLine(bytes, position, to);
+            int next = afterLineEnd(bytes, end, to);
+            if (next > end && !isStreamLine(bytes, next, to)) {
+                return true;
+            }
+            // Another status line before the end would be followed by the same line.
+            position = end;
+        }
+        return false;
+    }
+
+    private static boolean isStatusLine(byte[] bytes, int from, int to) {
+        int digits = from + HTTP_VERSION.length() + 2;
+        if (bytes[from] != 'H'
+                || to - digits < STATUS_DIGITS
+                || !startsWith(bytes, from, to, HTTP_VERSION)
+                || (bytes[digits - 2] != '0' && bytes[digits - 2] != '1')
+                || bytes[digits - 1] != ' ') {
+            return false;
+        }
+        for (int i = digits; i < digits + STATUS_DIGITS; i++) {
+            if (bytes[i] < '0' || bytes[i] > '9') {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Start of the next line if one ends here with a line feed, the same position otherwise. */
+    private static int afterLineEnd(byte[] bytes, int end, int to) {
+        int lineFeed = end < to && bytes[end] == '\r' ? end + 1 : end;
+        return lineFeed < to && bytes[lineFeed] == '\n' ? lineFeed + 1 : end;
+    }
+
+    private static boolean isStreamLine(byte[] bytes, int from, int to) {
+        if (afterLineEnd(bytes, from, to) > from) {
+            return true;
+        }
+        for (String start : STREAM_LINES) {
+            if (startsWith(bytes, from, to, start)) {
+                return true;
             }
         }
         return false;
