Use entries only of services that the configuration names

Cause: an entry of a service that is not named became a replica, and UpstreamPool built its index anew from all replicas for each new one. Such entries wait in the copy of the store until a configuration names their service, and the index is built when it is read after changes, in the same order as before.

OddValues, a fake of other tests, names the service of its replicas now, since they would not be in use otherwise.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/published/GatewayPublication.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/published/GatewayPublication.java
@@ -2,8 +2,10 @@
 
 import io.vanillapoint.api.model.RegionId;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -21,6 +23,7 @@
     private final Map<String, List<RouteSpec>> routesByHost = new HashMap<>();
     private final Map<String, RouteSpec> routesByName = new HashMap<>();
     private final Map<String, ServiceSpec> services = new HashMap<>();
+    private final Set<String> serviceNames = new HashSet<>();
     private final Map<String, CustomerSpec> customers = new HashMap<>();
     private final Map<String, CustomerSpec> customersByKey = new HashMap<>();
     private final TrafficLimits limits;
@@ -46,11 +49,13 @@
             String host = route.host().toLowerCase(Locale.ROOT);
             routesByHost.computeIfAbsent(host, unused -> new ArrayList<>()).add(route);
             routesByName.put(route.name(), route);
+            route.services().forEach(share -> serviceNames.add(share.service()));
         }
         Comparator<RouteSpec> longestFirst =
                 Comparator.comparingInt((RouteSpec route) -> route.prefix().length()).reversed();
         routesByHost.values().forEach(list -> list.sort(longestFirst));
         services.forEach(service -> this.services.put(service.name(), service));
+        serviceNames.addAll(this.services.keySet());
         for (CustomerSpec customer : customers) {
             this.customers.put(customer.name(), customer);
             customer.keys().forEach(key -> customersByKey.put(key, customer));
@@ -170,6 +175,15 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /**
+     * Names of the services that are declared or that a route uses.
+     *
+     * @return immutable set
+     */
+    public Set<String> serviceNames() {
+        return Collections.unmodifiableSet(serviceNames);
+    }
+
     /**
      * Finds a customer by name.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -44,7 +44,11 @@
 
     private final Map<ZoneId, RegionId> regions;
     private final Map<String, ReplicaTracker> replicas = new HashMap<>();
-    private final Map<String, List<ReplicaTracker>> byService = new HashMap<>();
+    private final Map<String, List<ReplicaTracker>> index = new HashMap<>();
+
+    /** True if replicas were added or dropped since the index was built. */
+    private boolean indexOutdated;
+
     private final Map<String, ResponseTimes> responseTimes = new HashMap<>();
     private final Map<String, ServiceFailures> failures = new HashMap<>();
     private final Set<ZoneId> evacuated = new HashSet<>();
@@ -93,7 +97,7 @@
                         serviceTimes.computeIfAbsent(info.service(), unused -> new ServiceTimes()),
                         nowMillis);
         replicas.put(info.id(), tracker);
-        rebuild();
+        indexOutdated = true;
         return Optional.of(tracker);
     }
 
@@ -138,9 +142,7 @@
                                         tracker.removedAtMillis() < nowMillis - REMOVED_GRACE_MILLIS
                                                 && tracker.idle()
                                                 && !tracker.hasReportedState(nowMillis));
-        if (dropped) {
-            rebuild();
-        }
+        indexOutdated |= dropped;
     }
 
     /**
@@ -168,7 +170,7 @@
      * @return new set of names
      */
     public Set<String> services() {
-        return Set.copyOf(byService.keySet());
+        return Set.copyOf(byService().keySet());
     }
 
     /**
@@ -180,7 +182,7 @@
      */
     public List<ReplicaTracker> serving(String service, long nowMillis) {
         List<ReplicaTracker> serving = new ArrayList<>();
-        for (ReplicaTracker tracker : byService.getOrDefault(service, List.of())) {
+        for (ReplicaTracker tracker : byService().getOrDefault(service, List.of())) {
             if (serves(tracker, nowMillis)) {
                 serving.add(tracker);
             }
@@ -356,7 +358,7 @@
      */
     List<ReplicaTracker> onSuspectedPaths() {
         List<ReplicaTracker> suspected = new ArrayList<>();
-        for (Map.Entry<String, List<ReplicaTracker>> service : byService.entrySet()) {
+        for (Map.Entry<String, List<ReplicaTracker>> service : byService().entrySet()) {
             Set<RegionId> failing = new HashSet<>();
             for (ReplicaTracker tracker : service.getValue()) {
                 if (tracker.connectionsFailSince().isPresent()) {
@@ -381,7 +383,7 @@
         int failing = 0;
         long failSinceMillis = Long.MAX_VALUE;
         long reachedMillis = Long.MIN_VALUE;
-        for (ReplicaTracker tracker : byService.getOrDefault(service, List.of())) {
+        for (ReplicaTracker tracker : byService().getOrDefault(service, List.of())) {
             if (!tracker.region().equals(region)) {
                 continue;
             }
@@ -508,12 +510,16 @@
         return tracker.draining() || (removed && !tracker.mayReturn()) || graceExpired;
     }
 
-    private void rebuild() {
-        byService.clear();
-        for (ReplicaTracker tracker : replicas.values()) {
-            byService
-                    .computeIfAbsent(tracker.info().service(), unused -> new ArrayList<>())
-                    .add(tracker);
+    /** Replicas by the name of their service. Many may be added between two look-ups. */
+    private Map<String, List<ReplicaTracker>> byService() {
+        if (indexOutdated) {
+            index.clear();
+            for (ReplicaTracker tracker : replicas.values()) {
+                index.computeIfAbsent(tracker.info().service(), unused -> new ArrayList<>())
+                        .add(tracker);
+            }
+            indexOutdated = false;
         }
+        return index;
     }
 }
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
@@ -30,9 +30,10 @@
  * Published configuration, replicas and evacuations that are in force on this VM.
  *
  * <p>Invariant: the version of the configuration never decreases. A value that can't be parsed is
- * ignored, except that a replica whose entry can't be parsed gets no requests. A value that can't
- * be applied because of an unexpected error does not affect others; it is applied again after a
- * pause that grows, until it is applied or replaced. Confined to one thread.
+ * ignored, except that a replica whose entry can't be parsed gets no requests, and neither does one
+ * of a service that the configuration does not name, until it does. A value that can't be applied
+ * because of an unexpected error does not affect others; it is applied again after a pause that
+ * grows, until it is applied or replaced. Confined to one thread.
  */
 public final class PublishedState {
     /**
@@ -309,9 +310,8 @@
     /** Applies configurations before replicas, whose services they define. */
     private void applyPending() {
         if (!pending.isEmpty()) {
-            Map<String, PendingItem> items = new LinkedHashMap<>(pending);
-            items.forEach((id, item) -> applyIfDue(id, item, true));
-            items.forEach((id, item) -> applyIfDue(id, item, false));
+            new LinkedHashMap<>(pending).forEach((id, item) -> applyIfDue(id, item, true));
+            new LinkedHashMap<>(pending).forEach((id, item) -> applyIfDue(id, item, false));
         }
     }
 
@@ -403,14 +403,36 @@
                     source);
             return;
         }
+        Set<String> servicesBefore = serviceNames();
         publication = parsed;
         itemInForce = Optional.of(item);
+        if (!servicesBefore.containsAll(serviceNames())) {
+            applyEntriesNotInUse(source);
+        }
         listenerPending = true;
         publicationListener.accept(parsed.get());
         listenerPending = false;
         log.record(EventCode.PUBLICATION_TAKEN, parsed.get().version(), item.revision(), source);
     }
 
+    private Set<String> serviceNames() {
+        return publication.map(GatewayPublication::serviceNames).orElse(Set.of());
+    }
+
+    /** Entries of services that were not named before name replicas to use from now on. */
+    private void applyEntriesNotInUse(String source) {
+        for (StoredItem item : table.items()) {
+            boolean unused =
+                    !item.removed()
+                            && format.kind(item.key()) == PublishedFormat.Kind.REPLICA
+                            && !heldBack.containsKey(item.key())
+                            && pool.replica(format.name(item.key())).isEmpty();
+            if (unused) {
+                pending.putIfAbsent(item.key(), new PendingItem(item, source, false));
+            }
+        }
+    }
+
     private boolean isNewer(GatewayPublication parsed) {
         if (publication.isEmpty()) {
             return true;
@@ -440,6 +462,11 @@
             return;
         }
         UpstreamReplica replica = parsed.get();
+        if (!serviceNames().contains(replica.service())) {
+            pool.remove(id, false, now);
+            recordReplicaChange(id, replica.service(), "NOT CONFIGURED", item, source);
+            return;
+        }
         pool.publish(replica, publication.flatMap(p -> p.service(replica.service())), now);
         String coldSuffix = replica.coldMillis() > 0 ? " cold " + replica.coldMillis() : "";
         recordReplicaChange(id, replica.service(), replica.state() + coldSuffix, item, source);
--- /dev/null
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/NamedValues.java
@@ -0,0 +1,78 @@
+package io.vanillapoint.entry.control;
+
+import io.vanillapoint.api.finding.Findings;
+import io.vanillapoint.api.model.Endpoint;
+import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.published.GatewayPublication;
+import io.vanillapoint.core.published.PublishedFormat;
+import io.vanillapoint.core.published.ReplicaState;
+import io.vanillapoint.core.published.ServiceSpec;
+import io.vanillapoint.core.published.StoredItem;
+import io.vanillapoint.core.published.TrafficLimits;
+import io.vanillapoint.core.published.UpstreamReplica;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * A format in which the text of a configuration lists its services, and that of a replica's entry
+ * is the name of its service. Stateless.
+ */
+class NamedValues implements PublishedFormat {
+    static final String CONFIGURATION = "config";
+    static final String REPLICAS = "replica/";
+    static final ZoneId ZONE = new ZoneId("z");
+
+    static StoredItem item(String key, long revision, String text) {
+        return new StoredItem(key, revision, false, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    static StoredItem removed(String key, long revision) {
+        return new StoredItem(key, revision, true, new byte[0]);
+    }
+
+    @Override
+    public Kind kind(String key) {
+        if (key.equals(CONFIGURATION)) {
+            return Kind.CONFIGURATION;
+        }
+        return key.startsWith(REPLICAS) ? Kind.REPLICA : Kind.OTHER;
+    }
+
+    @Override
+    public String name(String key) {
+        return key.substring(REPLICAS.length());
+    }
+
+    @Override
+    public Optional<GatewayPublication> configuration(StoredItem item, Findings findings) {
+        List<ServiceSpec> services =
+                Arrays.stream(text(item).split(","))
+                        .map(name -> new ServiceSpec(name, 100, 0, 0, Optional.empty()))
+                        .toList();
+        return Optional.of(
+                new GatewayPublication(
+                        item.revision(), List.of(), services, List.of(), TrafficLimits.DEFAULT));
+    }
+
+    @Override
+    public Optional<UpstreamReplica> replica(StoredItem item, Findings findings) {
+        return Optional.of(
+                new UpstreamReplica(
+                        name(item.key()),
+                        text(item),
+                        new Endpoint("127.0.0.1", 1),
+                        ZONE,
+                        6,
+                        ReplicaState.READY,
+                        0,
+                        1,
+                        Set.of()));
+    }
+
+    private static String text(StoredItem item) {
+        return new String(item.value(), StandardCharsets.UTF_8);
+    }
+}
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/OddValues.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/OddValues.java
@@ -6,6 +6,7 @@
 import io.vanillapoint.core.published.GatewayPublication;
 import io.vanillapoint.core.published.PublishedFormat;
 import io.vanillapoint.core.published.ReplicaState;
+import io.vanillapoint.core.published.ServiceSpec;
 import io.vanillapoint.core.published.StoredItem;
 import io.vanillapoint.core.published.TrafficLimits;
 import io.vanillapoint.core.published.UpstreamReplica;
@@ -14,8 +15,8 @@
 import java.util.Set;
 
 /**
- * A format in which the first letter of a key names its kind, and one kind of value raises an
- * error. Confined to one event loop, except for the error.
+ * A format in which the first letter of a key names its kind, all replicas are of one service, and
+ * one kind of value raises an error. Confined to one event loop, except for the error.
  */
 final class OddValues implements PublishedFormat {
     volatile Throwable error;
@@ -42,7 +43,11 @@
         failIfOdd(item);
         return Optional.of(
                 new GatewayPublication(
-                        item.revision(), List.of(), List.of(), List.of(), TrafficLimits.DEFAULT));
+                        item.revision(),
+                        List.of(),
+                        List.of(new ServiceSpec("s", 100, 0, 0, Optional.empty())),
+                        List.of(),
+                        TrafficLimits.DEFAULT));
     }
 
     @Override
