Bound the copy of the store by count and bytes

Cause: each VM kept any number of entries that nothing uses, a tombstone of each removed key for ever, and all pages of a listing, so that other writers decided how much of the heap is left. A key whose tombstone was dropped comes back only with a later change or a listing. When a configuration names a new service and entries may be missing, the store is listed.

ForeignEntriesTest.entriesThatNothingUses... and removedKeys...AreDroppedBeyondTheLimit failed before (48,012 and 48,000 items, 20,000 allowed). Event 2114 and three gauges tell of it. Evacuations of zones outside the fleet are ignored.

--- a/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
+++ b/vanillapoint-api/src/main/java/io/vanillapoint/api/event/EventCode.java
@@ -131,6 +131,8 @@
     /** An answer of the store was too large; the store is listed in pages. */
     STORE_ANSWER_TOO_LARGE(
             2113, EventLevel.WARN, "store answer too large", "call", "error", "revision"),
+    /** The copy of the store was full, and items were dropped. */
+    STORE_COPY_FULL(2114, EventLevel.WARN, "store copy full", "dropped", "items", "bytes"),
     /** A VM was discovered or changed its state. */
     MEMBER_CHANGED(2201, EventLevel.INFO, "member", "member", "state", "incarnation"),
     /** A VM has stopped sending messages and is no longer listed for callers. */
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/published/PublishedTable.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/published/PublishedTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
 
 /**
@@ -16,15 +17,60 @@
  * tombstone so that an older value from another VM can't restore the key. A later era is adopted
  * only as a whole, and nothing of an earlier era changes the table after that. A table that started
  * after a removal has no tombstone for it, so a query for changes since an earlier revision returns
- * all keys instead. Confined to one thread.
+ * all keys instead. {@link #trim} keeps the table within its limits; a key whose tombstone it has
+ * dropped comes back only with a later change or a listing. Confined to one thread.
  */
 public final class PublishedTable {
+    private final CopyLimits limits;
     private Map<String, StoredItem> items = new HashMap<>();
+    private long bytes;
     private StorePosition position = StorePosition.START;
 
     /** Removals after this revision have a tombstone; older ones may have none. */
     private long removalsTrackedAfter;
 
+    /** Revision of the newest tombstone that was dropped. */
+    private long droppedRemoval;
+
+    private boolean liveItemsDropped;
+
+    /**
+     * Creates an empty table.
+     *
+     * @param limits limits that {@link #trim} applies
+     */
+    public PublishedTable(CopyLimits limits) {
+        this.limits = limits;
+    }
+
+    /**
+     * Number of items.
+     *
+     * @return number, removed keys included
+     */
+    public int size() {
+        return items.size();
+    }
+
+    /**
+     * Size of the items in memory.
+     *
+     * @return estimate in bytes
+     */
+    public long bytes() {
+        return bytes;
+    }
+
+    /**
+     * Tells whether entries that nothing used may be missing, because this VM or the one that it
+     * copied from has dropped them.
+     *
+     * @return true if only a listing tells all entries
+     */
+    public boolean mayLackUnusedItems() {
+        return liveItemsDropped || limits.crowded(items.size(), bytes);
+    }
+
     /**
      * Position up to which every change is included.
      *
@@ -77,7 +123,7 @@
         if (changes.position().era() < position.era()) {
             return List.of();
         }
-        return changes.complete() ? replace(changes) : apply(changes);
+        return changes.complete() ? replace(changes) : apply(changes, false);
     }
 
     /**
@@ -94,7 +140,7 @@
         }
         List<StoredItem> changes = new ArrayList<>(listing.items());
         addRemovals(listing, part, changes);
-        return apply(StoreChanges.changes(position, changes));
+        return apply(StoreChanges.changes(position, changes), true);
     }
 
     /**
@@ -116,10 +162,40 @@
         return new StoreChanges(position, complete, selected);
     }
 
-    private List<StoredItem> apply(StoreChanges changes) {
+    /**
+     * Tells whether the table has to be trimmed.
+     *
+     * @return true if it is beyond its limits
+     */
+    public boolean exceedsLimits() {
+        return limits.exceeded(items.size(), bytes);
+    }
+
+    /**
+     * Drops items if the table is beyond its limits.
+     *
+     * @param importance importance of an item that is not removed
+     * @return the items that were dropped
+     */
+    public List<StoredItem> trim(Function<StoredItem, Importance> importance) {
+        List<StoredItem> dropped = limits.excess(items.values(), importance);
+        for (StoredItem item : dropped) {
+            items.remove(item.key());
+            bytes -= CopyLimits.bytes(item);
+            if (item.removed()) {
+                droppedRemoval = Math.max(droppedRemoval, item.revision());
+            } else {
+                liveItemsDropped = true;
+            }
+        }
+        removalsTrackedAfter = Math.max(removalsTrackedAfter, droppedRemoval);
+        return dropped;
+    }
+
+    private List<StoredItem> apply(StoreChanges changes, boolean current) {
         List<StoredItem> changed = new ArrayList<>();
         for (StoredItem item : changes.items()) {
-            if (putIfNewer(item)) {
+            if ((current || !mayHaveBeenRemoved(item)) && putIfNewer(item)) {
                 changed.add(item);
             }
         }
@@ -129,15 +205,23 @@
         return changed;
     }
 
+    /** A change to a key without an item, so old that its removal may be known no more. */
+    private boolean mayHaveBeenRemoved(StoredItem item) {
+        return item.revision() <= Math.min(droppedRemoval, position.revision())
+                && !items.containsKey(item.key());
+    }
+
     /** Applies a listing. A key that it lacks was removed, unless it was written since. */
     private List<StoredItem> replace(StoreChanges listing) {
         long startRevision = listing.position().revision();
         List<StoredItem> changes = new ArrayList<>(listing.items());
         addRemovals(listing, key -> true, changes);
+        boolean current = !position.isAfter(listing.position());
         if (listing.position().isAfter(position)) {
             removalsTrackedAfter = startRevision;
         }
-        return apply(StoreChanges.changes(listing.position(), changes));
+        liveItemsDropped &= !current;
+        return apply(StoreChanges.changes(listing.position(), changes), current);
     }
 
     private void addRemovals(
@@ -167,6 +251,9 @@
             }
         }
         items = adopted;
+        bytes = adopted.values().stream().mapToLong(CopyLimits::bytes).sum();
+        droppedRemoval = 0;
+        liveItemsDropped = false;
         position = listing.position();
         removalsTrackedAfter = position.revision();
         return changed;
@@ -193,6 +280,7 @@
             }
         }
         items.put(item.key(), item);
+        bytes += CopyLimits.bytes(item) - (existing == null ? 0 : CopyLimits.bytes(existing));
         return true;
     }
 }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/published/StoreListing.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/published/StoreListing.java
@@ -1,10 +1,13 @@
 package io.vanillapoint.core.published;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 
 /**
  * Collects the pages of one listing.
@@ -19,6 +22,7 @@
     private Optional<StorePosition> position = Optional.empty();
     private String after = "";
     private boolean complete;
+    private long bytes;
 
     /**
      * Key after which the next page starts.
@@ -58,6 +62,7 @@
         }
         position = Optional.of(start);
         items.addAll(page.items());
+        page.items().forEach(item -> bytes += CopyLimits.bytes(item));
         complete = !page.hasMore() || page.items().isEmpty();
         if (!complete) {
             after = page.items().get(page.items().size() - 1).key();
@@ -65,6 +70,21 @@
         return Optional.empty();
     }
 
+    /**
+     * Drops items if the pages so far are beyond the limits of a copy, which has no room for them.
+     *
+     * @param limits the limits
+     * @param importance importance of an item
+     */
+    public void trim(CopyLimits limits, Function<StoredItem, Importance> importance) {
+        if (limits.exceeded(items.size(), bytes)) {
+            Set<StoredItem> dropped = Collections.newSetFromMap(new IdentityHashMap<>());
+            dropped.addAll(limits.excess(items, importance));
+            items.removeIf(dropped::contains);
+            dropped.forEach(item -> bytes -= CopyLimits.bytes(item));
+        }
+    }
+
     /**
      * All values of a complete listing.
      *
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -93,7 +93,7 @@
      * @return the published state, or REMOVED
      */
     public String entryState() {
-        return removedAtMillis == Long.MAX_VALUE ? info.state().name() : "REMOVED";
+        return hasEntry() ? info.state().name() : "REMOVED";
     }
 
     /**
@@ -553,6 +553,15 @@
         removedAtMillis = Math.min(removedAtMillis, nowMillis);
     }
 
+    /**
+     * Tells whether the replica has an entry that names it.
+     *
+     * @return false once its entry was removed or can't be used
+     */
+    public boolean hasEntry() {
+        return removedAtMillis == Long.MAX_VALUE;
+    }
+
     long removedAtMillis() {
         return removedAtMillis;
     }
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -101,6 +101,16 @@
         return Optional.of(tracker);
     }
 
+    /**
+     * Tells whether a zone is part of the fleet.
+     *
+     * @param zone the zone
+     * @return false if the settings name no region for it
+     */
+    public boolean knowsZone(ZoneId zone) {
+        return regions.containsKey(zone);
+    }
+
     /**
      * Records that a replica's entry was removed.
      *
@@ -118,11 +128,11 @@
     /**
      * Starts or ends the evacuation of a zone.
      *
-     * @param zone the zone
+     * @param zone the zone; ignored if it is not part of the fleet
      * @param active true to start, false to end
      */
     public void evacuate(ZoneId zone, boolean active) {
-        if (active) {
+        if (active && knowsZone(zone)) {
             evacuated.add(zone);
         } else {
             evacuated.remove(zone);
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/published/PublishedTableTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/published/PublishedTableTest.java
@@ -17,7 +17,7 @@
 class PublishedTableTest {
     @Test
     void olderRevisionChangesNothing() {
-        PublishedTable table = new PublishedTable();
+        PublishedTable table = new PublishedTable(CopyLimits.ofHeap(1 << 30));
         table.merge(changes(5, item("k", 5, "new")));
         assertThat(table.merge(changes(4, item("k", 4, "old"))), is(empty()));
         assertThat(table.position().revision(), is(5L));
@@ -25,7 +25,7 @@
 
     @Test
     void staleCopyDoesNotUndoARemoval() {
-        PublishedTable table = new PublishedTable();
+        PublishedTable table = new PublishedTable(CopyLimits.ofHeap(1 << 30));
         table.merge(changes(3, item("k", 3, "v")));
         table.merge(changes(4, new StoredItem("k", 4, true, new byte[0])));
         table.merge(changes(3, item("k", 3, "v")));
@@ -34,7 +34,7 @@
 
     @Test
     void listingRemovesMissingKeysUnlessTheyAreNewer() {
-        PublishedTable table = new PublishedTable();
+        PublishedTable table = new PublishedTable(CopyLimits.ofHeap(1 << 30));
         table.merge(changes(9, item("gone", 3, "v"), item("kept", 4, "v"), item("late", 9, "v")));
         List<StoredItem> changed = table.merge(listing(8, List.of(item("kept", 4, "v"))));
         assertThat(changed.stream().map(StoredItem::key).toList(), is(List.of("gone")));
@@ -42,9 +42,9 @@
 
     @Test
     void removalIsCopiedFromATableThatStartedAfterIt() {
-        PublishedTable behind = new PublishedTable();
+        PublishedTable behind = new PublishedTable(CopyLimits.ofHeap(1 << 30));
         behind.merge(listing(5, List.of(item("gone", 3, "v"), item("kept", 4, "v"))));
-        PublishedTable fresh = new PublishedTable();
+        PublishedTable fresh = new PublishedTable(CopyLimits.ofHeap(1 << 30));
         fresh.merge(listing(9, List.of(item("kept", 4, "v"), item("new", 9, "v"))));
         List<StoredItem> changed = behind.merge(fresh.since(behind.position()));
         assertThat(
@@ -124,7 +124,7 @@
 
     /** A table with a check that the revision of a key never decreases. */
     private static final class Copy {
-        private final PublishedTable table = new PublishedTable();
+        private final PublishedTable table = new PublishedTable(CopyLimits.ofHeap(1 << 30));
         private final Map<String, StoredItem> seen = new TreeMap<>();
 
         void list(Store store) {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/published/StoreEraTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/published/StoreEraTest.java
@@ -20,7 +20,7 @@
 
     @Test
     void listingOfALaterEraReplacesTheTable() {
-        PublishedTable table = new PublishedTable();
+        PublishedTable table = new PublishedTable(CopyLimits.ofHeap(1 << 30));
         table.merge(listing(1, 900, item("kept", 10, "a"), item("lost", 890, "b")));
         List<StoredItem> changed =
                 table.merge(listing(2, 872, item("kept", 10, "a"), item("new", 871, "c")));
@@ -30,7 +30,7 @@
 
     @Test
     void changesOfALaterEraAreNotAppliedWithoutAListing() {
-        PublishedTable table = new PublishedTable();
+        PublishedTable table = new PublishedTable(CopyLimits.ofHeap(1 << 30));
         table.merge(listing(1, 900, item("k", 10, "a")));
         StoreChanges later =
                 StoreChanges.changes(new StorePosition(2, 905), List.of(item("k", 904, "b")));
@@ -41,7 +41,7 @@
 
     @Test
     void lateAnswersOfAnEarlierEraChangeNothing() {
-        PublishedTable table = new PublishedTable();
+        PublishedTable table = new PublishedTable(CopyLimits.ofHeap(1 << 30));
         table.merge(listing(2, 872, item("k", 871, "new")));
         assertThat(table.merge(listing(1, 900, item("k", 890, "old"))), is(empty()));
         StoreChanges early =
@@ -52,7 +52,7 @@
 
     @Test
     void vmOfAnEarlierEraGetsAllItems() {
-        PublishedTable table = new PublishedTable();
+        PublishedTable table = new PublishedTable(CopyLimits.ofHeap(1 << 30));
         table.merge(listing(2, 872, item("a", 5, "x"), item("b", 871, "y")));
         StoreChanges sent = table.since(new StorePosition(1, 900));
         assertThat(sent.complete(), is(true));
@@ -67,7 +67,7 @@
         Store store = new Store();
         List<PublishedTable> tables = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
-            tables.add(new PublishedTable());
+            tables.add(new PublishedTable(CopyLimits.ofHeap(1 << 30)));
         }
         List<StoreChanges> delayed = new ArrayList<>();
         for (int step = 0; step < 2_000; step++) {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/published/StoreReadPlanTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/published/StoreReadPlanTest.java
@@ -105,7 +105,7 @@
     /** Guards against an evacuation that is kept after its end, and a replica taken for removed. */
     @Test
     void listingOfAPartRemovesOnlyKeysOfThatPart() {
-        PublishedTable table = new PublishedTable();
+        PublishedTable table = new PublishedTable(CopyLimits.ofHeap(1 << 30));
         table.merge(
                 new StoreChanges(
                         new StorePosition(1, 2),
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -260,6 +260,9 @@
         metrics.gauge("publication.revision", () -> publishedState.position().revision());
         metrics.gauge("publication.era", () -> publishedState.position().era());
         metrics.gauge("publication.version", this::configurationVersion);
+        metrics.gauge("store.copy_items", publishedState::items);
+        metrics.gauge("store.copy_bytes", publishedState::bytes);
+        metrics.gauge("store.copy_items_dropped", publishedState::itemsDropped);
         metrics.gauge("store.lost_ms", control::storeUnavailableMillis);
         metrics.gauge("replicas.known", () -> pool.replicas().size());
         metrics.gauge(
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
@@ -4,11 +4,13 @@
 import io.vanillapoint.api.event.EventSink;
 import io.vanillapoint.api.finding.Findings;
 import io.vanillapoint.api.model.ZoneId;
+import io.vanillapoint.core.published.CopyLimits;
 import io.vanillapoint.core.published.GatewayPublication;
 import io.vanillapoint.core.published.PublishedFormat;
 import io.vanillapoint.core.published.PublishedTable;
 import io.vanillapoint.core.published.ReplicaState;
 import io.vanillapoint.core.published.StoreChanges;
+import io.vanillapoint.core.published.StoreListing;
 import io.vanillapoint.core.published.StorePosition;
 import io.vanillapoint.core.published.StoredItem;
 import io.vanillapoint.core.published.UpstreamReplica;
@@ -60,13 +62,15 @@
     /** Distinguishes the configuration that another VM has in force from that of the store. */
     private static final String IN_FORCE_ELSEWHERE = "in force elsewhere: ";
 
-    private final PublishedTable table = new PublishedTable();
+    private final CopyLimits limits = CopyLimits.ofHeap(Runtime.getRuntime().maxMemory());
+    private final PublishedTable table = new PublishedTable(limits);
     private final PublishedFormat format;
     private final UpstreamPool pool;
     private final EventSink log;
     private final UnexpectedErrors errors;
     private final LongSupplier clock;
     private final Consumer<GatewayPublication> publicationListener;
+    private final ItemUse use;
     private final Map<String, StoredItem> heldBack = new HashMap<>();
 
     /** Values to apply, by key. Empty between two calls unless applying one failed. */
@@ -80,6 +84,8 @@
 
     private Optional<GatewayPublication> publication = Optional.empty();
     private Optional<StoredItem> itemInForce = Optional.empty();
+    private long itemsDropped;
+    private boolean listingNeeded;
     private Optional<StoredItem> awaitingOthers = Optional.empty();
     private long awaitingSinceMillis;
     private boolean othersAnswered;
@@ -109,6 +115,7 @@
         this.errors = errors;
         this.clock = clock;
         this.publicationListener = publicationListener;
+        use = new ItemUse(format, pool);
     }
 
     /**
@@ -148,6 +155,56 @@
         return table.since(newerThan);
     }
 
+    /**
+     * Number of items of the copy of the store.
+     *
+     * @return number, removed keys included
+     */
+    public int items() {
+        return table.size();
+    }
+
+    /**
+     * Size of the copy of the store.
+     *
+     * @return estimate in bytes
+     */
+    public long bytes() {
+        return table.bytes();
+    }
+
+    /**
+     * Number of items that were dropped since the start because the copy of the store was full.
+     *
+     * @return number, removed keys included
+     */
+    public long itemsDropped() {
+        return itemsDropped;
+    }
+
+    /**
+     * Tells whether entries may be missing that a new configuration needs. Each such need is told
+     * once.
+     *
+     * @return true if the store has to be listed
+     */
+    boolean takeListingNeeded() {
+        boolean needed = listingNeeded;
+        listingNeeded = false;
+        return needed;
+    }
+
+    /**
+     * Drops what the copy of the store would have no room for from a listing.
+     *
+     * @param listing the listing
+     * @param page items of the page that was added last
+     */
+    void trim(StoreListing listing, List<StoredItem> page) {
+        errors.contain("reading the configuration", () -> use.expect(page));
+        listing.trim(limits, use::importance);
+    }
+
     /**
      * The configuration in force, which may be newer than the store's after its return from a copy.
      *
@@ -212,7 +269,26 @@
     public void mergeOrders(StoreChanges listing, String source) {
         List<StoredItem> changed = table.mergePart(listing, this::isOrder);
         changed.forEach(item -> heldBack.remove(item.key()));
-        apply(changed, source, false);
+        apply(trim(changed), source, false);
+    }
+
+    /** Drops what the copy of the store has no room for, and returns the changes that are left. */
+    private List<StoredItem> trim(List<StoredItem> changed) {
+        if (!table.exceedsLimits()) {
+            return changed;
+        }
+        errors.contain("reading the configuration", () -> use.expect(changed));
+        List<StoredItem> dropped = table.trim(use::importance);
+        itemsDropped += dropped.size();
+        log.record(EventCode.STORE_COPY_FULL, dropped.size(), table.size(), table.bytes());
+        for (StoredItem item : dropped) {
+            heldBack.remove(item.key());
+            pending.remove(item.key());
+            if (!item.removed()) {
+                withdrawReplica(item);
+            }
+        }
+        return changed.stream().filter(item -> table.find(item.key()) == item).toList();
     }
 
     private boolean isOrder(String key) {
@@ -228,7 +304,7 @@
         if (!restored || before.equals(StorePosition.START)) {
             List<StoredItem> changed = table.merge(changes);
             changed.forEach(item -> heldBack.remove(item.key()));
-            return apply(changed, source, storeWasUnavailable);
+            return apply(trim(changed), source, storeWasUnavailable);
         }
         Set<String> removedBefore = new HashSet<>();
         for (StoredItem item : changes.items()) {
@@ -239,7 +315,7 @@
         }
         List<StoredItem> adopted = new ArrayList<>();
         heldBack.clear();
-        for (StoredItem item : table.merge(changes)) {
+        for (StoredItem item : trim(table.merge(changes))) {
             if (contradictsKnowledge(item, removedBefore)) {
                 heldBack.put(item.key(), item);
                 pending.remove(item.key());
@@ -403,11 +479,13 @@
                     source);
             return;
         }
-        Set<String> servicesBefore = serviceNames();
+        Set<String> servicesBefore = use.configuredServices();
         publication = parsed;
+        use.configure(parsed.get());
         itemInForce = Optional.of(item);
-        if (!servicesBefore.containsAll(serviceNames())) {
+        if (!servicesBefore.containsAll(use.configuredServices())) {
             applyEntriesNotInUse(source);
+            listingNeeded |= table.mayLackUnusedItems();
         }
         listenerPending = true;
         publicationListener.accept(parsed.get());
@@ -415,24 +493,21 @@
         log.record(EventCode.PUBLICATION_TAKEN, parsed.get().version(), item.revision(), source);
     }
 
-    private Set<String> serviceNames() {
-        return publication.map(GatewayPublication::serviceNames).orElse(Set.of());
-    }
-
     /** Entries of services that were not named before name replicas to use from now on. */
     private void applyEntriesNotInUse(String source) {
         for (StoredItem item : table.items()) {
-            boolean unused =
-                    !item.removed()
-                            && format.kind(item.key()) == PublishedFormat.Kind.REPLICA
-                            && !heldBack.containsKey(item.key())
-                            && pool.replica(format.name(item.key())).isEmpty();
-            if (unused) {
+            boolean entry =
+                    !item.removed() && format.kind(item.key()) == PublishedFormat.Kind.REPLICA;
+            if (entry && !heldBack.containsKey(item.key()) && !isPublished(item)) {
                 pending.putIfAbsent(item.key(), new PendingItem(item, source, false));
             }
         }
     }
 
+    private boolean isPublished(StoredItem item) {
+        return pool.replica(format.name(item.key())).filter(ReplicaTracker::hasEntry).isPresent();
+    }
+
     private boolean isNewer(GatewayPublication parsed) {
         if (publication.isEmpty()) {
             return true;
@@ -462,7 +537,7 @@
             return;
         }
         UpstreamReplica replica = parsed.get();
-        if (!serviceNames().contains(replica.service())) {
+        if (!use.configuredServices().contains(replica.service())) {
             pool.remove(id, false, now);
             recordReplicaChange(id, replica.service(), "NOT CONFIGURED", item, source);
             return;
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/StoreSync.java
@@ -116,6 +116,9 @@
         stalledAtMillis = clock.getAsLong() + MAX_CALL_MILLIS;
         long pauseMillis = ERROR_PAUSE_MILLIS;
         try {
+            if (publishedState.takeListingNeeded()) {
+                listingNeeded();
+            }
             callMade = plan.next(clock.getAsLong());
             if (callMade != Call.WATCH) {
                 callInProgress = true;
@@ -289,6 +292,7 @@
             startListings();
             return callFailed(new StoreException(StoreException.Kind.UNREACHABLE, problem.get()));
         }
+        publishedState.trim(listing, page.items());
         if (!listing.complete()) {
             if (!publishedState.position().equals(StorePosition.START)) {
                 StorePosition unchanged = new StorePosition(era, 0);
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/ForeignEntriesTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/ForeignEntriesTest.java
@@ -28,6 +28,9 @@
 class ForeignEntriesTest {
     private static final int ENTRIES = 4_000;
 
+    /** Items that a copy of the store may hold, removed keys included. */
+    private static final int MAX_ITEMS = 20_000;
+
     /** What an entry may cost when it is applied, with a wide margin. */
     private static final long BYTES_PER_ENTRY = 16_384;
 
@@ -95,10 +98,37 @@
         assertThat(pool.serving("other", clock.get()).size(), is(0));
     }
 
+    /** Guards against a heap that is filled by entries that nothing uses. */
+    @Test
+    void entriesThatNothingUsesAreDroppedBeyondTheLimit() {
+        merge(item(CONFIGURATION, 1, "model"));
+        for (int i = 0; i < 12; i++) {
+            merge(item(REPLICAS + "i-" + i, ++revision, "model"));
+            merge(foreignEntries());
+        }
+        assertThat(state.since(new StorePosition(1, 1)).items().size(), is(lessThan(MAX_ITEMS)));
+        assertThat(pool.serving("model", clock.get()).size(), is(12));
+    }
+
+    /** Guards against a heap that is filled by what is left of removed keys. */
+    @Test
+    void removedKeysAreDroppedBeyondTheLimit() {
+        merge(item(CONFIGURATION, 1, "model"));
+        for (int i = 0; i < 12; i++) {
+            StoredItem[] entries = foreignEntries();
+            merge(entries);
+            for (int j = 0; j < entries.length; j++) {
+                entries[j] = removed(entries[j].key(), ++revision);
+            }
+            merge(entries);
+        }
+        assertThat(state.since(new StorePosition(1, 1)).items().size(), is(lessThan(MAX_ITEMS)));
+    }
+
     private StoredItem[] foreignEntries() {
         List<StoredItem> entries = new ArrayList<>();
         for (int i = 0; i < ENTRIES; i++) {
-            entries.add(item(REPLICAS + "x-" + i, ++revision, "service-" + i));
+            entries.add(item(REPLICAS + "x-" + ++revision, revision, "service-" + revision));
         }
         return entries.toArray(StoredItem[]::new);
     }
--- a/vanillapoint-wire/src/test/java/io/vanillapoint/wire/FleetCodecProperties.java
+++ b/vanillapoint-wire/src/test/java/io/vanillapoint/wire/FleetCodecProperties.java
@@ -20,6 +20,7 @@
 import io.vanillapoint.core.message.HeaderField;
 import io.vanillapoint.core.message.RelayRequest;
 import io.vanillapoint.core.prompt.SessionLocations;
+import io.vanillapoint.core.published.CopyLimits;
 import io.vanillapoint.core.published.PublishedTable;
 import io.vanillapoint.core.published.StoreChanges;
 import io.vanillapoint.core.published.StorePosition;
@@ -80,7 +81,7 @@
         byte[] bytes = codec.encode(StoreChanges.changes(new StorePosition(2, 9), List.of(item)));
         try {
             StoreChanges changes = codec.decodeStoreChanges(corrupt(bytes, new Random(seed)));
-            new PublishedTable().merge(changes);
+            new PublishedTable(CopyLimits.ofHeap(1 << 30)).merge(changes);
         } catch (VanillapointException e) {
             assertThat(e.place(), notNullValue());
         }
