Bound what is known of engines' prefix caches by memory

Cause: PrefixCacheModel was bounded by tokens alone, so that each engine's model held up to 222,918 parts of one token, and any number of parts of none. All models of a process now share 8 MiB, beyond which none grows above its equal part, and a model knows the first 64 parts of a prompt, which bounds the work of a placement too.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/ReplicaTracker.java
@@ -52,7 +52,7 @@
     ReplicaTracker(
             UpstreamReplica info,
             RegionId region,
-            long cacheTokens,
+            PrefixCacheModel prefixCache,
             ResponseTimes responseTimes,
             ServiceFailures serviceFailures,
             ServiceTimes serviceTimes,
@@ -60,7 +60,7 @@
         this.info = info;
         this.region = region;
         this.coldGate = new ColdStartGate(nowMillis);
-        this.prefixCache = new PrefixCacheModel(cacheTokens);
+        this.prefixCache = prefixCache;
         this.silence = new SilenceEvidence(responseTimes);
         this.failures = new FailureEvidence(serviceFailures);
         this.serviceTime = serviceTimes.new Replica();
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -7,12 +7,15 @@
 import io.vanillapoint.core.fleet.UpstreamSignals;
 import io.vanillapoint.core.fleet.UpstreamUse;
 import io.vanillapoint.core.fleet.VmRoster;
+import io.vanillapoint.core.prompt.PrefixCacheBudget;
+import io.vanillapoint.core.prompt.PrefixCacheModel;
 import io.vanillapoint.core.published.ServiceSpec;
 import io.vanillapoint.core.published.UpstreamReplica;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -55,6 +58,8 @@
     private final RejectionLimits rejectionLimits = new RejectionLimits();
     private final Map<String, ServiceTimes> serviceTimes = new HashMap<>();
     private final LoadAwareness loadAwareness = new LoadAwareness();
+    private final PrefixCacheBudget prefixCaches =
+            new PrefixCacheBudget(PrefixCacheBudget.LIMIT_BYTES);
 
     /**
      * Creates an empty pool.
@@ -90,13 +95,16 @@
                 new ReplicaTracker(
                         info,
                         region,
-                        cacheTokens,
+                        new PrefixCacheModel(cacheTokens, prefixCaches),
                         responseTimes.computeIfAbsent(
                                 info.service(), unused -> new ResponseTimes()),
                         failures(info.service()),
                         serviceTimes.computeIfAbsent(info.service(), unused -> new ServiceTimes()),
                         nowMillis);
         replicas.put(info.id(), tracker);
+        if (existing != null) {
+            existing.prefixCache().close();
+        }
         indexOutdated = true;
         return Optional.of(tracker);
     }
@@ -145,14 +153,19 @@
      * @param nowMillis monotonic time
      */
     public void prune(long nowMillis) {
-        boolean dropped =
-                replicas.values()
-                        .removeIf(
-                                tracker ->
-                                        tracker.removedAtMillis() < nowMillis - REMOVED_GRACE_MILLIS
-                                                && tracker.idle()
-                                                && !tracker.hasReportedState(nowMillis));
-        indexOutdated |= dropped;
+        Iterator<ReplicaTracker> all = replicas.values().iterator();
+        while (all.hasNext()) {
+            ReplicaTracker tracker = all.next();
+            boolean unused =
+                    tracker.removedAtMillis() < nowMillis - REMOVED_GRACE_MILLIS
+                            && tracker.idle()
+                            && !tracker.hasReportedState(nowMillis);
+            if (unused) {
+                tracker.prefixCache().close();
+                all.remove();
+                indexOutdated = true;
+            }
+        }
     }
 
     /**
@@ -514,6 +527,15 @@
         return loadAwareness;
     }
 
+    /**
+     * Memory for what is known of the replicas' prefix caches.
+     *
+     * @return the budget, shared by all replicas
+     */
+    public PrefixCacheBudget prefixCaches() {
+        return prefixCaches;
+    }
+
     private static boolean leaving(ReplicaTracker tracker, long nowMillis) {
         boolean removed = tracker.removedAtMillis() <= nowMillis;
         boolean graceExpired = tracker.removedAtMillis() < nowMillis - REMOVED_GRACE_MILLIS;
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/LongPromptLimitTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/upstream/LongPromptLimitTest.java
@@ -11,6 +11,7 @@
 import io.vanillapoint.core.fleet.MemberInfo;
 import io.vanillapoint.core.fleet.MemberState;
 import io.vanillapoint.core.fleet.UpstreamUse;
+import io.vanillapoint.core.prompt.PrefixCacheModel;
 import io.vanillapoint.core.prompt.PromptPart;
 import io.vanillapoint.core.prompt.PromptSummary;
 import io.vanillapoint.core.published.EngineSpec;
@@ -166,7 +167,7 @@
                 new ReplicaTracker(
                         info,
                         ReplayVm.REGION,
-                        1,
+                        new PrefixCacheModel(1),
                         new ResponseTimes(),
                         new ServiceFailures(),
                         new ServiceTimes(),
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -265,6 +265,9 @@
         metrics.gauge("store.copy_items_dropped", publishedState::itemsDropped);
         metrics.gauge("store.lost_ms", control::storeUnavailableMillis);
         metrics.gauge("replicas.known", () -> pool.replicas().size());
+        metrics.gauge("engines.prefix_cache_bytes", () -> pool.prefixCaches().heldBytes());
+        metrics.gauge(
+                "engines.prefix_cache_parts_dropped", () -> pool.prefixCaches().droppedParts());
         metrics.gauge(
                 "engines.deferrable_tokens",
                 () -> LongPromptLimit.tokensPerEngine(pool, fleet).getSum());
