Limit a listening socket from its start, until descriptors are free

Cause: AcceptLimit was added when an event loop had handled the first connection of a port; until then everything was accepted. And a closed connection left the count at once, though its descriptor is held until the loop selects again, so a loop that replaced many connections in one turn held them all. InboundTransport adds the limit when the socket is opened, and where more than half of the places are taken a closed connection counts for two further turns.

AcceptLimitTest.busyLoopDoesNotFindManyConnections failed without the transport: 80 connections, 57 allowed.

--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/Daemon.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/Daemon.java
@@ -4,6 +4,7 @@
 import io.vanillapoint.api.event.EventCode;
 import io.vanillapoint.config.impl.DocumentParser;
 import io.vanillapoint.core.message.PeerHello;
+import io.vanillapoint.http.InboundTransport;
 import io.vanillapoint.server.control.ControlPlane;
 import io.vanillapoint.server.control.ControlStatus;
 import io.vanillapoint.server.event.EventRecorder;
@@ -35,7 +36,8 @@
     private final DaemonSettings settings;
     private final HybridClock clock = new HybridClock(System::currentTimeMillis);
     private final EventRecorder recorder;
-    private final Vertx controlVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final Vertx controlVertx =
+            InboundTransport.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final Vertx trafficVertx;
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final Kernel kernel = Kernel.load();
@@ -58,7 +60,7 @@
                 new EventRecorder(settings.vm().value(), clock, settings.limits().timelineEvents());
         this.hello = new PeerHello(settings.vm(), System.currentTimeMillis(), PeerHello.PROTOCOL);
         this.trafficVertx =
-                Vertx.vertx(
+                InboundTransport.vertx(
                         new VertxOptions()
                                 .setEventLoopPoolSize(settings.limits().trafficThreads()));
         this.control =
