Hold back entries of a restored copy that show a replica warm too early

Cause: of the copy's entries only those of replicas that were removed or leave were held back. An entry that shows the replica less cold than this VM knows it, or a former process, is held back too, until it is written again.

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
@@ -354,25 +354,31 @@
 
     /**
      * Tells whether a value of an older copy shows a state that has been left since: a replica that
-     * is gone or leaves, an evacuation that was ended, or none where one was ordered.
+     * is gone, leaves, has restarted or become cold, an evacuation that was ended, or none where
+     * one was ordered.
      */
     private boolean contradictsKnowledge(StoredItem item, Set<String> removedBefore) {
         boolean removed = removedBefore.contains(item.key());
         return switch (format.kind(item.key())) {
             case EVACUATION -> item.removed() || removed;
-            case REPLICA -> !item.removed() && (removed || isReturnOfLeavingReplica(item));
+            case REPLICA -> !item.removed() && (removed || showsFormerState(item));
             default -> false;
         };
     }
 
-    private boolean isReturnOfLeavingReplica(StoredItem item) {
+    private boolean showsFormerState(StoredItem item) {
         Optional<ReplicaTracker> known = pool.replica(format.name(item.key()));
         Optional<UpstreamReplica> entry = format.replica(item, new Findings());
-        return known.isPresent()
-                && entry.isPresent()
-                && known.get().draining()
-                && entry.get().state() == ReplicaState.READY
-                && entry.get().startedAtMillis() == known.get().info().startedAtMillis();
+        if (known.isEmpty() || entry.isEmpty()) {
+            return false;
+        }
+        long knownStart = known.get().info().startedAtMillis();
+        if (entry.get().startedAtMillis() != knownStart) {
+            return entry.get().startedAtMillis() < knownStart;
+        }
+        boolean leaves = known.get().draining() && entry.get().state() == ReplicaState.READY;
+        return leaves
+                || known.get().coldRemainingMillis(clock.getAsLong()) > entry.get().coldMillis();
     }
 
     private int apply(List<StoredItem> changed, String source, boolean storeWasUnavailable) {
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/NamedValues.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/NamedValues.java
@@ -18,7 +18,8 @@
 
 /**
  * A format in which the text of a configuration lists its services, and that of a replica's entry
- * is the name of its service. Stateless.
+ * has the name of its service and, separated by blanks, how long it is cold and when it started.
+ * Stateless.
  */
 class NamedValues implements PublishedFormat {
     static final String CONFIGURATION = "config";
@@ -59,16 +60,17 @@
 
     @Override
     public Optional<UpstreamReplica> replica(StoredItem item, Findings findings) {
+        String[] fields = text(item).split(" ");
         return Optional.of(
                 new UpstreamReplica(
                         name(item.key()),
-                        text(item),
+                        fields[0],
                         new Endpoint("127.0.0.1", 1),
                         ZONE,
                         6,
                         ReplicaState.READY,
-                        0,
-                        1,
+                        fields.length > 1 ? Long.parseLong(fields[1]) : 0,
+                        fields.length > 2 ? Long.parseLong(fields[2]) : 1,
                         Set.of()));
     }
 
