Count crashes at once one by one where one unproven part explains them

Cause: crashes within 150 ms counted as one, by the heaviest, so a batch that crashed several engines weighed 2 of the 8 that are needed. They now count one by one against a part that has never succeeded, if it is the only such part of the requests or the others differ from crash to crash. Parts that have succeeded, or were always together, count once as before.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/quarantine/CrashInference.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/quarantine/CrashInference.java
@@ -3,6 +3,7 @@
 import io.vanillapoint.core.quarantine.CrashLedger.Crash;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -36,7 +37,7 @@
         Map<Long, List<Crash>> crashes = byPart(unexplained, successes);
         for (Map.Entry<Long, List<Crash>> entry : crashes.entrySet()) {
             long part = entry.getKey();
-            double score = score(part, entry.getValue());
+            double score = score(part, entry.getValue(), successes);
             double ratio = score / threshold(part, holds, successes);
             if (ratio >= 1 && ratio > highest) {
                 highest = ratio;
@@ -113,20 +114,47 @@
                 : PromptQuarantine.THRESHOLD;
     }
 
-    /** Sum of the crashes' weights; those with a common cause count once, by the heaviest. */
-    private static int score(long part, List<Crash> crashes) {
+    /**
+     * Sum of the crashes' weights. Those with a common cause count once, by the heaviest, unless
+     * the part is the only one that their requests share among those that have never succeeded.
+     */
+    private static int score(long part, List<Crash> crashes, PartSuccesses successes) {
+        boolean proven = successes.contains(part);
         int sum = 0;
-        int heaviest = 0;
         long groupAt = Long.MIN_VALUE / 2;
+        Map<Set<Long>, Integer> heaviest = new HashMap<>();
         for (Crash crash : crashes) {
             if (crash.atMillis() - groupAt > COMMON_CAUSE_MILLIS) {
                 groupAt = crash.atMillis();
-                sum += heaviest;
-                heaviest = 0;
+                sum += total(heaviest);
+                heaviest.clear();
+            }
+            int weight = weight(part, crash);
+            Set<Long> others = proven ? Set.of() : unprovenCompanions(part, crash, successes);
+            if (!proven && others.isEmpty()) {
+                sum += weight;
+            } else {
+                heaviest.merge(others, weight, Math::max);
+            }
+        }
+        return sum + total(heaviest);
+    }
+
+    private static int total(Map<Set<Long>, Integer> weights) {
+        return weights.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    /** Parts beside one in a suspect request that may be to blame just as well. */
+    private static Set<Long> unprovenCompanions(long part, Crash crash, PartSuccesses successes) {
+        for (SuspectRequest request : crash.primeSuspects()) {
+            if (request.parts().contains(part)) {
+                Set<Long> others = new HashSet<>(request.parts());
+                others.remove(part);
+                others.removeIf(successes::contains);
+                return others;
             }
-            heaviest = Math.max(heaviest, weight(part, crash));
         }
-        return sum + heaviest;
+        return Set.of();
     }
 
     private static int weight(long part, Crash crash) {
--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/quarantine/PromptQuarantineTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/quarantine/PromptQuarantineTest.java
@@ -79,6 +79,38 @@
         assertThat(withheld(CUSTOMER, SYSTEM, SESSION), is(false));
     }
 
+    /** Guards against batches of requests that crash engines again and again. */
+    @Test
+    void partThatCrashesEnginesAtOnceIsWithheldIfNothingElseExplainsIt() {
+        quarantine.recordSuccess(List.of(SYSTEM, SESSION), now);
+        for (int i = 0; i < 4; i++) {
+            assertThat(withheld(CUSTOMER, SYSTEM, SESSION, BAD), is(false));
+            crashAtOnce(waiting(CUSTOMER, SYSTEM, SESSION, BAD), waiting(CUSTOMER, SYSTEM));
+        }
+        assertThat(withheld(CUSTOMER, SYSTEM, SESSION, BAD), is(true));
+        assertThat(withheld(CUSTOMER, SYSTEM, SESSION), is(false));
+    }
+
+    @Test
+    void partThatCrashesEnginesAtOnceInRequestsOfDifferentSessionsIsWithheld() {
+        quarantine.recordSuccess(List.of(SYSTEM), now);
+        for (int i = 0; i < 4; i++) {
+            crashAtOnce(waiting(CUSTOMER, SYSTEM, 1_000 + i, BAD));
+        }
+        assertThat(withheld(CUSTOMER, SYSTEM, 1_005, BAD), is(true));
+        assertThat(withheld(CUSTOMER, SYSTEM, 1_000), is(false));
+    }
+
+    @Test
+    void crashOfManyEnginesAtOnceIsNoEvidenceAgainstAPartThatHasSucceeded() {
+        quarantine.recordSuccess(List.of(SYSTEM), now);
+        for (int i = 0; i < 10; i++) {
+            crashAtOnce(started(CUSTOMER, SYSTEM, 1_000 + i), started(CUSTOMER, 2_000 + i));
+        }
+        assertThat(withheld(CUSTOMER, SYSTEM), is(false));
+        assertThat(withheld(CUSTOMER, SYSTEM, 1_000), is(false));
+    }
+
     @Test
     void partThatSucceedsBetweenCrashesIsNotWithheld() {
         for (int i = 0; i < 20; i++) {
@@ -273,6 +305,10 @@
         return new SuspectRequest(nextCrash, AttemptStage.STARTED, customer, list(parts));
     }
 
+    private SuspectRequest waiting(long customer, long... parts) {
+        return new SuspectRequest(nextCrash, AttemptStage.WAITING, customer, list(parts));
+    }
+
     private void crash(SuspectRequest... requests) {
         now += SECOND;
         crashAtOnce(requests);
