Use no replica whose entry moves to an unknown zone

Cause: UpstreamPool ignores an entry of a zone that the settings do not name, and PublishedState left the former entry of that replica in use, so that requests went on to its former address. Both reasons not to use an entry, service and zone, are one question now (ItemUse.isUsable).

ForeignEntriesTest.replicaWhoseEntryMovesToAnUnknownZoneGetsNoRequests failed before (1 replica served, 0 expected).

--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/ItemUse.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/ItemUse.java
@@ -6,6 +6,7 @@
 import io.vanillapoint.core.published.Importance;
 import io.vanillapoint.core.published.PublishedFormat;
 import io.vanillapoint.core.published.StoredItem;
+import io.vanillapoint.core.published.UpstreamReplica;
 import io.vanillapoint.core.upstream.UpstreamPool;
 import java.util.List;
 import java.util.Set;
@@ -49,6 +50,11 @@
         return configured ? services : Set.of();
     }
 
+    /** Tells whether a replica may receive requests under the configuration in force. */
+    boolean isUsable(UpstreamReplica replica) {
+        return configured && services.contains(replica.service()) && pool.knowsZone(replica.zone());
+    }
+
     /** Importance of an item that is not removed. */
     Importance importance(StoredItem item) {
         return switch (format.kind(item.key())) {
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/PublishedState.java
@@ -543,9 +543,9 @@
             return;
         }
         UpstreamReplica replica = parsed.get();
-        if (!use.configuredServices().contains(replica.service())) {
+        if (!use.isUsable(replica)) {
             pool.remove(id, false, now);
-            recordReplicaChange(id, replica.service(), "NOT CONFIGURED", item, source);
+            recordReplicaChange(id, replica.service(), "NOT USABLE", item, source);
             return;
         }
         pool.publish(replica, publication.flatMap(p -> p.service(replica.service())), now);
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/ForeignEntriesTest.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/ForeignEntriesTest.java
@@ -98,6 +98,14 @@
         assertThat(pool.serving("other", clock.get()).size(), is(0));
     }
 
+    /** Guards against requests to the address of a former entry. */
+    @Test
+    void replicaWhoseEntryMovesToAnUnknownZoneGetsNoRequests() {
+        merge(item(CONFIGURATION, 1, "model"), item(REPLICAS + "i-1", 2, "model"));
+        merge(item(REPLICAS + "i-1", 3, "model 0 1 elsewhere"));
+        assertThat(pool.serving("model", clock.get()).size(), is(0));
+    }
+
     /** Guards against a heap that is filled by entries that nothing uses. */
     @Test
     void entriesThatNothingUsesAreDroppedBeyondTheLimit() {
--- a/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/NamedValues.java
+++ b/vanillapoint-entry/src/test/java/io/vanillapoint/entry/control/NamedValues.java
@@ -18,8 +18,8 @@
 
 /**
  * A format in which the text of a configuration lists its services, and that of a replica's entry
- * has the name of its service and, separated by blanks, how long it is cold and when it started.
- * Stateless.
+ * has the name of its service and, separated by blanks, how long it is cold, when it started and
+ * its zone. Stateless.
  */
 class NamedValues implements PublishedFormat {
     static final String CONFIGURATION = "config";
@@ -66,7 +66,7 @@
                         name(item.key()),
                         fields[0],
                         new Endpoint("127.0.0.1", 1),
-                        ZONE,
+                        fields.length > 3 ? new ZoneId(fields[3]) : ZONE,
                         6,
                         ReplicaState.READY,
                         fields.length > 1 ? Long.parseLong(fields[1]) : 0,
