Bound the tables that heartbeats fill

Cause: each VM and each customer that a heartbeat names became an entry of several tables, whatever its zone and however many there were. HeartbeatFilter leaves out VMs of zones that the settings do not name and new ones beyond 2,048; a VM's customers are bounded, rejection limits are kept for services with replicas, and the log's list of VMs follows the members.

Found by reading.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/FleetReport.java
@@ -86,6 +86,16 @@
         return new Builder(this).reads(List.of()).build();
     }
 
+    /**
+     * Copies the report with other observations.
+     *
+     * @param observations VMs that the sender has heard of
+     * @return a copy
+     */
+    FleetReport withOthers(List<MemberObservation> observations) {
+        return new Builder(this).others(observations).build();
+    }
+
     /** Builds a report. Not thread-safe. */
     public static final class Builder {
         private final MemberInfo self;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
@@ -12,6 +12,9 @@
  * incarnation. Confined to one thread.
  */
 public final class Member {
+    /** More customers than any configuration names. */
+    private static final int MAX_CUSTOMERS = 32_768;
+
     private MemberInfo info;
     private long heardAtMillis;
     private long lastReportMillis = Long.MIN_VALUE / 2;
@@ -138,7 +141,7 @@
         readsStore = report.readsStore();
         load = report.load();
         fleetSize = report.fleetSize();
-        customers.putAll(report.customers());
+        mergeCustomers(report.customers());
         heardAtMillis = nowMillis;
         lastReportMillis = nowMillis;
     }
@@ -167,6 +170,17 @@
     }
 
     /** Resets the customers: a process that has just started has admitted nothing. */
+    /** What is spent by a customer beyond the limit is not told apart from what it had spent. */
+    private void mergeCustomers(Map<String, CustomerUse> reported) {
+        for (Map.Entry<String, CustomerUse> customer : reported.entrySet()) {
+            if (customers.size() < MAX_CUSTOMERS || customers.containsKey(customer.getKey())) {
+                customers.put(customer.getKey(), customer.getValue());
+            } else {
+                allCustomersKnown = false;
+            }
+        }
+    }
+
     private void resetCustomers() {
         customers.clear();
         allCustomersKnown = true;
--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/upstream/UpstreamPool.java
@@ -281,13 +281,19 @@
     }
 
     /**
-     * Records the rejection limits that another VM of the region reports.
+     * Records the rejection limits that another VM of the region reports, of services that have
+     * replicas here.
      *
      * @param limits rejections in a second that a replica survives, by service
      * @param nowMillis monotonic time
      */
     public void mergeRejectionLimits(Map<String, Integer> limits, long nowMillis) {
-        rejectionLimits.merge(limits, nowMillis);
+        if (limits.isEmpty()) {
+            return;
+        }
+        Map<String, Integer> known = new HashMap<>(limits);
+        known.keySet().retainAll(byService().keySet());
+        rejectionLimits.merge(known, nowMillis);
     }
 
     /**
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/EntryNode.java
@@ -7,6 +7,7 @@
 import io.vanillapoint.core.fleet.FleetReport;
 import io.vanillapoint.core.fleet.FleetTiming;
 import io.vanillapoint.core.fleet.FleetView;
+import io.vanillapoint.core.fleet.HeartbeatFilter;
 import io.vanillapoint.core.fleet.LoadMeter;
 import io.vanillapoint.core.fleet.MemberInfo;
 import io.vanillapoint.core.fleet.MemberState;
@@ -85,6 +86,7 @@
     private final EntryMetrics metrics = new EntryMetrics();
     private final LongSupplier clock = () -> System.nanoTime() / 1_000_000;
     private final FleetView fleet;
+    private final HeartbeatFilter heartbeats;
     private final VmRoster roster;
     private final UpstreamPool pool;
     private final SessionLocations sessions = new SessionLocations();
@@ -132,6 +134,7 @@
         log = new DecisionLog(settings.vm(), System::currentTimeMillis, writer);
         errors = new UnexpectedErrors(log, metrics);
         fleet = new FleetView(self(incarnation), FleetTiming.DEFAULT, settings.minFleetSize());
+        heartbeats = new HeartbeatFilter(fleet, settings.zones());
         roster = createRoster(fleet.self());
         pager = new ReportPager(settings.vm().hashCode() + incarnation);
         pool = new UpstreamPool(settings.zones());
@@ -254,6 +257,7 @@
     private void registerGauges(LineWriter writer) {
         metrics.gauge("log.library_warnings_left_out", writer::droppedWarnings);
         metrics.gauge("fleet.members", () -> fleet.members().size());
+        metrics.gauge("fleet.vms_refused", heartbeats::refusedVms);
         metrics.gauge("fleet.region_vms", () -> roster.regionVms().size());
         metrics.gauge("fleet.list_settled", () -> roster.settled(now()) ? 1 : 0);
         metrics.gauge("fleet.heard_percent", () -> Math.round(100 * fleet.heardFraction(now())));
@@ -439,7 +443,11 @@
         return fleet.self().state().compareTo(MemberState.READY) > 0;
     }
 
-    private void receiveReport(FleetReport report) {
+    private void receiveReport(FleetReport received) {
+        heartbeats.admit(received).ifPresent(this::merge);
+    }
+
+    private void merge(FleetReport report) {
         long now = now();
         roster.observe(report, now);
         List<CustomerSpend> spends = fleet.receive(report, now);
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/FleetLink.java
@@ -179,6 +179,9 @@
 
     private void logState(MemberInfo info) {
         boolean recovered = suspected.remove(info.vm());
+        if (!fleet.knows(info.vm())) {
+            return;
+        }
         MemberState previous = loggedStates.put(info.vm(), info.state());
         if (previous != info.state() || recovered) {
             log.record(EventCode.MEMBER_CHANGED, info.vm(), info.state(), info.incarnation());
@@ -186,6 +189,10 @@
     }
 
     private void logSuspects(long now) {
+        if (loggedStates.size() > fleet.members().size()) {
+            loggedStates.keySet().removeIf(vm -> !fleet.knows(vm));
+            suspected.removeIf(vm -> !fleet.knows(vm));
+        }
         for (Member member : fleet.members()) {
             if (!fleet.alive(member, now) && suspected.add(member.info().vm())) {
                 long silentMillis = now - member.heardAtMillis();
