Bound the parts of JSON that vanillapointd reads into a tree

Cause: the body of a chat request and a line of an engine's answer became a tree before anything was looked at, so that 4 MB of parts of two or three bytes took many times that of the heap.

Found by reading.

--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/protocol/ChatProtocol.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/protocol/ChatProtocol.java
@@ -26,7 +26,7 @@
     private static final int AFFINITY_KEY_CHARACTERS = 1_024;
     private static final int MAX_INTERACTIVE_TOKENS = 1_000;
     private static final String[] OUTPUT_LIMIT_FIELDS = {"max_completion_tokens", "max_tokens"};
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final ObjectMapper MAPPER = JsonLimits.mapper();
 
     @Override
     public boolean matches(String path) {
--- a/vanillapoint-server/src/main/java/io/vanillapoint/server/protocol/ChatUsageMeter.java
+++ b/vanillapoint-server/src/main/java/io/vanillapoint/server/protocol/ChatUsageMeter.java
@@ -13,7 +13,7 @@
  * inside a UTF-8 character. Confined to one thread.
  */
 final class ChatUsageMeter implements UsageMeter {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final ObjectMapper MAPPER = JsonLimits.mapper();
     private static final int MAX_LINE_BYTES = 1 << 20;
     private static final String DATA_FIELD = "data:";
     private static final String END_MARKER = "[DONE]";
