--- a/vanillapoint-core/src/test/java/io/vanillapoint/core/quarantine/PromptQuarantineTest.java
+++ b/vanillapoint-core/src/test/java/io/vanillapoint/core/quarantine/PromptQuarantineTest.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -131,6 +132,28 @@
         assertThat(withheld(CUSTOMER, SYSTEM), is(true));
     }
 
+    /** Guards against one customer's prompts that make everybody's proven parts look new. */
+    @Test
+    void successesOfAPartAreKnownBesideThoseOfVeryManyOthers() {
+        for (int i = 0; i < 3; i++) {
+            now += SECOND;
+            quarantine.recordSuccess(List.of(SYSTEM), now);
+        }
+        for (int i = 0; i < 20; i++) {
+            now += SECOND;
+            quarantine.recordSuccess(
+                    LongStream.range(0, 1_650)
+                            .map(part -> 10_000 + 1_650L * (now / SECOND) + part)
+                            .boxed()
+                            .toList(),
+                    now);
+        }
+        for (int i = 0; i < 4; i++) {
+            crash(started(CUSTOMER, SYSTEM, 1_000 + i));
+        }
+        assertThat(withheld(CUSTOMER, SYSTEM), is(false));
+    }
+
     /** A caller chooses how many parts its prompt has; only some of them are kept. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
