Leave room each time the copy of the store is trimmed

Cause: once entries in use alone filled the copy, each further entry made the copy exceed its limit by one, and all of them were examined again to drop one. Entries in use are dropped down to seven eighths of the limits, so that the work for an entry beyond them is bounded.

CopyLimitsTest.itemsBeyondTheLimitCostWhatTheirNumberExplains failed before: 200,485 items examined for 2,000 entries, 32,000 allowed.

--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/published/CopyLimits.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/published/CopyLimits.java
@@ -10,8 +10,9 @@
  * Limits of a copy of the store, which any writer can fill, and the choice of what a copy beyond
  * them drops.
  *
- * <p>Invariant: an essential item is never dropped, and one in use only once no unused ones are
- * left. Immutable.
+ * <p>Handles limits that any writer exceeds again and again: each choice leaves room, since it
+ * looks at all items. Invariant: an essential item is never dropped, and one in use only once no
+ * unused ones are left. Immutable.
  *
  * @param maxItems largest number of items, removed keys included
  * @param maxBytes largest size in bytes, as counted by {@link #bytes(StoredItem)}
@@ -28,6 +29,9 @@
     /** Unused items are dropped down to this part of the limits, so that it is rarely necessary. */
     private static final int TRIMMED_PART = 2;
 
+    /** Part of the limits that is free after items were dropped, for the same reason. */
+    private static final int FREE_PART = 8;
+
     /** Part of the limits above which a copy may lack items that another VM has dropped. */
     private static final int CROWDED_PART = 4;
 
@@ -85,10 +89,13 @@
         }
         unused.sort(Comparator.comparingLong(StoredItem::revision));
         inUse.sort(Comparator.comparingLong(StoredItem::revision).reversed());
-        CopyLimits target = new CopyLimits(maxItems / TRIMMED_PART, maxBytes / TRIMMED_PART);
         List<StoredItem> excess = new ArrayList<>();
-        size.reduce(unused, target, excess);
-        size.reduce(inUse, this, excess);
+        size.reduce(
+                unused, new CopyLimits(maxItems / TRIMMED_PART, maxBytes / TRIMMED_PART), excess);
+        size.reduce(
+                inUse,
+                new CopyLimits(maxItems - maxItems / FREE_PART, maxBytes - maxBytes / FREE_PART),
+                excess);
         return excess;
     }
 
--- a/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/ItemUse.java
+++ b/vanillapoint-entry/src/main/java/io/vanillapoint/entry/control/ItemUse.java
@@ -52,7 +52,11 @@
 
     /** Tells whether a replica may receive requests under the configuration in force. */
     boolean isUsable(UpstreamReplica replica) {
-        return configured && services.contains(replica.service()) && pool.knowsZone(replica.zone());
+        return configured && isNamed(replica);
+    }
+
+    private boolean isNamed(UpstreamReplica replica) {
+        return services.contains(replica.service()) && pool.knowsZone(replica.zone());
     }
 
     /** Importance of an item that is not removed. */
@@ -71,10 +75,7 @@
     /** An unexpected error is recorded when the value is applied. */
     private boolean namesReplica(StoredItem item) {
         try {
-            return format.replica(item, new Findings())
-                    .filter(replica -> services.contains(replica.service()))
-                    .filter(replica -> pool.knowsZone(replica.zone()))
-                    .isPresent();
+            return format.replica(item, new Findings()).filter(this::isNamed).isPresent();
         } catch (RuntimeException | StackOverflowError e) {
             return false;
         }
