Count the elements of lists in the memory for heads

Callers: 500 requests with prompts of 3,700 parts, in heads of legal size, waited for a replica; the VM ended within four seconds, and everybody's requests with it.

Cause: the limit on memory for heads counted bytes and lines, but each part of a prompt is several objects for as long as its request waits. The elements of lists count too, in heads of more than 2,048 bytes, so that ordinary heads cost no more time. Beyond the limit such a request is refused with 503 as before.

ClientCrowdTest.promptsOfManyPartsThatWaitForAReplica failed before ("process 19857 has ended") and passes.

--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/HeadMemoryBudget.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/HeadMemoryBudget.java
@@ -4,9 +4,9 @@
  * Limit on the memory for the heads of all requests of one event loop, unfinished or in progress,
  * and for what clients send ahead of their turn.
  *
- * <p>Handles many requests whose heads are within their limit but made of thousands of lines: a
- * quarter of the limit is only for heads of usual size. Invariant: the bytes held never exceed the
- * limit. Confined to one event loop.
+ * <p>Handles many requests whose heads are within their limit but made of thousands of lines, or of
+ * lists of thousands of elements: a quarter of the limit is only for heads of usual size.
+ * Invariant: the bytes held never exceed the limit. Confined to one event loop.
  */
 final class HeadMemoryBudget {
     /** Largest cost of a head of usual size; about 25 lines. */
@@ -15,6 +15,9 @@
     /** Cost of a field line beside its bytes: entries and texts in the tables that hold it. */
     private static final long LINE_BYTES = 256;
 
+    /** Cost of an element of a list beside its bytes: the objects that it is decoded into. */
+    private static final long ELEMENT_BYTES = 128;
+
     /** The bytes of a head stand in its texts and in the copy that is passed on. */
     private static final long COPIES = 2;
 
@@ -28,8 +31,10 @@
     }
 
     /** Memory that a complete head takes, in bytes. */
-    static long cost(int bytes, int lines) {
-        return COPIES * bytes + LINE_BYTES * lines;
+    static long cost(RequestHead head) {
+        return COPIES * head.bytes().length
+                + LINE_BYTES * head.lines()
+                + ELEMENT_BYTES * head.listElements();
     }
 
     /**
--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestGuard.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestGuard.java
@@ -204,7 +204,7 @@
     }
 
     private void passOnHead(RequestHead head) throws RefusedRequestException {
-        hold(HeadMemoryBudget.cost(head.bytes().length, head.lines()));
+        hold(HeadMemoryBudget.cost(head));
         headPassedOn = true;
         requestDecoded = false;
         responseBegun = false;
--- a/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestHead.java
+++ b/vanillapoint-http/src/main/java/io/vanillapoint/http/RequestHead.java
@@ -15,6 +15,10 @@
     private static final String TRANSFER_ENCODING = "transfer-encoding";
     private static final String CHUNKED = "chunked";
     private static final int MAX_LENGTH_DIGITS = 18;
+
+    /** Heads of usual size, whose lists are not counted. */
+    private static final int USUAL_BYTES = 2_048;
+
     private static final int DECIMAL = 10;
     private static final int LOWER_CASE = 0x20;
 
@@ -148,6 +152,17 @@
         return lines;
     }
 
+    /** Number of commas, which separate the elements of lists; 0 for a head of usual size. */
+    int listElements() {
+        int commas = 0;
+        if (bytes.length > USUAL_BYTES) {
+            for (byte symbol : bytes) {
+                commas += symbol == ',' ? 1 : 0;
+            }
+        }
+        return commas;
+    }
+
     boolean chunked() {
         return chunked;
     }
