--- a/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
+++ b/vanillapoint-core/src/main/java/io/vanillapoint/core/fleet/Member.java
@@ -12,7 +12,7 @@
  * incarnation. Confined to one thread.
  */
 public final class Member {
-    /** More customers than any configuration names. */
+    /** Above the planned number of customers. */
     private static final int MAX_CUSTOMERS = 32_768;
 
     private MemberInfo info;
